--- /dev/null
+++ b/laddergw/control.py
@@ -0,0 +1,533 @@
+"""Decides who plays, on which media node and at which rung; docs/design.md tells the reasons.
+
+Call: one Controller(deployment, seed, now) a director, then a method for each thing that happens: listed,
+list_failed, asked, handed_over, playing, ended, note, left, wake. Each returns (verdicts, next wake time).
+The types that go in and out are in laddergw/interface.py. Times are ms with fractions, rates kB a second.
+"""
+import math
+from collections import deque
+from zlib import crc32
+
+from laddergw import interface as face
+from laddergw.interface import Verdict
+
+LENGTH_MS = 40_000.0       # length of a play without a hint, from the design page
+TAIL = 0.25                # share of its length that an overdue play is still expected to last
+MARGIN = 0.06              # share of a link or uplink kept free: true rates stray by more than reports show
+FORECAST_MS = 15_000.0     # memory of arrivals: a few dozen plays, short enough to follow a wave
+SHARE_MS = 30_000.0        # memory of where our set-ups went: about one play's length
+SHARE_PRIOR = 4.0          # set-ups' worth of belief that they spread by link size
+CROWD_START = 0.4          # others' share of a link before anything was heard: a fleet in fair use
+CROWD_STEP = 0.1           # weight of one note in others' usual share: about the last ten notes
+AGE_MS = 15_000.0          # what was told of a node's others fades into their usual share over this
+REPORT_LAG_MS = 300.0      # load reports: usual age
+UPLINK_STEP = 0.4          # weight of one note on what an uplink carries: a few notes settle it
+UPLINK_SPAN = (0.3, 1.6)   # an uplink is never believed outside these multiples of its told size
+SHORT = 0.98               # delivered share under which plays lose, from the wire's rules
+AIM_LOAD = 0.96            # load of a short link that stepping down aims for: just under its size
+SETTLE_MS = 700.0          # wait, beyond the notes' lateness, before a second step down answers the same shortage
+LOOK_MS = 500.0            # pace of looking over the plays under way: half a note's second
+UP_ROOM = 0.15             # share of a link that must be free before a step up: more than a note's error
+UP_GAP_MS = 20_000.0       # time between changes of one play's rung: 3 a play-minute at most
+ILL_MS = 400.0             # first rest of a node that failed; doubles with each further failure
+ILL_MOST = 5               # doublings at most: a rest of 13 s, about a restart
+ANSWER_START_MS = 150.0    # set-up time assumed before any was seen
+ANSWER_STEP = 0.1          # weight of one set-up in the usual time
+PATIENCE = 5.0             # time-out in usual set-up times: slow ones pass, silent nodes do not
+TIMEOUT_LEAST_MS = 300.0   # a handshake and a busy queue fit
+RETRY_MS = 1_000.0         # retry-after of a decline: room opens by play ends, about one a second
+LOOP_SWEEPS, LOOP_HALVINGS = 4, 24   # of the dual loop: prices to one part in ten million
+SURE = 1.000001            # importance must exceed its cost by more than rounding
+
+
+class Allocation:
+    """One set-up sent out."""
+    def __init__(self, number, node, now):
+        self.number, self.node, self.sent = number, node, now
+
+
+class Play:
+    """One play, from its request to its end."""
+    def __init__(self, ask, product, now, hint):
+        self.ask, self.id, self.product, self.rung, self.asked = ask, ask.play, product, product.floor, now
+        self.length = hint or LENGTH_MS
+        self.limit, self.started, self.changed = now + ask.wait_ms, None, now
+        self.out = self.node = self.first = None     # allocation out, node that it loads, where it may have run
+        self.sends, self.tried, self.may_have_run, self.over = 0, set(), False, False
+        self.holders, self.verdict = [], None
+
+    def left(self, now):
+        """Expected time still to play."""
+        return max(self.length - (now - (self.started or now)), TAIL * self.length)
+
+
+class Node:
+    """One media node, as far as this director knows it."""
+    def __init__(self, line, now):
+        self.id, self.plays, self.log = line.node, {}, deque()
+        self.own = self.others = self.setups = 0.0
+        self.told, self.count, self.ill, self.rest, self.last_send, self.settle = now, None, 0, 0.0, -math.inf, 0.0
+        self.room = 0.0                              # as last worked out
+        self.cold = self.pace = -math.inf            # start of its warm-up; start of our pacing
+        self.started = None
+
+
+class Controller:
+    def __init__(self, deployment, seed, now):
+        self.d, self.seed, self.draws, self.start = deployment, seed, 0, now
+        self.nodes, self.plays, self.known = {}, {}, False
+        self.rows = deployment.products
+        self.demand, self.demand_at = [0.0] * len(self.rows), now
+        self.setups_at, self.crowd, self.usual = now, CROWD_START, ANSWER_START_MS
+        self.uplink = [deployment.rack_kb] * deployment.racks
+        self.taken, self.further = deque(), deque()  # times, for the budget
+        self.seats, self.next_look, self.ask_at = {}, now + LOOK_MS, now if deployment.must_ask else None
+        self.chain = ((self.terms, self.terms_back), (self.holding, None), (self.health, self.health_back),
+                      (self.price, self.price_back), (self.ration, None), (self.send, self.send_back))
+
+    # What happens, told by the host ------------------------------------------------------------------------
+
+    def listed(self, now, lines, whole):
+        if whole:
+            named = {line.node for line in lines}
+            for node in self.nodes.values():
+                if node.id not in named:
+                    node.state = face.GONE
+        for line in lines:
+            node = self.nodes.get(line.node)
+            if node is None:
+                node = self.nodes[line.node] = Node(line, now)
+                node.others = self.crowd * line.weight * self.d.link_unit
+                if not self.known:                   # after our own start any node may have started just now
+                    node.pace = now
+            if line.state != face.GONE:
+                node.cell, node.rack, node.zone = line.cell, line.cell % self.d.racks, line.zone
+                kind = min(line.kind, len(self.d.streams) - 1)
+                node.link, node.streams = line.weight * self.d.link_unit, self.d.streams[kind]
+            elif node.started is None:
+                del self.nodes[line.node]
+                continue
+            if line.started_ms > 0 and line.started_ms != node.started:
+                if now - line.started_ms < self.d.warm_ms:
+                    node.cold, node.others, node.ill, node.rest = line.started_ms, 0.0, 0, 0.0
+                    node.told, node.pace = now, max(node.pace, line.started_ms)
+            node.started, node.state = line.started_ms, line.state
+        self.known = True
+        return self.done([])
+
+    def list_failed(self, now):
+        if self.d.must_ask:
+            self.ask_at = now + RETRY_MS
+        return self.done([])
+
+    def asked(self, now, ask):
+        ply = self.plays[ask.play] = Play(ask, self.rows[ask.product], now, ask.length_ms)
+        self.forecast(now)
+        self.demand[ask.product] += 1 / FORECAST_MS
+        self.taken.append(now)
+        return self.done(self.run(now, ply))
+
+    def handed_over(self, now, ask, node_id):
+        ply = self.plays[ask.play] = Play(ask, self.rows[ask.product], now, ask.length_ms)
+        ply.started, ply.sends = now, 1
+        self.seat(ply, 1)
+        self.demand[ask.product] += 1 / ply.length   # plays under way over their length: Little's law
+        node = self.nodes.get(node_id)
+        if node:
+            ply.node = node
+            node.plays[ply.id] = ply
+            self.load(now, node, self.rate(ply))
+        return self.done([])
+
+    def playing(self, now, play, number, delay, node_id):
+        ply = self.plays.get(play)
+        if ply and ply.out and ply.out.number == number:
+            ply.started = ply.changed = now
+            self.usual += ANSWER_STEP * (delay - self.usual)
+            self.well(ply.out.node)
+            ply.out = None
+        return self.done([])
+
+    def ended(self, now, play, number, outcome, node_id, over, report):
+        node, ply = self.nodes.get(node_id), self.plays.get(play)
+        if node:
+            self.reported(now, node, report)
+        if ply is None or ply.sends - 1 != number:
+            return self.done([])
+        for _, back in reversed(self.chain):
+            if back:
+                back(now, ply, node or ply.node, outcome)
+        ply.out = ply.node = None
+        if over or ply.over or ply.started is not None:
+            self.plays.pop(play, None)
+            return self.done([])
+        return self.done(self.run(now, ply))
+
+    def note(self, now, play, node_id, kind, value):
+        ply, node = self.plays.get(play), self.nodes.get(node_id)
+        if not math.isfinite(value) or value < 0 or node is None:
+            return self.done([])
+        if kind == face.RUNG_NOW and ply and ply.node is node:
+            self.load(now, node, -self.rate(ply))
+            ply.rung = min(int(value), len(self.d.ladder) - 1)
+            self.load(now, node, self.rate(ply))
+        fresh = ply is not None and ply.started is not None and now - ply.started < 1 and ply.sends and ply.first
+        lag = 0.0 if fresh else self.d.seen_after_ms
+        if kind == face.LINK_ASKED:
+            self.told(now, node, value, lag)
+        elif kind == face.UPLINK_ASKED and value > 0:
+            self.carry(node.rack, self.rack_load(now, node.rack) / value)
+        elif kind == face.DELIVERED and value < SHORT:
+            if (self.others(now, node) + node.own) / self.size(now, node) < 1.02:   # not the link: the uplink
+                self.carry(node.rack, self.rack_load(now, node.rack) * max(value, 0.3), down=True)
+            return self.done(self.step_down(now, node))
+        return self.done(self.step_down(now, node))
+
+    def left(self, now, play):
+        ply = self.plays.get(play)
+        if ply:
+            ply.over = True
+            if ply.out is None and ply.node is None:
+                del self.plays[play]
+        return self.done([])
+
+    def wake(self, now):
+        out = []
+        if self.ask_at is not None and now >= self.ask_at:
+            self.ask_at = None
+            out.append(Verdict(follow=True))
+        if now >= self.next_look:
+            self.next_look = now + LOOK_MS
+            for node in self.nodes.values():
+                out += self.step_down(now, node) or self.step_up(now, node)
+        return self.done(out)
+
+    def done(self, verdicts):
+        return verdicts, min(self.next_look, self.ask_at if self.ask_at is not None else math.inf)
+
+    # The chain: each stage passes a play on (None) or ends it (a verdict) ------------------------------------
+
+    def run(self, now, ply):
+        for stage, _ in self.chain:
+            verdict = stage(now, ply)
+            if verdict:
+                if verdict.answer:
+                    self.plays.pop(ply.id, None)
+                return [verdict]
+        return []
+
+    def give_up(self, ply):
+        """The final answer at once: a decline with a time to come back, where no set-up can have run."""
+        if ply.may_have_run and (ply.product.repeat == "paid" or
+                                 (ply.product.repeat == "keyed" and ply.product.group != "all")):
+            return Verdict(ply.id, answer=face.FAILED)
+        return Verdict(ply.id, answer=face.DECLINED,
+                       retry_ms=min(RETRY_MS * (1 + self.chance()), self.d.retry_max_ms))
+
+    def terms(self, now, ply):
+        repeat_barred = ply.may_have_run and ply.product.repeat == "paid"
+        no_rung = ply.product.floor > self.highest(ply)
+        no_seat = ply.product.seats and self.seats.get(self.seat_key(ply), 0) >= ply.product.seats
+        if repeat_barred or no_rung or no_seat or ply.sends >= self.d.max_allocations or now >= ply.limit:
+            return self.give_up(ply)
+
+    def terms_back(self, now, ply, node, outcome):
+        self.seat(ply, -1)
+
+    def holding(self, now, ply):
+        """Holders of the title that the list calls ready, in order of most room."""
+        copies = max(1, min(int(ply.ask.copies), self.d.cells)) if ply.ask.copies else self.d.cells
+        home, cells = int(ply.ask.home), self.d.cells
+        ply.holders = [n for n in self.nodes.values()
+                       if n.state == face.READY and (n.cell - home) % cells < copies and n.id not in ply.tried]
+        if ply.may_have_run and ply.product.repeat == "keyed":
+            first, group = ply.first, ply.product.group
+            alike = {"zone": lambda n: n.zone == first.zone, "cell": lambda n: n.cell == first.cell}
+            ply.holders = [n for n in ply.holders if now < ply.key_ends and alike.get(group, lambda n: True)(n)]
+        loads = {rack: self.rack_load(now, rack) for rack in {n.rack for n in ply.holders}}
+        for n in ply.holders:
+            n.room = min(self.room(now, n, loads[n.rack]))
+        ply.holders.sort(key=lambda n: (-n.room, n.id))
+
+    def health(self, now, ply):
+        """Skips nodes that rest after failures, are cold and had their share, or (for a play that can be sent
+        only once) failed lately."""
+        def fit(n):
+            if now < n.rest or (n.ill and (ply.product.repeat == "paid" or any(p.out for p in n.plays.values()))):
+                return False
+            return now - n.pace >= self.d.warm_ms or now - n.last_send >= self.spacing(now, n)
+        ply.holders = [n for n in ply.holders if fit(n)]
+        if not ply.holders:
+            return self.give_up(ply)
+
+    def health_back(self, now, ply, node, outcome):
+        if node is None or ply.over and outcome == face.CANCELLED:
+            return
+        if outcome in (face.ERROR, face.TIMED_OUT, face.UNREACHABLE, face.BROKEN):
+            node.rest = now + ILL_MS * 2 ** node.ill * (1 + self.chance())
+            node.ill = min(node.ill + 1, ILL_MOST)
+            if outcome in (face.UNREACHABLE, face.BROKEN):   # it may be starting: pace it from when it answers
+                node.pace = now
+        elif outcome == face.FULL:                   # fuller than we were told: a contradiction told in our favour
+            node.others, node.told = max(self.others(now, node), self.size(now, node) - node.own), now
+            node.rest = max(node.rest, now + ILL_MS)
+
+    def price(self, now, ply):
+        """The bid-price test at each holder in turn: the highest rung that pays for itself and fits."""
+        least = self.d.ladder[ply.product.floor] * ply.product.scale
+        for node in (n for n in ply.holders if n.room >= least and self.streams_left(now, n) >= 1):
+            lk, link, uplink = ply.length, self.size(now, node), self.uplink[node.rack]
+            prices = self.shadow_prices(now, node, lk)
+            for rung in range(self.highest(ply), ply.product.floor - 1, -1):
+                rate = self.d.ladder[rung] * ply.product.scale
+                uses = (1 / node.streams, rate / link, rate / uplink)
+                cost = sum(u * p for u, p in zip(uses, prices)) * self.inside(lk, lk)
+                payoff = ply.product.importance * self.d.rung_worth[rung] * lk
+                if payoff > cost * SURE and rate <= node.room:
+                    ply.rung, ply.holders = rung, [node]
+                    return None
+        return self.give_up(ply)
+
+    def price_back(self, now, ply, node, outcome):
+        if ply.node:
+            ply.node.plays.pop(ply.id, None)
+            self.load(now, ply.node, -self.rate(ply))
+
+    def ration(self, now, ply):
+        """Further allocations only within the stated budget, counted over a sliding window."""
+        if ply.sends and self.d.budget_free is not None:
+            while self.taken and self.taken[0] <= now - self.d.budget_ms:
+                self.taken.popleft()
+            while self.further and self.further[0] < now - self.d.budget_ms:
+                self.further.popleft()
+            if len(self.further) + 1 > self.d.budget_free + self.d.budget_share * len(self.taken):
+                return self.give_up(ply)
+            self.further.append(now)
+
+    def send(self, now, ply):
+        node, left = ply.holders[0], ply.limit - now
+        ply.out, ply.node, ply.sends = Allocation(ply.sends, node, now), node, ply.sends + 1
+        ply.tried.add(node.id)
+        node.plays[ply.id] = ply
+        node.last_send = now
+        self.decay_setups(now)
+        node.setups += 1
+        self.seat(ply, 1)
+        self.load(now, node, self.rate(ply))
+        last = ply.product.repeat == "paid" or ply.sends >= self.d.max_allocations
+        timeout = left if last else min(left, max(PATIENCE * self.usual, TIMEOUT_LEAST_MS))
+        if ply.first is None:
+            ply.first, ply.key_ends = node, now + ply.product.key_ms
+        return Verdict(ply.id, node.id, ply.rung, timeout)
+
+    def send_back(self, now, ply, node, outcome):
+        if outcome not in (face.FULL, face.UNREACHABLE, face.NEVER_SENT):
+            ply.may_have_run = True
+        ply.out = None
+
+    # The program and its prices -------------------------------------------------------------------------------
+
+    def inside(self, length, lk):
+        """Share of a play's use that falls into the period when it may start at any time within it (q)."""
+        length = min(length, lk)
+        return 1 - length / (2 * lk)
+
+    def shadow_prices(self, now, node, lk):
+        """Duals of the node's streams, link and uplink over the period lk, net of the plays under way."""
+        self.decay_setups(now)
+        self.forecast(now)
+        size, up = self.size(now, node), self.uplink[node.rack]
+        stand = SHARE_PRIOR / max(sum(n.link for n in self.nodes.values() if n.state == face.READY), 1e-9)
+        total = sum(n.setups for n in self.nodes.values()) + SHARE_PRIOR
+        here = (node.setups + stand * node.link) / total
+        mates = [n for n in self.nodes.values() if n.rack == node.rack and n.state == face.READY] or [node]
+        rack = sum(n.setups + stand * n.link for n in mates) / total
+        keep = 1 - MARGIN
+        caps = [lk * (1 - self.other_streams(now, node) / node.streams), lk * (keep - self.others(now, node) / size),
+                lk * (keep - sum(self.others(now, n) for n in mates) / up)]
+        for n in mates:
+            for p in n.plays.values():
+                stay = min(p.left(now), lk)
+                caps[2] -= stay * self.rate(p) / up
+                if n is node:
+                    caps[0] -= stay / node.streams
+                    caps[1] -= stay * self.rate(p) / size
+        groups = []
+        for row, demand in zip(self.rows, self.demand):
+            held = min(LENGTH_MS, lk) * self.inside(LENGTH_MS, lk)
+            # the rack's uplink also carries what our set-ups at its other nodes will ask
+            choices = [(row.importance * self.d.rung_worth[r] * LENGTH_MS,
+                        (held / node.streams, held * self.d.ladder[r] * row.scale / size,
+                         held * self.d.ladder[r] * row.scale / up * rack / max(here, 1e-9)))
+                       for r in range(row.floor, min(row.top, len(self.d.ladder) - 1) + 1)]
+            groups.append((lk * demand * here, choices))
+        return duals(groups, caps)
+
+    def forecast(self, now):
+        fade = math.exp(-(now - self.demand_at) / FORECAST_MS)
+        self.demand = [d * fade for d in self.demand]
+        self.demand_at = now
+
+    def decay_setups(self, now):
+        fade = math.exp(-(now - self.setups_at) / SHARE_MS)
+        for n in self.nodes.values():
+            n.setups *= fade
+        self.setups_at = now
+
+    # Room, learned from notes and reports ---------------------------------------------------------------------
+
+    def highest(self, ply):
+        return min(ply.product.top, int(ply.ask.ceiling), len(self.d.ladder) - 1)
+
+    def rate(self, ply):
+        return self.d.ladder[ply.rung] * ply.product.scale
+
+    def warm(self, now, node):
+        """Share of its capacity that a node surely has: a cold one's rises to 1 over the warm-up."""
+        age = now - node.cold
+        if age >= self.d.warm_ms:
+            return 1.0
+        return self.d.cold_from + (1 - self.d.cold_from) * max(age, 0) / self.d.warm_ms
+
+    def size(self, now, node):
+        return node.link * self.warm(now, node)
+
+    def spacing(self, now, node):
+        """Time between our set-ups at a cold node: all directors together stay at its pace without agreeing."""
+        age = max(0.0, now - node.pace) / self.d.warm_ms
+        share = self.d.cold_from + (1 - self.d.cold_from) * age
+        return self.d.directors * self.d.warm_ms / (node.streams * max(share, 1e-6))
+
+    def others(self, now, node):
+        """Others' load at a node: what was told less ours, fading into their usual share as it ages."""
+        usual = self.crowd * self.size(now, node)
+        return usual + (node.others - usual) * math.exp(-(now - node.told) / AGE_MS)
+
+    def other_streams(self, now, node):
+        if node.count is not None and now - node.told < AGE_MS:
+            return node.count
+        plays = len(node.plays)
+        each = node.own / plays if plays else self.d.ladder[len(self.d.ladder) // 2]
+        return self.others(now, node) / max(each, 1e-9)
+
+    def streams_left(self, now, node):
+        return node.streams - len(node.plays) - self.other_streams(now, node)
+
+    def rack_load(self, now, rack):
+        return sum(self.others(now, n) + n.own for n in self.nodes.values() if n.rack == rack and n.state != face.GONE)
+
+    def room(self, now, node, rack_load):
+        keep = 1 - MARGIN
+        return (self.size(now, node) * keep - self.others(now, node) - node.own,
+                self.uplink[node.rack] * keep - rack_load)
+
+    def load(self, now, node, change):
+        node.own = max(0.0, node.own + change)
+        node.log.append((now, change))
+        while node.log[0][0] < now - 2 * self.d.seen_after_ms - REPORT_LAG_MS:
+            node.log.popleft()
+
+    def told(self, now, node, asked, lag):
+        """Takes in what is asked of a link over what it gives, as it stood `lag` ago."""
+        size = self.size(now, node)
+        own = node.own - sum(change for at, change in node.log if at > now - lag)
+        node.others, node.told = max(0.0, asked * size - own), now
+        self.crowd += CROWD_STEP * (min(node.others / size, 1.5) - self.crowd)
+
+    def reported(self, now, node, report):
+        values = dict(zip(self.d.reports, report or ()))
+        values = {k: v for k, v in values.items() if math.isfinite(v) and v >= 0}
+        asked = values.get("x0", values.get("load_share"))
+        if asked is not None and asked < 10:
+            self.told(now, node, asked, REPORT_LAG_MS)
+        if "concurrent" in values:
+            node.count = max(0.0, values["concurrent"] - len(node.plays))
+        if 0 < values.get("x1", 0) < 10:
+            self.carry(node.rack, self.rack_load(now, node.rack) / values["x1"])
+
+    def carry(self, rack, size, down=False):
+        """Learns what an uplink carries, in the measure of the links' told sizes."""
+        low, high = (self.d.rack_kb * m for m in UPLINK_SPAN)
+        size = min(max(size, low), high)
+        if not down or size < self.uplink[rack]:
+            self.uplink[rack] += UPLINK_STEP * (size - self.uplink[rack])
+
+    # Plays under way ------------------------------------------------------------------------------------------
+
+    def step_down(self, now, node):
+        """Sheds our part of what a short link or uplink is asked too much, where a step loses least."""
+        if now < node.settle or not node.plays:
+            return []
+        over = max(self.others(now, node) + node.own - self.size(now, node),
+                   self.rack_load(now, node.rack) - self.uplink[node.rack] if self.d.racks else 0)
+        if over <= 0:
+            return []
+        load = self.others(now, node) + node.own
+        want = (over + (1 - AIM_LOAD) * self.size(now, node)) * node.own / load
+        out = []
+        def loss(p):
+            worth = self.d.rung_worth
+            return p.product.importance * (worth[p.rung] - worth[p.rung - 1]) / (
+                (self.d.ladder[p.rung] - self.d.ladder[p.rung - 1]) * p.product.scale)
+        able = [p for p in node.plays.values() if p.started is not None and p.rung > p.product.floor and not p.over]
+        for p in sorted(able, key=lambda p: (loss(p), p.id)):
+            if want <= 0:
+                break
+            out.append(self.step(now, p, p.rung - 1))
+            want -= (self.d.ladder[p.rung + 1] - self.d.ladder[p.rung]) * p.product.scale
+        node.settle = now + self.d.seen_after_ms + SETTLE_MS
+        return out
+
+    def step_up(self, now, node):
+        return []
+
+    def step(self, now, ply, rung):
+        self.load(now, ply.node, -self.rate(ply))
+        ply.rung, ply.changed = rung, now
+        self.load(now, ply.node, self.rate(ply))
+        return Verdict(ply.id, rung=rung)
+
+    # Small helps ----------------------------------------------------------------------------------------------
+
+    def well(self, node):
+        node.ill, node.rest = max(0, node.ill - 2), 0.0
+
+    def seat_key(self, ply):
+        return ply.ask.product, ply.ask.title
+
+    def seat(self, ply, change):
+        if ply.product.seats:
+            self.seats[self.seat_key(ply)] = max(0, self.seats.get(self.seat_key(ply), 0) + change)
+
+    def chance(self):
+        self.draws += 1
+        return crc32(b"%d %d" % (self.seed, self.draws)) / 2 ** 32
+
+
+def duals(groups, caps):
+    """Shadow prices of max sum(payoff x) under sum(use x) <= caps and, by group, sum(x) <= demand. Each price in
+    turn is halved towards the least at which what the groups then choose fits."""
+    prices = [0.0] * len(caps)
+
+    def used(e):
+        total = 0.0
+        for demand, choices in groups:
+            best, use = 0.0, 0.0
+            for payoff, uses in choices:
+                net = payoff - sum(u * p for u, p in zip(uses, prices))
+                if net > best:
+                    best, use = net, uses[e]
+            total += demand * use
+        return total
+
+    for _ in range(LOOP_SWEEPS):
+        for e, cap in enumerate(caps):
+            prices[e] = 0.0
+            if used(e) <= cap:
+                continue
+            low, high = 0.0, max(payoff / uses[e] for _, choices in groups for payoff, uses in choices)
+            for _ in range(LOOP_HALVINGS):
+                prices[e] = middle = (low + high) / 2
+                low, high = (low, middle) if used(e) <= cap else (middle, high)
+            prices[e] = high
+    return prices
--- /dev/null
+++ b/laddergw/interface.py
@@ -0,0 +1,99 @@
+"""What goes into a Controller and what comes out of it. Plain types; no choice is made here.
+
+Times are milliseconds with fractions, rates are kB a second, ids are as the host gives them.
+"""
+from typing import NamedTuple
+
+# How an allocation ended, in the words that the host hands to Controller.ended().
+SERVED, ERROR, FULL, TIMED_OUT, UNREACHABLE, BROKEN, CANCELLED, NEVER_SENT = (
+    "served", "error", "full", "timed out", "unreachable", "broken", "cancelled", "never sent")
+# What the fleet list says of a media node.
+READY, DRAINING, GONE = "ready", "draining", "gone"
+# What a note on a playing play tells.
+DELIVERED, RUNG_NOW, LINK_ASKED, UPLINK_ASKED = "delivered", "rung", "link asked", "uplink asked"
+# Final answers that a verdict may carry.
+DECLINED, FAILED = "declined", "failed"
+
+
+class Product(NamedTuple):
+    """One product's terms, as the deployment states them."""
+    aim_ms: float            # first-frame target
+    limit_ms: float          # time limit
+    importance: float        # a second at a rung worth 1
+    repeat: str              # "safe", "keyed" or "paid"
+    group: str               # keyed: "all", "zone" or "cell"
+    key_ms: float            # keyed: how long a key holds
+    floor: int               # lowest rung
+    top: int                 # highest rung
+    scale: float             # its rates over the ladder's
+    seats: int               # plays of one title that a director may hold; 0: no cap
+
+
+class Deployment(NamedTuple):
+    """What a director is told of its deployment at start."""
+    products: tuple
+    ladder: tuple            # kB/s of each rung
+    rung_worth: tuple
+    cells: int
+    racks: int
+    link_unit: float         # kB/s of a link for a weight of 1
+    rack_kb: float           # mean uplink of a rack
+    streams: tuple           # by kind of node
+    full_from: float         # nodes answer full from this much asked of the link; 0: never
+    stall: float             # points lost for a missing point of rate
+    step_cost_ms: float      # a change of rung, in time of the product's importance
+    seen_after_ms: float     # how late notes are
+    directors: int
+    number: int              # this director's own, from 0
+    zone: int
+    max_allocations: int
+    retry_max_ms: float      # longest retry-after that viewers follow; 0: none
+    drain_grace_ms: float
+    cold_from: float
+    warm_ms: float
+    fall_multiple: float
+    fall_ms: float
+    budget_free: float       # further allocations; None where they are not rationed
+    budget_share: float
+    budget_ms: float
+    must_ask: bool           # the fleet list comes only when asked for
+    move_price: float
+    reports: tuple           # names of the values in a load report
+
+
+class NodeLine(NamedTuple):
+    """One line of the fleet list."""
+    node: int
+    cell: int
+    weight: float
+    state: str
+    started_ms: float        # latest start; 0: long ago
+    kind: int
+    zone: int
+
+
+class Asked(NamedTuple):
+    """A viewer's request for a play, or a play handed over at the start."""
+    play: int
+    product: int
+    title: int
+    home: float              # first cell that holds the title
+    copies: float            # cells that hold it
+    ceiling: float           # highest rung that the viewer can use
+    length_ms: float         # hint of its length (handed over: of what is left); None: no hint
+    wait_ms: float           # the viewer stops waiting after this
+    moved: bool              # back from a move
+
+
+class Verdict(NamedTuple):
+    """One decision. `node` set: allocate there at `rung` with `timeout_ms`; `answer`: the final one;
+    `rung` alone: change the rung of a playing play; `move`: take the play off its node;
+    `follow`: ask for the fleet list and its changes."""
+    play: int = None
+    node: int = None
+    rung: int = None
+    timeout_ms: float = None
+    answer: str = None
+    retry_ms: float = None
+    move: bool = False
+    follow: bool = False
--- /dev/null
+++ b/laddergw/wirehost/__init__.py
@@ -0,0 +1,1 @@
+"""Hosts controllers on the bench's wire: frames in codec.py, start values in settings.py, the loop in __main__.py."""
--- /dev/null
+++ b/laddergw/wirehost/__main__.py
@@ -0,0 +1,125 @@
+"""Hosts controllers on the bench's wire: reads batches on standard input, writes replies to standard output."""
+import sys
+import traceback
+
+from laddergw import interface as face
+from laddergw.control import Controller
+from laddergw.wirehost import codec, settings
+
+STATES = {0: face.GONE, 1: face.READY, 2: face.DRAINING}
+OUTCOMES = {10: face.SERVED, 20: face.ERROR, 30: face.FULL, 40: face.TIMED_OUT, 50: face.UNREACHABLE,
+            60: face.BROKEN, 70: face.CANCELLED, 80: face.NEVER_SENT}
+NOTES = {1: face.DELIVERED, 2: face.RUNG_NOW, 3: face.LINK_ASKED, 4: face.UPLINK_ASKED}
+HINTED, MOVED = 1, 8
+FORM_FAILED, FORM_DELTA = 3, 0
+LONGEST_US = 71 * 60 * 1_000_000   # the wire's longest timer
+
+
+def micros(ms):
+    return max(0, min(int(ms * 1000), LONGEST_US))
+
+
+class Instance:
+    """One director: its controller and the wake time asked of the wire."""
+
+    def __init__(self, number, seed, text, now):
+        self.number, self.wake = number, None
+        self.controller = Controller(settings.decode(text), seed, now)
+
+    def encode(self, now, result, out):
+        verdicts, wake = result
+        for v in verdicts:
+            out.append(self.one(v))
+        if wake is not None and (self.wake is None or wake < self.wake):
+            self.wake = wake
+            out.append(codec.action(codec.AFTER, self.number, max(1, micros(wake - now)), 0))
+
+    def one(self, v):
+        if v.follow:
+            return codec.action(codec.TRACK, self.number, 1)
+        if v.node is not None:
+            return (codec.action(codec.SET_RATE, self.number, v.play, v.rung)
+                    + codec.action(codec.DELIVER, self.number, v.play, v.node, micros(v.timeout_ms)))
+        if v.answer == face.DECLINED:
+            return codec.action(codec.PUSH_BACK, self.number, v.play, micros(v.retry_ms or 0))
+        if v.answer == face.FAILED:
+            return codec.action(codec.FAIL, self.number, v.play)
+        if v.move:
+            return codec.action(codec.REASSIGN, self.number, v.play)
+        return codec.action(codec.SET_RATE, self.number, v.play, v.rung)
+
+    def event(self, code, f, tail, now, pages):
+        c = self.controller
+        if code == codec.REQUEST:
+            return c.asked(now, face.Asked(f[1], f[3], f[4], f[5], f[8], f[7], f[2] / 1000 if f[10] & HINTED else None,
+                                           f[11] / 1000, bool(f[10] & MOVED)))
+        if code == codec.INHERITED:
+            return c.handed_over(now, face.Asked(f[1], f[2], f[5], f[8], f[9], f[10],
+                                                 f[7] / 1000 if f[11] & HINTED else None, f[6] / 1000, False), f[12])
+        if code == codec.STARTED:
+            return c.playing(now, f[1], f[2], f[3] / 1000, f[4])
+        if code == codec.REPLY:
+            return c.ended(now, f[1], f[6], OUTCOMES.get(f[5], face.ERROR), f[3], bool(f[2]), tail)
+        if code == codec.INTERIM:
+            return c.note(now, f[1], f[2], NOTES.get(f[3]), f[5])
+        if code == codec.HANGUP:
+            return c.left(now, f[1])
+        if code == codec.ALARM:
+            if self.wake is not None and now >= self.wake:   # an earlier, overtaken timer leaves it set
+                self.wake = None
+            return c.wake(now)
+        if code == codec.REGISTRY:
+            if f[1] == FORM_FAILED:
+                return c.list_failed(now)
+            lines = [face.NodeLine(e[6], e[0], e[1], STATES.get(e[2], face.GONE), e[3] / 1000, e[4], e[5])
+                     for e in pages.get(f[3], ())]
+            return c.listed(now, lines, f[1] != FORM_DELTA)
+        return [], None   # answers to probes and messages between directors, which we never ask for
+
+
+def serve(stdin, stdout):
+    pages, hosted, dead, offset = {}, {}, set(), 0
+    while (batch := codec.read_batch(stdin, offset)) is not None:
+        number, clock, events, size = batch
+        offset += size
+        now, out = clock / 1000, []
+        for code, f, tail in events:
+            if code == codec.PAGE:
+                pages[f[0]] = tail
+                continue
+            key = f[0]
+            if code == codec.KILLED:
+                hosted.pop(key, None)
+                continue
+            try:
+                if code == codec.POWER_ON:
+                    dead.discard(key)
+                    hosted.pop(key, None)
+                    hosted[key] = Instance(key, f[1], tail.decode("utf-8", "replace"), now)
+                elif key in hosted:
+                    hosted[key].encode(now, hosted[key].event(code, f, tail, now, pages), out)
+            except Exception as error:   # the wire asks for the instance's failure to be told, whatever it is
+                hosted.pop(key, None)
+                if key not in dead:
+                    dead.add(key)
+                    print(f"laddergw: instance {key}: {type(error).__name__}: {error}", file=sys.stderr)
+                    if not isinstance(error, settings.BadSetting):
+                        traceback.print_exc()
+                    out.append(codec.text_action(codec.BAIL_OUT, key, f"{type(error).__name__}: {error}"))
+        stdout.write(codec.reply(number, b"".join(out)))
+        stdout.flush()
+
+
+def main():
+    try:
+        serve(sys.stdin.buffer, sys.stdout.buffer)
+    except codec.Malformed as error:
+        print(f"laddergw: {error}", file=sys.stderr)
+        return 1
+    except BrokenPipeError:
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/laddergw/wirehost/settings.py
@@ -0,0 +1,102 @@
+"""Decodes the start settings of the bench's wire into a Deployment. Decodes only."""
+import math
+
+from laddergw.interface import Deployment, Product
+
+
+class BadSetting(Exception):
+    """A setting that is needed and missing or makes no sense; the text names its key."""
+
+
+REPEATS = {"pure": "safe", "token": "keyed", "side_effect": "paid"}
+REQUIRED = object()
+
+
+def parse(text):
+    """path=value lines as a dict; lines without '=' are skipped."""
+    return dict(line.split("=", 1) for line in text.splitlines() if "=" in line)
+
+
+class Reader:
+    def __init__(self, values):
+        self.values = values
+
+    def word(self, key, default=REQUIRED):
+        value = self.values.get(key, "").strip()
+        if value:
+            return value
+        if default is REQUIRED:
+            raise BadSetting(f"setting {key} is missing")
+        return default
+
+    def convert(self, key, text, low):
+        try:
+            number = float(text)
+        except ValueError:
+            raise BadSetting(f"setting {key}: {text!r} is not a number") from None
+        if not math.isfinite(number) or number < low:
+            raise BadSetting(f"setting {key}: {text} is out of range")
+        return number
+
+    def number(self, key, default=REQUIRED, low=0.0):
+        text = self.word(key, None if default is not REQUIRED else REQUIRED)
+        return default if text is None else self.convert(key, text, low)
+
+    def ms(self, key, default=REQUIRED):
+        value = self.number(key, default)
+        return value if value is default else value / 1000
+
+    def flag(self, key, default):
+        text = self.word(key, default)
+        if text not in ("true", "false"):
+            raise BadSetting(f"setting {key}: {text!r} is neither true nor false")
+        return text == "true"
+
+    def many(self, key, size=None, default=REQUIRED, low=0.0):
+        text = self.word(key, default)
+        numbers = tuple(self.convert(key, part, low) for part in text.split(",") if part)
+        if size is not None and len(numbers) != size:
+            raise BadSetting(f"setting {key}: {len(numbers)} values where {size} are needed")
+        return numbers
+
+
+def product(read, index, floor, top, scale, seats):
+    key = f"Grades.{index}."
+    repeat = read.word(key + "Repeat")
+    if repeat not in REPEATS:
+        raise BadSetting(f"setting {key}Repeat: {repeat!r} is not known")
+    return Product(read.ms(key + "Aim"), read.ms(key + "GiveUp"), read.number(key + "Points"), REPEATS[repeat],
+                   read.word(key + "Group", "all"), read.ms(key + "KeyTtl", 0.0),
+                   int(floor), int(top), scale, int(seats))
+
+
+def decode(text):
+    read = Reader(parse(text))
+    grades = int(read.number("Grades.count", low=1))
+    ladder = read.many("Specifics.LadderKb", low=1e-9)
+    if not ladder:
+        raise BadSetting("setting Specifics.LadderKb: no rung")
+    zeros, ones = ",".join(["0"] * grades), ",".join(["1"] * grades)
+    tops = ",".join([str(len(ladder) - 1)] * grades)
+    columns = zip(read.many("Specifics.LowestRung", grades, zeros), read.many("Specifics.HighestRung", grades, tops),
+                  read.many("Specifics.ScaleByClass", grades, ones, 1e-9),
+                  read.many("Specifics.ClassSeats", grades, zeros))
+    return Deployment(
+        products=tuple(product(read, i, *row) for i, row in enumerate(columns)),
+        ladder=ladder, rung_worth=read.many("Specifics.WorthByRung", len(ladder)),
+        cells=int(read.number("Specifics.Positions", low=1)), racks=int(read.number("Specifics.Groups", 1, low=1)),
+        link_unit=read.number("Specifics.LinkUnitKb", low=1e-9), rack_kb=read.number("Specifics.RackKb", low=1e-9),
+        streams=read.many("Specifics.KindSlots", low=1), full_from=read.number("Specifics.RefusesFrom", 0.0),
+        stall=read.number("Specifics.ShortfallCost", 0.0),
+        step_cost_ms=read.number("Specifics.ChangeCostsS", 0.0) * 1000,
+        seen_after_ms=read.ms("Specifics.SeenAfter", 0.0),
+        directors=int(read.number("Siblings", low=1)), number=int(read.number("Ordinal", 0.0)),
+        zone=int(read.number("MyZone", 0.0)), max_allocations=int(read.number("Permissions.MaxAttempts", low=1)),
+        retry_max_ms=read.ms("Permissions.MaxRetryAfter", 0.0) if read.flag("Permissions.RetryAfter", "true") else 0.0,
+        drain_grace_ms=read.ms("Rules.StopSendingWithin", 0.0),
+        cold_from=read.number("Rules.ColdFrom", 1.0), warm_ms=read.ms("Rules.WarmWithin", 0.0),
+        fall_multiple=read.number("Rules.FallMultiple", 1.0), fall_ms=read.ms("Rules.Fall", 0.0),
+        budget_free=read.number("Rules.FreeResends", None), budget_share=read.number("Rules.ExtraRatio", 0.0),
+        budget_ms=read.ms("Rules.CountedOver", 0.0), must_ask=read.word("Discovery", "pushed") == "on_request",
+        move_price=read.number("Prices.Moves", 0.0),
+        reports=tuple(read.word("Reporting.Names", "").split(",")))
