Price each rung step on its own; count the duration in a play's cost

Cause: the bid price left the duration out of a play's cost, so nearly every price was passed; and a top rung passes as a whole although its last step brings less than it takes from others.

--- a/laddergw/control.py
+++ b/laddergw/control.py
@@ -278,14 +278,21 @@
         for node in (n for n in ply.holders if n.room >= least and self.streams_left(now, n) >= 1):
             lk, link, uplink = ply.length, self.size(now, node), self.uplink[node.rack]
             prices = self.shadow_prices(now, node, lk)
-            for rung in range(self.highest(ply), ply.product.floor - 1, -1):
+            chosen, below = None, (0.0, 0.0)
+            for rung in range(ply.product.floor, self.highest(ply) + 1):
                 rate = self.d.ladder[rung] * ply.product.scale
                 uses = (1 / node.streams, rate / link, rate / uplink)
-                cost = sum(u * p for u, p in zip(uses, prices)) * self.inside(lk, lk)
+                cost = sum(u * p for u, p in zip(uses, prices)) * lk * self.inside(lk, lk)
                 payoff = ply.product.importance * self.d.rung_worth[rung] * lk
-                if payoff > cost * SURE and rate <= node.room:
-                    ply.rung, ply.holders = rung, [node]
-                    return None
+                # Each step of the ladder must also pay for what it adds: worth rises slower than rate, so a top
+                # rung can beat its cost as a whole while its last step costs others more than it brings.
+                if rate <= node.room and payoff > cost * SURE and payoff - below[0] > (cost - below[1]) * SURE:
+                    chosen, below = rung, (payoff, cost)
+                elif chosen is not None:
+                    break
+            if chosen is not None:
+                ply.rung, ply.holders = chosen, [node]
+                return None
         return self.give_up(ply)
 
     def price_back(self, now, ply, node, outcome):
