--- a/laddergw/control.py
+++ b/laddergw/control.py
@@ -177,7 +177,9 @@
             self.told(now, node, value, lag)
         elif kind == face.UPLINK_ASKED and value > 0:
             self.carry(node.rack, self.rack_load(now, node.rack) / value)
-        elif kind == face.DELIVERED and value < SHORT:
+        elif kind == face.DELIVERED:
+            if value >= SHORT:
+                return self.done([])
             if (self.others(now, node) + node.own) / self.size(now, node) < 1.02:   # not the link: the uplink
                 self.carry(node.rack, self.rack_load(now, node.rack) * max(value, 0.3), down=True)
             return self.done(self.step_down(now, node))
@@ -199,7 +201,7 @@
         if now >= self.next_look:
             self.next_look = now + LOOK_MS
             for node in self.nodes.values():
-                out += self.step_down(now, node) or self.step_up(now, node)
+                out += self.step_up(now, node)
         return self.done(out)
 
     def done(self, verdicts):
