Shed a short rack once, by the part that is missing; learn its uplink once a settling

Cause: each node of a short rack heard the same shortage, each shed the whole of it and each lowered the believed uplink, from notes that told of before the last steps; the belief fell 40% under the truth and never came back. Now the shortage is the note's own share, shed over all our plays of the rack, then nothing until notes can show the steps; without shortage the belief returns to the told size. Guards also against any sag of an uplink; could harm where an uplink sags for good, every 30 s or so.

--- a/laddergw/control.py
+++ b/laddergw/control.py
@@ -21,11 +21,12 @@
 CROWD_STEP = 0.1           # weight of one note in others' usual share: about the last ten notes
 AGE_MS = 15_000.0          # what was told of a node's others fades into their usual share over this
 REPORT_LAG_MS = 300.0      # load reports: usual age
-UPLINK_STEP = 0.4          # weight of one note on what an uplink carries: a few notes settle it
+UPLINK_STEP = 0.5          # weight of one note on what an uplink carries: a few notes settle it
 UPLINK_SPAN = (0.3, 1.6)   # an uplink is never believed outside these multiples of its told size
+UPLINK_BACK_MS = 30_000.0  # without shortage the belief returns to the told size over this: sags end
 SHORT = 0.98               # delivered share under which plays lose, from the wire's rules
 AIM_LOAD = 0.96            # load of a short link that stepping down aims for: just under its size
-SETTLE_MS = 700.0          # wait, beyond the notes' lateness, before a second step down answers the same shortage
+SETTLE_MS = 700.0          # wait, past the notes' lateness, before a shortage is answered again
 LOOK_MS = 500.0            # pace of looking over the plays under way: half a note's second
 UP_ROOM = 0.15             # share of a link that must be free before a step up: more than a note's error
 UP_GAP_MS = 20_000.0       # time between changes of one play's rung: 3 a play-minute at most
@@ -52,7 +53,7 @@
         self.ask, self.id, self.product, self.rung, self.asked = ask, ask.play, product, product.floor, now
         self.length = hint or LENGTH_MS
         self.limit, self.started, self.changed = now + ask.wait_ms, None, now
-        self.out = self.node = self.first = None     # allocation out, node that it loads, where it may have run
+        self.out = self.node = self.first = None    # allocation out, node it loads, node first sent to
         self.sends, self.tried, self.may_have_run, self.over = 0, set(), False, False
         self.holders, self.verdict = [], None
 
@@ -66,33 +67,44 @@
     def __init__(self, line, now):
         self.id, self.plays, self.log = line.node, {}, deque()
         self.own = self.others = self.setups = 0.0
-        self.told, self.count, self.ill, self.rest, self.last_send, self.settle = now, None, 0, 0.0, -math.inf, 0.0
-        self.room = 0.0                              # as last worked out
-        self.cold = self.pace = -math.inf            # start of its warm-up; start of our pacing
+        self.told, self.count, self.ill, self.rest, self.settle, self.room = now, None, 0, 0.0, 0.0, 0.0
+        self.cold = self.pace = self.last_send = -math.inf   # warm-up, pacing, last set-up
         self.started = None
 
 
+class Rack:
+    """The nodes behind one uplink."""
+    def __init__(self, told, now):
+        self.told, self.believed, self.at, self.settle = told, told, now, 0.0
+
+    def size(self, now):
+        return self.told + (self.believed - self.told) * math.exp(-(now - self.at) / UPLINK_BACK_MS)
+
+    def learn(self, now, size):
+        low, high = (self.told * m for m in UPLINK_SPAN)
+        held = self.size(now)
+        self.believed, self.at = held + UPLINK_STEP * (min(max(size, low), high) - held), now
+
+
 class Controller:
     def __init__(self, deployment, seed, now):
         self.d, self.seed, self.draws, self.start = deployment, seed, 0, now
         self.nodes, self.plays, self.known = {}, {}, False
-        self.rows = deployment.products
-        self.demand, self.demand_at = [0.0] * len(self.rows), now
+        self.rows, self.demand, self.demand_at = deployment.products, [0.0] * len(deployment.products), now
         self.setups_at, self.crowd, self.usual = now, CROWD_START, ANSWER_START_MS
-        self.uplink = [deployment.rack_kb] * deployment.racks
+        self.racks = [Rack(deployment.rack_kb, now) for _ in range(deployment.racks)]
         self.taken, self.further = deque(), deque()  # times, for the budget
-        self.seats, self.next_look, self.ask_at = {}, now + LOOK_MS, now if deployment.must_ask else None
+        self.seats, self.next_look, self.ask_at = {}, now + LOOK_MS, now if deployment.must_ask else math.inf
         self.chain = ((self.terms, self.terms_back), (self.holding, None), (self.health, self.health_back),
                       (self.price, self.price_back), (self.ration, None), (self.send, self.send_back))
 
-    # What happens, told by the host ------------------------------------------------------------------------
+    # What happens, told by the host
 
     def listed(self, now, lines, whole):
-        if whole:
-            named = {line.node for line in lines}
-            for node in self.nodes.values():
-                if node.id not in named:
-                    node.state = face.GONE
+        named = {line.node for line in lines}
+        for node in self.nodes.values() if whole else ():
+            if node.id not in named:
+                node.state = face.GONE
         for line in lines:
             node = self.nodes.get(line.node)
             if node is None:
@@ -107,17 +119,15 @@
             elif node.started is None:
                 del self.nodes[line.node]
                 continue
-            if line.started_ms > 0 and line.started_ms != node.started:
-                if now - line.started_ms < self.d.warm_ms:
-                    node.cold, node.others, node.ill, node.rest = line.started_ms, 0.0, 0, 0.0
-                    node.told, node.pace = now, max(node.pace, line.started_ms)
+            if line.started_ms != node.started and now - line.started_ms < self.d.warm_ms and line.started_ms:
+                node.cold, node.others, node.told, node.ill, node.rest = line.started_ms, 0.0, now, 0, 0.0
+                node.pace = max(node.pace, line.started_ms)
             node.started, node.state = line.started_ms, line.state
         self.known = True
         return self.done([])
 
     def list_failed(self, now):
-        if self.d.must_ask:
-            self.ask_at = now + RETRY_MS
+        self.ask_at = now + RETRY_MS if self.d.must_ask else math.inf
         return self.done([])
 
     def asked(self, now, ask):
@@ -130,22 +140,17 @@
     def handed_over(self, now, ask, node_id):
         ply = self.plays[ask.play] = Play(ask, self.rows[ask.product], now, ask.length_ms)
         ply.started, ply.sends = now, 1
-        self.seat(ply, 1)
         self.demand[ask.product] += 1 / ply.length   # plays under way over their length: Little's law
-        node = self.nodes.get(node_id)
-        if node:
-            ply.node = node
-            node.plays[ply.id] = ply
-            self.load(now, node, self.rate(ply))
+        if node_id in self.nodes:
+            self.put(now, ply, self.nodes[node_id])
         return self.done([])
 
     def playing(self, now, play, number, delay, node_id):
         ply = self.plays.get(play)
         if ply and ply.out and ply.out.number == number:
-            ply.started = ply.changed = now
+            ply.started, ply.changed, ply.out = now, now, None
             self.usual += ANSWER_STEP * (delay - self.usual)
-            self.well(ply.out.node)
-            ply.out = None
+            ply.node.ill, ply.node.rest = max(0, ply.node.ill - 2), 0.0
         return self.done([])
 
     def ended(self, now, play, number, outcome, node_id, over, report):
@@ -171,19 +176,24 @@
             self.load(now, node, -self.rate(ply))
             ply.rung = min(int(value), len(self.d.ladder) - 1)
             self.load(now, node, self.rate(ply))
-        fresh = ply is not None and ply.started is not None and now - ply.started < 1 and ply.sends and ply.first
-        lag = 0.0 if fresh else self.d.seen_after_ms
+        fresh = ply and ply.first and ply.started is not None and now - ply.started < 1
+        lag, rack = 0.0 if fresh else self.d.seen_after_ms, self.racks[node.rack]
         if kind == face.LINK_ASKED:
             self.told(now, node, value, lag)
+            if value > 1:
+                return self.done(self.shed(now, node, [node], 1 / value))
         elif kind == face.UPLINK_ASKED and value > 0:
-            self.carry(node.rack, self.rack_load(now, node.rack) / value)
-        elif kind == face.DELIVERED:
-            if value >= SHORT:
-                return self.done([])
-            if (self.others(now, node) + node.own) / self.size(now, node) < 1.02:   # not the link: the uplink
-                self.carry(node.rack, self.rack_load(now, node.rack) * max(value, 0.3), down=True)
-            return self.done(self.step_down(now, node))
-        return self.done(self.step_down(now, node))
+            rack.learn(now, self.rack_load(now, node.rack) / value)
+            if value > 1:
+                return self.done(self.shed(now, rack, self.mates(node), 1 / value))
+        elif kind == face.DELIVERED and value < SHORT:
+            if (self.others(now, node) + node.own) / self.size(now, node) >= 1.02:
+                return self.done(self.shed(now, node, [node], value))
+            # short though its link is not: the uplink. Learned once a settling: notes lag steps
+            if now >= rack.settle:
+                rack.learn(now, self.rack_load(now, node.rack) * value)
+            return self.done(self.shed(now, rack, self.mates(node), value))
+        return self.done([])
 
     def left(self, now, play):
         ply = self.plays.get(play)
@@ -195,8 +205,8 @@
 
     def wake(self, now):
         out = []
-        if self.ask_at is not None and now >= self.ask_at:
-            self.ask_at = None
+        if now >= self.ask_at:
+            self.ask_at = math.inf
             out.append(Verdict(follow=True))
         if now >= self.next_look:
             self.next_look = now + LOOK_MS
@@ -205,9 +215,9 @@
         return self.done(out)
 
     def done(self, verdicts):
-        return verdicts, min(self.next_look, self.ask_at if self.ask_at is not None else math.inf)
+        return verdicts, min(self.next_look, self.ask_at)
 
-    # The chain: each stage passes a play on (None) or ends it (a verdict) ------------------------------------
+    # The chain: each stage passes a play on (None) or ends it (a verdict)
 
     def run(self, now, ply):
         for stage, _ in self.chain:
@@ -227,10 +237,9 @@
                        retry_ms=min(RETRY_MS * (1 + self.chance()), self.d.retry_max_ms))
 
     def terms(self, now, ply):
-        repeat_barred = ply.may_have_run and ply.product.repeat == "paid"
-        no_rung = ply.product.floor > self.highest(ply)
-        no_seat = ply.product.seats and self.seats.get(self.seat_key(ply), 0) >= ply.product.seats
-        if repeat_barred or no_rung or no_seat or ply.sends >= self.d.max_allocations or now >= ply.limit:
+        row, held = ply.product, self.seats.get((ply.ask.product, ply.ask.title), 0)
+        if (ply.may_have_run and row.repeat == "paid" or row.floor > self.highest(ply) or row.seats and
+                held >= row.seats or ply.sends >= self.d.max_allocations or now >= ply.limit):
             return self.give_up(ply)
 
     def terms_back(self, now, ply, node, outcome):
@@ -240,13 +249,14 @@
         """Holders of the title that the list calls ready, in order of most room."""
         copies = max(1, min(int(ply.ask.copies), self.d.cells)) if ply.ask.copies else self.d.cells
         home, cells = int(ply.ask.home), self.d.cells
-        ply.holders = [n for n in self.nodes.values()
-                       if n.state == face.READY and (n.cell - home) % cells < copies and n.id not in ply.tried]
+        ply.holders = [n for n in self.nodes.values() if n.state == face.READY and n.id not in ply.tried
+                       and (n.cell - home) % cells < copies]
         if ply.may_have_run and ply.product.repeat == "keyed":
             first, group = ply.first, ply.product.group
             alike = {"zone": lambda n: n.zone == first.zone, "cell": lambda n: n.cell == first.cell}
-            ply.holders = [n for n in ply.holders if now < ply.key_ends and alike.get(group, lambda n: True)(n)]
-        loads = {rack: self.rack_load(now, rack) for rack in {n.rack for n in ply.holders}}
+            same = alike.get(group, lambda n: True)
+            ply.holders = [n for n in ply.holders if now < ply.key_ends and same(n)]
+        loads = [self.rack_load(now, rack) for rack in range(self.d.racks)]
         for n in ply.holders:
             n.room = min(self.room(now, n, loads[n.rack]))
         ply.holders.sort(key=lambda n: (-n.room, n.id))
@@ -254,8 +264,10 @@
     def health(self, now, ply):
         """Skips nodes that rest after failures, are cold and had their share, or (for a play that can be sent
         only once) failed lately."""
+        paid = ply.product.repeat == "paid"
+
         def fit(n):
-            if now < n.rest or (n.ill and (ply.product.repeat == "paid" or any(p.out for p in n.plays.values()))):
+            if now < n.rest or n.ill and (paid or any(p.out for p in n.plays.values())):
                 return False
             return now - n.pace >= self.d.warm_ms or now - n.last_send >= self.spacing(now, n)
         ply.holders = [n for n in ply.holders if fit(n)]
@@ -268,27 +280,28 @@
         if outcome in (face.ERROR, face.TIMED_OUT, face.UNREACHABLE, face.BROKEN):
             node.rest = now + ILL_MS * 2 ** node.ill * (1 + self.chance())
             node.ill = min(node.ill + 1, ILL_MOST)
-            if outcome in (face.UNREACHABLE, face.BROKEN):   # it may be starting: pace it from when it answers
+            if outcome in (face.UNREACHABLE, face.BROKEN):   # it may be starting: pace it when it answers
                 node.pace = now
-        elif outcome == face.FULL:                   # fuller than we were told: a contradiction told in our favour
+        elif outcome == face.FULL:                   # fuller than we were told
             node.others, node.told = max(self.others(now, node), self.size(now, node) - node.own), now
             node.rest = max(node.rest, now + ILL_MS)
 
     def price(self, now, ply):
         """The bid-price test at each holder in turn: the highest rung that pays for itself and fits."""
-        least = self.d.ladder[ply.product.floor] * ply.product.scale
-        for node in (n for n in ply.holders if n.room >= least and self.streams_left(now, n) >= 1):
-            lk, link, uplink = ply.length, self.size(now, node), self.uplink[node.rack]
-            prices = self.shadow_prices(now, node, lk)
+        least = self.rate(ply, ply.product.floor)
+        for node in (n for n in ply.holders if n.room >= least and
+                     n.streams - len(n.plays) - self.other_streams(now, n) >= 1):
+            lk, prices = ply.length, self.shadow_prices(now, node, ply.length)
+            sizes = node.streams, self.size(now, node), self.racks[node.rack].size(now)
             chosen, below = None, (0.0, 0.0)
             for rung in range(ply.product.floor, self.highest(ply) + 1):
-                rate = self.d.ladder[rung] * ply.product.scale
-                uses = (1 / node.streams, rate / link, rate / uplink)
-                cost = sum(u * p for u, p in zip(uses, prices)) * lk * self.inside(lk, lk)
+                rate = self.rate(ply, rung)
+                cost = lk * inside(lk, lk) * sum(u * p / c for u, p, c in zip((1, rate, rate), prices, sizes))
                 payoff = ply.product.importance * self.d.rung_worth[rung] * lk
-                # Each step of the ladder must also pay for what it adds: worth rises slower than rate, so a top
-                # rung can beat its cost as a whole while its last step costs others more than it brings.
-                if rate <= node.room and payoff > cost * SURE and payoff - below[0] > (cost - below[1]) * SURE:
+                # Each step of the ladder must also pay for what it adds: worth rises slower than rate, so a
+                # top rung can beat its cost as a whole while its last step takes more than it brings.
+                if (rate <= node.room and payoff > cost * SURE
+                        and payoff - below[0] > (cost - below[1]) * SURE):
                     chosen, below = rung, (payoff, cost)
                 elif chosen is not None:
                     break
@@ -305,24 +318,20 @@
     def ration(self, now, ply):
         """Further allocations only within the stated budget, counted over a sliding window."""
         if ply.sends and self.d.budget_free is not None:
-            while self.taken and self.taken[0] <= now - self.d.budget_ms:
-                self.taken.popleft()
-            while self.further and self.further[0] < now - self.d.budget_ms:
-                self.further.popleft()
+            for times, slack in (self.taken, 1), (self.further, -1):   # ms, so that rounding never favours us
+                while times and times[0] < now - self.d.budget_ms + slack:
+                    times.popleft()
             if len(self.further) + 1 > self.d.budget_free + self.d.budget_share * len(self.taken):
                 return self.give_up(ply)
             self.further.append(now)
 
     def send(self, now, ply):
         node, left = ply.holders[0], ply.limit - now
-        ply.out, ply.node, ply.sends = Allocation(ply.sends, node, now), node, ply.sends + 1
+        ply.out, ply.sends, node.last_send = Allocation(ply.sends, node, now), ply.sends + 1, now
         ply.tried.add(node.id)
-        node.plays[ply.id] = ply
-        node.last_send = now
         self.decay_setups(now)
         node.setups += 1
-        self.seat(ply, 1)
-        self.load(now, node, self.rate(ply))
+        self.put(now, ply, node)
         last = ply.product.repeat == "paid" or ply.sends >= self.d.max_allocations
         timeout = left if last else min(left, max(PATIENCE * self.usual, TIMEOUT_LEAST_MS))
         if ply.first is None:
@@ -334,25 +343,21 @@
             ply.may_have_run = True
         ply.out = None
 
-    # The program and its prices -------------------------------------------------------------------------------
-
-    def inside(self, length, lk):
-        """Share of a play's use that falls into the period when it may start at any time within it (q)."""
-        length = min(length, lk)
-        return 1 - length / (2 * lk)
+    # The program and its prices
 
     def shadow_prices(self, now, node, lk):
         """Duals of the node's streams, link and uplink over the period lk, net of the plays under way."""
         self.decay_setups(now)
         self.forecast(now)
-        size, up = self.size(now, node), self.uplink[node.rack]
+        size, up = self.size(now, node), self.racks[node.rack].size(now)
         stand = SHARE_PRIOR / max(sum(n.link for n in self.nodes.values() if n.state == face.READY), 1e-9)
         total = sum(n.setups for n in self.nodes.values()) + SHARE_PRIOR
         here = (node.setups + stand * node.link) / total
-        mates = [n for n in self.nodes.values() if n.rack == node.rack and n.state == face.READY] or [node]
+        mates = self.mates(node)
         rack = sum(n.setups + stand * n.link for n in mates) / total
         keep = 1 - MARGIN
-        caps = [lk * (1 - self.other_streams(now, node) / node.streams), lk * (keep - self.others(now, node) / size),
+        caps = [lk * (1 - self.other_streams(now, node) / node.streams),
+                lk * (keep - self.others(now, node) / size),
                 lk * (keep - sum(self.others(now, n) for n in mates) / up)]
         for n in mates:
             for p in n.plays.values():
@@ -363,7 +368,7 @@
                     caps[1] -= stay * self.rate(p) / size
         groups = []
         for row, demand in zip(self.rows, self.demand):
-            held = min(LENGTH_MS, lk) * self.inside(LENGTH_MS, lk)
+            held = min(LENGTH_MS, lk) * inside(LENGTH_MS, lk)
             # the rack's uplink also carries what our set-ups at its other nodes will ask
             choices = [(row.importance * self.d.rung_worth[r] * LENGTH_MS,
                         (held / node.streams, held * self.d.ladder[r] * row.scale / size,
@@ -383,28 +388,22 @@
             n.setups *= fade
         self.setups_at = now
 
-    # Room, learned from notes and reports ---------------------------------------------------------------------
+    # Room, learned from notes and reports
 
     def highest(self, ply):
         return min(ply.product.top, int(ply.ask.ceiling), len(self.d.ladder) - 1)
 
-    def rate(self, ply):
-        return self.d.ladder[ply.rung] * ply.product.scale
-
-    def warm(self, now, node):
-        """Share of its capacity that a node surely has: a cold one's rises to 1 over the warm-up."""
-        age = now - node.cold
-        if age >= self.d.warm_ms:
-            return 1.0
-        return self.d.cold_from + (1 - self.d.cold_from) * max(age, 0) / self.d.warm_ms
+    def rate(self, ply, rung=None):
+        return self.d.ladder[ply.rung if rung is None else rung] * ply.product.scale
 
     def size(self, now, node):
-        return node.link * self.warm(now, node)
+        """What a link surely gives: a cold node's rises to its told size over the warm-up."""
+        age = min(max(now - node.cold, 0), self.d.warm_ms) / max(self.d.warm_ms, 1)
+        return node.link * (self.d.cold_from + (1 - self.d.cold_from) * age if self.d.warm_ms else 1)
 
     def spacing(self, now, node):
-        """Time between our set-ups at a cold node: all directors together stay at its pace without agreeing."""
-        age = max(0.0, now - node.pace) / self.d.warm_ms
-        share = self.d.cold_from + (1 - self.d.cold_from) * age
+        """Time between our set-ups at a cold node: all directors together stay at its pace."""
+        share = self.d.cold_from + (1 - self.d.cold_from) * max(0.0, now - node.pace) / self.d.warm_ms
         return self.d.directors * self.d.warm_ms / (node.streams * max(share, 1e-6))
 
     def others(self, now, node):
@@ -415,20 +414,25 @@
     def other_streams(self, now, node):
         if node.count is not None and now - node.told < AGE_MS:
             return node.count
-        plays = len(node.plays)
-        each = node.own / plays if plays else self.d.ladder[len(self.d.ladder) // 2]
-        return self.others(now, node) / max(each, 1e-9)
-
-    def streams_left(self, now, node):
-        return node.streams - len(node.plays) - self.other_streams(now, node)
+        rates = [self.rate(p) for p in node.plays.values()] or self.d.ladder
+        return self.others(now, node) * len(rates) / sum(rates)
 
     def rack_load(self, now, rack):
-        return sum(self.others(now, n) + n.own for n in self.nodes.values() if n.rack == rack and n.state != face.GONE)
+        return sum(self.others(now, n) + n.own for n in self.nodes.values()
+                   if n.rack == rack and n.state != face.GONE)
+
+    def mates(self, node):
+        return [n for n in self.nodes.values() if n.rack == node.rack and n.state != face.GONE] or [node]
 
     def room(self, now, node, rack_load):
         keep = 1 - MARGIN
         return (self.size(now, node) * keep - self.others(now, node) - node.own,
-                self.uplink[node.rack] * keep - rack_load)
+                self.racks[node.rack].size(now) * keep - rack_load)
+
+    def put(self, now, ply, node):
+        ply.node, node.plays[ply.id] = node, ply
+        self.seat(ply, 1)
+        self.load(now, node, self.rate(ply))
 
     def load(self, now, node, change):
         node.own = max(0.0, node.own + change)
@@ -444,51 +448,58 @@
         self.crowd += CROWD_STEP * (min(node.others / size, 1.5) - self.crowd)
 
     def reported(self, now, node, report):
-        values = dict(zip(self.d.reports, report or ()))
-        values = {k: v for k, v in values.items() if math.isfinite(v) and v >= 0}
+        values = {k: v for k, v in zip(self.d.reports, report or ()) if math.isfinite(v) and v >= 0}
         asked = values.get("x0", values.get("load_share"))
         if asked is not None and asked < 10:
             self.told(now, node, asked, REPORT_LAG_MS)
         if "concurrent" in values:
             node.count = max(0.0, values["concurrent"] - len(node.plays))
         if 0 < values.get("x1", 0) < 10:
-            self.carry(node.rack, self.rack_load(now, node.rack) / values["x1"])
-
-    def carry(self, rack, size, down=False):
-        """Learns what an uplink carries, in the measure of the links' told sizes."""
-        low, high = (self.d.rack_kb * m for m in UPLINK_SPAN)
-        size = min(max(size, low), high)
-        if not down or size < self.uplink[rack]:
-            self.uplink[rack] += UPLINK_STEP * (size - self.uplink[rack])
+            self.racks[node.rack].learn(now, self.rack_load(now, node.rack) / values["x1"])
 
-    # Plays under way ------------------------------------------------------------------------------------------
+    # Plays under way
 
-    def step_down(self, now, node):
-        """Sheds our part of what a short link or uplink is asked too much, where a step loses least."""
-        if now < node.settle or not node.plays:
+    def shed(self, now, short, nodes, share):
+        """Steps our plays on a short link or uplink down by the part that is missing, where that loses least.
+        Every director does so for its own plays, so together they shed what is asked too much."""
+        if now < short.settle:
             return []
-        over = max(self.others(now, node) + node.own - self.size(now, node),
-                   self.rack_load(now, node.rack) - self.uplink[node.rack] if self.d.racks else 0)
-        if over <= 0:
-            return []
-        load = self.others(now, node) + node.own
-        want = (over + (1 - AIM_LOAD) * self.size(now, node)) * node.own / load
-        out = []
+        short.settle = now + self.d.seen_after_ms + SETTLE_MS
+        want, out = sum(n.own for n in nodes) * (1 - share * AIM_LOAD), []
+
         def loss(p):
-            worth = self.d.rung_worth
-            return p.product.importance * (worth[p.rung] - worth[p.rung - 1]) / (
-                (self.d.ladder[p.rung] - self.d.ladder[p.rung - 1]) * p.product.scale)
-        able = [p for p in node.plays.values() if p.started is not None and p.rung > p.product.floor and not p.over]
+            return -self.gain(p, p.rung - 1) / (self.rate(p) - self.rate(p, p.rung - 1))
+        able = [p for n in nodes for p in n.plays.values()
+                if p.started is not None and p.rung > p.product.floor and not p.over]
         for p in sorted(able, key=lambda p: (loss(p), p.id)):
-            if want <= 0:
+            freed = (self.rate(p) - self.rate(p, p.rung - 1))
+            if want < freed * self.chance():         # the last step by chance: not all directors round up
                 break
+            want -= freed
             out.append(self.step(now, p, p.rung - 1))
-            want -= (self.d.ladder[p.rung + 1] - self.d.ladder[p.rung]) * p.product.scale
-        node.settle = now + self.d.seen_after_ms + SETTLE_MS
         return out
 
     def step_up(self, now, node):
-        return []
+        """One play a look goes up a rung, where room is ample and what it still brings pays for it."""
+        room = min(self.room(now, node, self.rack_load(now, node.rack))) - UP_ROOM * self.size(now, node)
+        best, found = 0.0, None
+        for p in node.plays.values():
+            if p.started is None or p.rung >= self.highest(p) or now - p.changed < UP_GAP_MS:
+                continue
+            added = self.rate(p, p.rung + 1) - self.rate(p)
+            brings = self.gain(p, p.rung + 1) * p.left(now) - p.product.importance * self.d.step_cost_ms
+            if added <= room and brings / added > best:
+                best, found = brings / added, (p, added, brings)
+        if found is None:
+            return []
+        (ply, added, brings), lk = found, found[0].left(now)
+        _, link, uplink = self.shadow_prices(now, node, lk)
+        cost = link / self.size(now, node) + uplink / self.racks[node.rack].size(now)
+        cost *= added * lk * inside(lk, lk)
+        return [self.step(now, ply, ply.rung + 1)] if brings > cost * SURE else []
+
+    def gain(self, ply, rung):
+        return ply.product.importance * (self.d.rung_worth[rung] - self.d.rung_worth[ply.rung])
 
     def step(self, now, ply, rung):
         self.load(now, ply.node, -self.rate(ply))
@@ -496,26 +507,25 @@
         self.load(now, ply.node, self.rate(ply))
         return Verdict(ply.id, rung=rung)
 
-    # Small helps ----------------------------------------------------------------------------------------------
-
-    def well(self, node):
-        node.ill, node.rest = max(0, node.ill - 2), 0.0
-
-    def seat_key(self, ply):
-        return ply.ask.product, ply.ask.title
-
     def seat(self, ply, change):
-        if ply.product.seats:
-            self.seats[self.seat_key(ply)] = max(0, self.seats.get(self.seat_key(ply), 0) + change)
+        key = ply.ask.product, ply.ask.title
+        self.seats[key] = self.seats.get(key, 0) + change
+        if not self.seats[key]:
+            del self.seats[key]
 
     def chance(self):
         self.draws += 1
         return crc32(b"%d %d" % (self.seed, self.draws)) / 2 ** 32
 
 
+def inside(length, lk):
+    """Share of a play's use that falls into the period lk when it may start at any time within it (q)."""
+    return 1 - min(length, lk) / (2 * lk)
+
+
 def duals(groups, caps):
-    """Shadow prices of max sum(payoff x) under sum(use x) <= caps and, by group, sum(x) <= demand. Each price in
-    turn is halved towards the least at which what the groups then choose fits."""
+    """Shadow prices of max sum(payoff x) under sum(use x) <= caps and, by group, sum(x) <= demand. Each
+    price in turn is halved towards the least at which what the groups then choose fits."""
     prices = [0.0] * len(caps)
 
     def used(e):
