Tests on kept traces; retry-after spread over its upper half

Spread so that viewers turned away together do not return in one wave; where viewers follow no retry-after it changes nothing.

--- a/laddergw/control.py
+++ b/laddergw/control.py
@@ -36,7 +36,7 @@
 ANSWER_STEP = 0.1          # weight of one set-up in the usual time
 PATIENCE = 5.0             # time-out in usual set-up times: slow ones pass, silent nodes do not
 TIMEOUT_LEAST_MS = 300.0   # a handshake and a busy queue fit
-RETRY_MS = 1_000.0         # retry-after of a decline: room opens by play ends, about one a second
+RETRY_MS = 1_000.0         # longest retry-after; spread over its upper half, against returns in one wave
 LOOP_SWEEPS, LOOP_HALVINGS = 4, 24   # of the dual loop: prices to one part in ten million
 SURE = 1.000001            # importance must exceed its cost by more than rounding
 
@@ -234,7 +234,7 @@
                                  (ply.product.repeat == "keyed" and ply.product.group != "all")):
             return Verdict(ply.id, answer=face.FAILED)
         return Verdict(ply.id, answer=face.DECLINED,
-                       retry_ms=min(RETRY_MS * (1 + self.chance()), self.d.retry_max_ms))
+                       retry_ms=min(RETRY_MS, self.d.retry_max_ms) * (1 + self.chance()) / 2)
 
     def terms(self, now, ply):
         row, held = ply.product, self.seats.get((ply.ask.product, ply.ask.title), 0)
--- /dev/null
+++ b/tests/helpers.py
@@ -0,0 +1,74 @@
+"""Builds small deployments and drives one controller, printing what it decides as a short trace."""
+import difflib
+import pathlib
+import unittest
+
+from laddergw import interface as face
+from laddergw.control import Controller
+
+TRACES = pathlib.Path(__file__).parent / "traces"
+PLAIN = dict(aim_ms=1000.0, limit_ms=4000.0, importance=1.0, repeat="safe", group="all", key_ms=5000.0, floor=0,
+             top=2, scale=1.0, seats=0)
+
+
+def deployment(products=({},), **changes):
+    values = dict(
+        products=tuple(face.Product(**{**PLAIN, **p}) for p in products), ladder=(100.0, 200.0, 400.0),
+        rung_worth=(0.3, 0.6, 1.0), cells=4, racks=2, link_unit=9000.0, rack_kb=40000.0, streams=(20.0,), full_from=1.2,
+        stall=6.0, step_cost_ms=400.0, seen_after_ms=500.0, directors=2, number=0, zone=0, max_allocations=3,
+        retry_max_ms=1000.0, drain_grace_ms=250.0, cold_from=0.5, warm_ms=10_000.0, fall_multiple=2.0, fall_ms=1000.0,
+        budget_free=None, budget_share=0.0, budget_ms=0.0, must_ask=False, move_price=0.05, reports=("x0",))
+    return face.Deployment(**{**values, **changes})
+
+
+class Drive:
+    """One controller with nodes 1 to n that started long ago; every call's verdicts go into the trace."""
+
+    def __init__(self, nodes=2, warm=True, seed=7, **changes):
+        self.lines = []
+        self.c = Controller(deployment(**changes), seed, 0.0)
+        self.listed(0, [self.line(n) for n in range(1, nodes + 1)], True)
+        self.base = 20_000.0 if warm else 0.0      # past the pacing after our own start
+
+    def line(self, node, state=face.READY, started=0.0, zone=0):
+        return face.NodeLine(node, node - 1, 1.0, state, started, 0, zone)
+
+    def say(self, text):
+        self.lines.append("# " + text)
+
+    def run(self, now, what, result):
+        self.lines += [f"{now:7.0f} {what:34} {self.show(v)}" for v in result[0]] or [f"{now:7.0f} {what:34} -"]
+        return result[0]
+
+    @staticmethod
+    def show(v):
+        if v.node is not None:
+            return f"play {v.play} to node {v.node} at rung {v.rung}, time-out {v.timeout_ms:.0f}"
+        if v.answer:
+            return f"play {v.play} {v.answer}" + (f", come back in {v.retry_ms:.0f}" if v.retry_ms else "")
+        return "move" if v.move else "follow the list" if v.follow else f"play {v.play} to rung {v.rung}"
+
+    def listed(self, now, lines, whole=False):
+        return self.c.listed(now, lines, whole)
+
+    def ask(self, now, play, product=0, wait=4000.0, title=5, copies=4, ceiling=2, length=None):
+        request = face.Asked(play, product, title, 0, copies, ceiling, length, wait, False)
+        return self.run(now, f"asked: play {play} of product {product}", self.c.asked(self.base + now, request))
+
+    def starts(self, now, play, node, number=0):
+        return self.run(now, f"play {play} plays on {node}", self.c.playing(self.base + now, play, number, 100.0, node))
+
+    def end(self, now, play, node, outcome, number=0, over=False, report=()):
+        return self.run(now, f"play {play} on {node}: {outcome}",
+                        self.c.ended(self.base + now, play, number, outcome, node, over, report))
+
+    def note(self, now, play, node, kind, value):
+        return self.run(now, f"note on {node}: {kind} {value}", self.c.note(self.base + now, play, node, kind, value))
+
+
+class TraceTest(unittest.TestCase):
+    def same(self, name, drive):
+        """Compares the trace with the kept one, which people read and change by hand."""
+        kept = (TRACES / f"{name}.txt").read_text().splitlines()
+        if kept != drive.lines:
+            self.fail("\n" + "\n".join(difflib.unified_diff(kept, drive.lines, "kept", "decided", lineterm="")))
