Tell a node short alone from a short uplink

Told apart by whether another node of the rack is short within two seconds. Guards also against sagging links and frozen load figures; could harm where we hold plays on one node of a short rack only: then that node alone is shed, which is our part all the same.

--- a/laddergw/control.py
+++ b/laddergw/control.py
@@ -27,6 +27,7 @@
 SHORT = 0.98               # delivered share under which plays lose, from the wire's rules
 AIM_LOAD = 0.96            # load of a short link that stepping down aims for: just under its size
 SETTLE_MS = 700.0          # wait, past the notes' lateness, before a shortage is answered again
+TOGETHER_MS = 2_000.0      # nodes of a rack short within this are short together: two notes' seconds
 LOOK_MS = 500.0            # pace of looking over the plays under way: half a note's second
 UP_ROOM = 0.15             # share of a link that must be free before a step up: more than a note's error
 UP_GAP_MS = 20_000.0       # time between changes of one play's rung: 3 a play-minute at most
@@ -68,6 +69,7 @@
         self.id, self.plays, self.log = line.node, {}, deque()
         self.own = self.others = self.setups = 0.0
         self.told, self.count, self.ill, self.rest, self.settle, self.room = now, None, 0, 0.0, 0.0, 0.0
+        self.short = -math.inf
         self.cold = self.pace = self.last_send = -math.inf   # warm-up, pacing, last set-up
         self.started = None
 
@@ -187,12 +189,18 @@
             if value > 1:
                 return self.done(self.shed(now, rack, self.mates(node), 1 / value))
         elif kind == face.DELIVERED and value < SHORT:
-            if (self.others(now, node) + node.own) / self.size(now, node) >= 1.02:
+            node.short, size = now, self.size(now, node)
+            mates = [n for n in self.mates(node) if now >= n.settle]
+            if (self.others(now, node) + node.own > size or
+                    not any(n is not node and now - n.short < TOGETHER_MS for n in self.mates(node))):
+                # Short alone: the node itself, whatever its load says (a sagging link, one that stands still)
+                if now >= node.settle:
+                    node.others, node.told = max(self.others(now, node), size / max(value, 0.1) - node.own), now
                 return self.done(self.shed(now, node, [node], value))
-            # short though its link is not: the uplink. Learned once a settling: notes lag steps
+            # Short with others of its rack: the uplink. Learned once a settling: notes lag steps
             if now >= rack.settle:
                 rack.learn(now, self.rack_load(now, node.rack) * value)
-            return self.done(self.shed(now, rack, self.mates(node), value))
+            return self.done(self.shed(now, rack, mates, value))
         return self.done([])
 
     def left(self, now, play):
