Step up to the rung the program offers, leaving a quarter of link and uplink free

Cause: after a trouble plays stayed at rungs 0 and 1 beside half-empty links, since a step up waited 20 s and went one rung a time although a change costs the same whatever its height.

--- a/laddergw/control.py
+++ b/laddergw/control.py
@@ -29,8 +29,8 @@
 SETTLE_MS = 700.0          # wait, past the notes' lateness, before a shortage is answered again
 TOGETHER_MS = 2_000.0      # nodes of a rack short within this are short together: two notes' seconds
 LOOK_MS = 500.0            # pace of looking over the plays under way: half a note's second
-UP_ROOM = 0.15             # share of a link that must be free before a step up: more than a note's error
-UP_GAP_MS = 20_000.0       # time between changes of one play's rung: 3 a play-minute at most
+UP_ROOM = 0.25             # share of a link left free by a step up: others may step up at the same word
+UP_GAP_MS = 8_000.0        # time from a change of a play's rung to a step up: a shortage is over by then
 ILL_MS = 400.0             # first rest of a node that failed; doubles with each further failure
 ILL_MOST = 5               # doublings at most: a rest of 13 s, about a restart
 ANSWER_START_MS = 150.0    # set-up time assumed before any was seen
@@ -44,19 +44,18 @@
 
 class Allocation:
     """One set-up sent out."""
-    def __init__(self, number, node, now):
-        self.number, self.node, self.sent = number, node, now
+    def __init__(self, number, last):
+        self.number, self.last = number, last        # last: no other may follow it
 
 
 class Play:
     """One play, from its request to its end."""
     def __init__(self, ask, product, now, hint):
-        self.ask, self.id, self.product, self.rung, self.asked = ask, ask.play, product, product.floor, now
-        self.length = hint or LENGTH_MS
+        self.ask, self.id, self.product, self.rung = ask, ask.play, product, product.floor
+        self.length, self.holders = hint or LENGTH_MS, []
         self.limit, self.started, self.changed = now + ask.wait_ms, None, now
         self.out = self.node = self.first = None    # allocation out, node it loads, node first sent to
         self.sends, self.tried, self.may_have_run, self.over = 0, set(), False, False
-        self.holders, self.verdict = [], None
 
     def left(self, now):
         """Expected time still to play."""
@@ -68,10 +67,9 @@
     def __init__(self, line, now):
         self.id, self.plays, self.log = line.node, {}, deque()
         self.own = self.others = self.setups = 0.0
-        self.told, self.count, self.ill, self.rest, self.settle, self.room = now, None, 0, 0.0, 0.0, 0.0
-        self.short = -math.inf
-        self.cold = self.pace = self.last_send = -math.inf   # warm-up, pacing, last set-up
-        self.started = None
+        self.told, self.count, self.started = now, None, None
+        self.ill, self.rest, self.settle, self.room = 0, 0.0, 0.0, 0.0
+        self.cold = self.pace = self.last_send = self.short = -math.inf   # warm-up, pacing, set-up, shortage
 
 
 class Rack:
@@ -90,8 +88,7 @@
 
 class Controller:
     def __init__(self, deployment, seed, now):
-        self.d, self.seed, self.draws, self.start = deployment, seed, 0, now
-        self.nodes, self.plays, self.known = {}, {}, False
+        self.d, self.seed, self.draws, self.nodes, self.plays, self.known = deployment, seed, 0, {}, {}, False
         self.rows, self.demand, self.demand_at = deployment.products, [0.0] * len(deployment.products), now
         self.setups_at, self.crowd, self.usual = now, CROWD_START, ANSWER_START_MS
         self.racks = [Rack(deployment.rack_kb, now) for _ in range(deployment.racks)]
@@ -190,17 +187,16 @@
                 return self.done(self.shed(now, rack, self.mates(node), 1 / value))
         elif kind == face.DELIVERED and value < SHORT:
             node.short, size = now, self.size(now, node)
-            mates = [n for n in self.mates(node) if now >= n.settle]
-            if (self.others(now, node) + node.own > size or
-                    not any(n is not node and now - n.short < TOGETHER_MS for n in self.mates(node))):
+            together = any(n is not node and now - n.short < TOGETHER_MS for n in self.mates(node))
+            if self.others(now, node) + node.own > size or not together:
                 # Short alone: the node itself, whatever its load says (a sagging link, one that stands still)
                 if now >= node.settle:
-                    node.others, node.told = max(self.others(now, node), size / max(value, 0.1) - node.own), now
+                    node.others = max(self.others(now, node), size / max(value, 0.1) - node.own)
                 return self.done(self.shed(now, node, [node], value))
             # Short with others of its rack: the uplink. Learned once a settling: notes lag steps
             if now >= rack.settle:
                 rack.learn(now, self.rack_load(now, node.rack) * value)
-            return self.done(self.shed(now, rack, mates, value))
+            return self.done(self.shed(now, rack, [n for n in self.mates(node) if now >= n.settle], value))
         return self.done([])
 
     def left(self, now, play):
@@ -238,16 +234,16 @@
 
     def give_up(self, ply):
         """The final answer at once: a decline with a time to come back, where no set-up can have run."""
-        if ply.may_have_run and (ply.product.repeat == "paid" or
-                                 (ply.product.repeat == "keyed" and ply.product.group != "all")):
+        row = ply.product
+        if ply.may_have_run and (row.repeat == "paid" or row.repeat == "keyed" and row.group != "all"):
             return Verdict(ply.id, answer=face.FAILED)
         return Verdict(ply.id, answer=face.DECLINED,
                        retry_ms=min(RETRY_MS, self.d.retry_max_ms) * (1 + self.chance()) / 2)
 
     def terms(self, now, ply):
         row, held = ply.product, self.seats.get((ply.ask.product, ply.ask.title), 0)
-        if (ply.may_have_run and row.repeat == "paid" or row.floor > self.highest(ply) or row.seats and
-                held >= row.seats or ply.sends >= self.d.max_allocations or now >= ply.limit):
+        barred = ply.may_have_run and row.repeat == "paid" or row.seats and held >= row.seats
+        if barred or row.floor > self.highest(ply) or ply.sends >= self.d.max_allocations or now >= ply.limit:
             return self.give_up(ply)
 
     def terms_back(self, now, ply, node, outcome):
@@ -260,10 +256,8 @@
         ply.holders = [n for n in self.nodes.values() if n.state == face.READY and n.id not in ply.tried
                        and (n.cell - home) % cells < copies]
         if ply.may_have_run and ply.product.repeat == "keyed":
-            first, group = ply.first, ply.product.group
-            alike = {"zone": lambda n: n.zone == first.zone, "cell": lambda n: n.cell == first.cell}
-            same = alike.get(group, lambda n: True)
-            ply.holders = [n for n in ply.holders if now < ply.key_ends and same(n)]
+            alike = {"zone": lambda n: n.zone, "cell": lambda n: n.cell}.get(ply.product.group, bool)
+            ply.holders = [n for n in ply.holders if now < ply.key_ends and alike(n) == alike(ply.first)]
         loads = [self.rack_load(now, rack) for rack in range(self.d.racks)]
         for n in ply.holders:
             n.room = min(self.room(now, n, loads[n.rack]))
@@ -295,29 +289,39 @@
             node.rest = max(node.rest, now + ILL_MS)
 
     def price(self, now, ply):
-        """The bid-price test at each holder in turn: the highest rung that pays for itself and fits."""
-        least = self.rate(ply, ply.product.floor)
-        for node in (n for n in ply.holders if n.room >= least and
-                     n.streams - len(n.plays) - self.other_streams(now, n) >= 1):
-            lk, prices = ply.length, self.shadow_prices(now, node, ply.length)
-            sizes = node.streams, self.size(now, node), self.racks[node.rack].size(now)
-            chosen, below = None, (0.0, 0.0)
-            for rung in range(ply.product.floor, self.highest(ply) + 1):
-                rate = self.rate(ply, rung)
-                cost = lk * inside(lk, lk) * sum(u * p / c for u, p, c in zip((1, rate, rate), prices, sizes))
-                payoff = ply.product.importance * self.d.rung_worth[rung] * lk
-                # Each step of the ladder must also pay for what it adds: worth rises slower than rate, so a
-                # top rung can beat its cost as a whole while its last step takes more than it brings.
-                if (rate <= node.room and payoff > cost * SURE
-                        and payoff - below[0] > (cost - below[1]) * SURE):
-                    chosen, below = rung, (payoff, cost)
-                elif chosen is not None:
-                    break
-            if chosen is not None:
-                ply.rung, ply.holders = chosen, [node]
-                return None
+        """The bid-price test at each holder in turn; the first that makes an offer gets the play."""
+        for node in ply.holders:
+            if node.streams - len(node.plays) - self.other_streams(now, node) >= 1:
+                rung = self.offer(now, ply, node, ply.length, node.room)
+                if rung is not None:
+                    ply.rung, ply.holders = rung, [node]
+                    return None
         return self.give_up(ply)
 
+    def offer(self, now, ply, node, lk, room, held=None):
+        """The highest rung that fits and whose payoff beats its cost at the node's prices, or None."""
+        if self.rate(ply, ply.product.floor) > room:
+            return None
+        prices = self.shadow_prices(now, node, lk)
+        place, kb = prices[0] / node.streams, prices[1] / self.size(now, node)
+        kb += prices[2] / self.racks[node.rack].size(now)
+        chosen, below, has = None, (0.0, 0.0), 0.0
+        if held is not None:                         # a play under way: what it has, and what a change costs
+            has = self.rate(ply, held)
+            below = (ply.product.importance * (self.d.rung_worth[held] * lk + self.d.step_cost_ms),
+                     lk * inside(lk, lk) * (place + has * kb))
+        for rung in range(ply.product.floor if held is None else held + 1, self.highest(ply) + 1):
+            rate = self.rate(ply, rung)
+            payoff = ply.product.importance * self.d.rung_worth[rung] * lk
+            cost = lk * inside(lk, lk) * (place + rate * kb)
+            # Each step of the ladder must also pay for what it adds: worth rises slower than rate, so a
+            # top rung can beat its cost as a whole while its last step takes more than it brings.
+            if rate - has <= room and payoff > cost * SURE and payoff - below[0] > (cost - below[1]) * SURE:
+                chosen, below = rung, (payoff, cost)
+            elif chosen is not None:
+                break
+        return chosen
+
     def price_back(self, now, ply, node, outcome):
         if ply.node:
             ply.node.plays.pop(ply.id, None)
@@ -335,12 +339,12 @@
 
     def send(self, now, ply):
         node, left = ply.holders[0], ply.limit - now
-        ply.out, ply.sends, node.last_send = Allocation(ply.sends, node, now), ply.sends + 1, now
+        last = ply.product.repeat == "paid" or ply.sends + 1 >= self.d.max_allocations
+        ply.out, ply.sends, node.last_send = Allocation(ply.sends, last), ply.sends + 1, now
         ply.tried.add(node.id)
         self.decay_setups(now)
         node.setups += 1
         self.put(now, ply, node)
-        last = ply.product.repeat == "paid" or ply.sends >= self.d.max_allocations
         timeout = left if last else min(left, max(PATIENCE * self.usual, TIMEOUT_LEAST_MS))
         if ply.first is None:
             ply.first, ply.key_ends = node, now + ply.product.key_ms
@@ -432,8 +436,8 @@
     def mates(self, node):
         return [n for n in self.nodes.values() if n.rack == node.rack and n.state != face.GONE] or [node]
 
-    def room(self, now, node, rack_load):
-        keep = 1 - MARGIN
+    def room(self, now, node, rack_load, free=MARGIN):
+        keep = 1 - free
         return (self.size(now, node) * keep - self.others(now, node) - node.own,
                 self.racks[node.rack].size(now) * keep - rack_load)
 
@@ -488,23 +492,13 @@
         return out
 
     def step_up(self, now, node):
-        """One play a look goes up a rung, where room is ample and what it still brings pays for it."""
-        room = min(self.room(now, node, self.rack_load(now, node.rack))) - UP_ROOM * self.size(now, node)
-        best, found = 0.0, None
-        for p in node.plays.values():
-            if p.started is None or p.rung >= self.highest(p) or now - p.changed < UP_GAP_MS:
-                continue
-            added = self.rate(p, p.rung + 1) - self.rate(p)
-            brings = self.gain(p, p.rung + 1) * p.left(now) - p.product.importance * self.d.step_cost_ms
-            if added <= room and brings / added > best:
-                best, found = brings / added, (p, added, brings)
-        if found is None:
-            return []
-        (ply, added, brings), lk = found, found[0].left(now)
-        _, link, uplink = self.shadow_prices(now, node, lk)
-        cost = link / self.size(now, node) + uplink / self.racks[node.rack].size(now)
-        cost *= added * lk * inside(lk, lk)
-        return [self.step(now, ply, ply.rung + 1)] if brings > cost * SURE else []
+        """One play a look goes up, to the rung that the program offers, where idle room is ample."""
+        room = min(self.room(now, node, self.rack_load(now, node.rack), MARGIN + UP_ROOM))
+        able = [p for p in node.plays.values() if p.started is not None and not p.over
+                and p.rung < self.highest(p) and now - p.changed >= UP_GAP_MS]
+        ply = max(able, default=None, key=lambda p: self.gain(p, p.rung + 1) * p.left(now))
+        rung = ply and self.offer(now, ply, node, ply.left(now), room, ply.rung)
+        return [] if rung is None else [self.step(now, ply, rung)]
 
     def gain(self, ply, rung):
         return ply.product.importance * (self.d.rung_worth[rung] - self.d.rung_worth[ply.rung])
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -29,7 +29,7 @@
         d.ask(10, 1)
         d.end(20, 1, 1, face.CANCELLED, over=True)
         d.say("dearer plays come often: the same play is declined, a dear one is taken")
-        d.c.demand[1] = 0.002
+        d.c.demand[1] = 0.00005
         d.note(30, 0, 1, face.LINK_ASKED, 0.5)
         d.ask(40, 2)
         d.ask(50, 3, product=1)
@@ -110,10 +110,10 @@
             d.note(play, 9, play + 1, face.LINK_ASKED, 0.0)
         for play in range(4):
             d.ask(10 + play, play)
-            d.starts(110 + play, play, play + 1)
+            d.starts(110 + play, play, 4 - play)
         d.say("all nodes of the rack tell of the same shortage: the plays step down once, not once a node")
         for node in range(1, 5):
-            d.note(5000 + node, node - 1, node, face.DELIVERED, 0.8)
+            d.note(5000 + node, 4 - node, node, face.DELIVERED, 0.8)
         d.say("junk in reports and notes is no report")
         d.note(5100, 0, 1, face.LINK_ASKED, float("nan"))
         d.note(5101, 0, 1, face.DELIVERED, float("inf"))
