--- a/laddergw/control.py
+++ b/laddergw/control.py
@@ -131,10 +131,11 @@
 
     def asked(self, now, ask):
         ply = self.plays[ask.play] = Play(ask, self.rows[ask.product], now, ask.length_ms)
-        self.forecast(now)
-        self.demand[ask.product] += 1 / FORECAST_MS
         self.taken.append(now)
-        return self.done(self.run(now, ply))
+        verdicts = self.run(now, ply)
+        self.forecast(now)
+        self.demand[ask.product] += 1 / FORECAST_MS  # after its pricing: a play doesn't compete with itself
+        return self.done(verdicts)
 
     def handed_over(self, now, ask, node_id):
         ply = self.plays[ask.play] = Play(ask, self.rows[ask.product], now, ask.length_ms)
@@ -186,12 +187,12 @@
             if value > 1:
                 return self.done(self.shed(now, rack, self.mates(node), 1 / value))
         elif kind == face.DELIVERED and value < SHORT:
-            node.short, size = now, self.size(now, node)
+            node.short, size, had = now, self.size(now, node), self.others(now, node)
             together = any(n is not node and now - n.short < TOGETHER_MS for n in self.mates(node))
-            if self.others(now, node) + node.own > size or not together:
+            if had + node.own > size or not together:
                 # Short alone: the node itself, whatever its load says (a sagging link, one that stands still)
                 if now >= node.settle:
-                    node.others = max(self.others(now, node), size / max(value, 0.1) - node.own)
+                    node.told, node.others = now, max(had, size / max(value, 0.1) - node.own)
                 return self.done(self.shed(now, node, [node], value))
             # Short with others of its rack: the uplink. Learned once a settling: notes lag steps
             if now >= rack.settle:
@@ -367,10 +368,9 @@
         here = (node.setups + stand * node.link) / total
         mates = self.mates(node)
         rack = sum(n.setups + stand * n.link for n in mates) / total
-        keep = 1 - MARGIN
         caps = [lk * (1 - self.other_streams(now, node) / node.streams),
-                lk * (keep - self.others(now, node) / size),
-                lk * (keep - sum(self.others(now, n) for n in mates) / up)]
+                lk * (1 - MARGIN - self.others(now, node) / size),
+                lk * (1 - MARGIN - sum(self.others(now, n) for n in mates) / up)]
         for n in mates:
             for p in n.plays.values():
                 stay = min(p.left(now), lk)
