Failures of one moment count once towards a node's rest

Cause: when a node breaks, each of its plays counted as a failure and it rested the longest time at once. Guards also against a burst of time-outs after a short pause; could harm where a node fails slowly for long.

--- a/laddergw/control.py
+++ b/laddergw/control.py
@@ -280,8 +280,9 @@
         if node is None or ply.over and outcome == face.CANCELLED:
             return
         if outcome in (face.ERROR, face.TIMED_OUT, face.UNREACHABLE, face.BROKEN):
-            node.rest = now + ILL_MS * 2 ** node.ill * (1 + self.chance())
-            node.ill = min(node.ill + 1, ILL_MOST)
+            if now >= node.rest:                     # failures of one moment count once
+                node.rest = now + ILL_MS * 2 ** node.ill * (1 + self.chance())
+                node.ill = min(node.ill + 1, ILL_MOST)
             if outcome in (face.UNREACHABLE, face.BROKEN):   # it may be starting: pace it when it answers
                 node.pace = now
         elif outcome == face.FULL:                   # fuller than we were told
