Believe an uplink larger when it is full by account but no play on it is short

Cause: sagging links tell of more load over what they give, which counted as load on the uplink. Told and seen contradict; seen wins. Guards also against load figures wrong in scale; could harm where notes of shortage stop coming.

--- a/laddergw/control.py
+++ b/laddergw/control.py
@@ -23,6 +23,8 @@
 REPORT_LAG_MS = 300.0      # load reports: usual age
 UPLINK_STEP = 0.5          # weight of one note on what an uplink carries: a few notes settle it
 UPLINK_SPAN = (0.3, 1.6)   # an uplink is never believed outside these multiples of its told size
+QUIET_MS = 3_000.0         # without a word of shortage an uplink is not short: three notes' seconds
+TRY_MORE = 1.1             # an uplink that carries what it is asked is tried with this much more
 UPLINK_BACK_MS = 30_000.0  # without shortage the belief returns to the told size over this: sags end
 SHORT = 0.98               # delivered share under which plays lose, from the wire's rules
 AIM_LOAD = 0.96            # load of a short link that stepping down aims for: just under its size
@@ -51,9 +53,9 @@
 
 class Play:
     """One play, from its request to its end."""
-    def __init__(self, ask, product, now, hint):
+    def __init__(self, ask, product, now):
         self.ask, self.id, self.product, self.rung = ask, ask.play, product, product.floor
-        self.length, self.holders = hint or LENGTH_MS, []
+        self.length, self.holders = ask.length_ms or LENGTH_MS, []
         self.limit, self.started, self.changed = now + ask.wait_ms, None, now
         self.out = self.node = self.first = None    # allocation out, node it loads, node first sent to
         self.sends, self.tried, self.may_have_run, self.over = 0, set(), False, False
@@ -76,7 +78,7 @@
 class Rack:
     """The nodes behind one uplink."""
     def __init__(self, told, now):
-        self.told, self.believed, self.at, self.settle = told, told, now, 0.0
+        self.told, self.believed, self.at, self.settle, self.heard = told, told, now, 0.0, -math.inf
 
     def size(self, now):
         return self.told + (self.believed - self.told) * math.exp(-(now - self.at) / UPLINK_BACK_MS)
@@ -90,12 +92,12 @@
 class Controller:
     def __init__(self, deployment, seed, now):
         self.d, self.seed, self.draws, self.nodes, self.plays, self.known = deployment, seed, 0, {}, {}, False
-        self.rows, self.demand, self.demand_at = deployment.products, [0.0] * len(deployment.products), now
-        self.setups_at, self.crowd, self.usual = now, CROWD_START, ANSWER_START_MS
+        self.rows, self.demand, self.faded = deployment.products, [0.0] * len(deployment.products), now
+        self.crowd, self.usual = CROWD_START, ANSWER_START_MS
         self.racks = [Rack(deployment.rack_kb, now) for _ in range(deployment.racks)]
         self.taken, self.further = deque(), deque()  # times, for the budget
         self.seats, self.next_look, self.ask_at = {}, now + LOOK_MS, now if deployment.must_ask else math.inf
-        self.chain = ((self.terms, self.terms_back), (self.holding, None), (self.health, self.health_back),
+        self.chain = ((self.terms, None), (self.holding, None), (self.health, self.health_back),
                       (self.price, self.price_back), (self.ration, None), (self.send, self.send_back))
 
     # What happens, told by the host
@@ -131,15 +133,15 @@
         return self.done([])
 
     def asked(self, now, ask):
-        ply = self.plays[ask.play] = Play(ask, self.rows[ask.product], now, ask.length_ms)
+        ply = self.plays[ask.play] = Play(ask, self.rows[ask.product], now)
         self.taken.append(now)
         verdicts = self.run(now, ply)
-        self.forecast(now)
+        self.fade(now)
         self.demand[ask.product] += 1 / FORECAST_MS  # after its pricing: a play doesn't compete with itself
         return self.done(verdicts)
 
     def handed_over(self, now, ask, node_id):
-        ply = self.plays[ask.play] = Play(ask, self.rows[ask.product], now, ask.length_ms)
+        ply = self.plays[ask.play] = Play(ask, self.rows[ask.product], now)
         ply.started, ply.sends = now, 1
         self.demand[ask.product] += 1 / ply.length   # plays under way over their length: Little's law
         if node_id in self.nodes:
@@ -156,13 +158,12 @@
 
     def ended(self, now, play, number, outcome, node_id, over, report):
         node, ply = self.nodes.get(node_id), self.plays.get(play)
-        if node:
+        if node and report:
             self.reported(now, node, report)
         if ply is None or ply.sends - 1 != number:
             return self.done([])
-        for _, back in reversed(self.chain):
-            if back:
-                back(now, ply, node or ply.node, outcome)
+        for _, back in reversed([stage for stage in self.chain if stage[1]]):
+            back(now, ply, node or ply.node, outcome)
         ply.out = ply.node = None
         if over or ply.over or ply.started is not None:
             self.plays.pop(play, None)
@@ -182,6 +183,7 @@
             if value > 1:
                 return self.done(self.shed(now, node, [node], 1 / value))
         elif kind == face.UPLINK_ASKED and value > 0:
+            rack.heard = now
             rack.learn(now, self.rack_load(now, node.rack) / value)
             if value > 1:
                 return self.done(self.shed(now, rack, self.mates(node), 1 / value))
@@ -208,14 +210,19 @@
         return self.done([])
 
     def wake(self, now):
-        out = []
-        if now >= self.ask_at:
-            self.ask_at = math.inf
-            out.append(Verdict(follow=True))
+        out = [Verdict(follow=True)] if now >= self.ask_at else []
+        self.ask_at = math.inf if out else self.ask_at
         if now >= self.next_look:
             self.next_look = now + LOOK_MS
             for node in self.nodes.values():
                 out += self.step_up(now, node)
+            # Told and seen contradict: an uplink full by our account, but no play on it short. It carries
+            # more, or sagging links told of more load than there is; else we would decline for nothing.
+            for number, rack in enumerate(self.racks):
+                short = [n.short for n in self.nodes.values() if n.rack == number and n.plays]
+                full = self.rack_load(now, number) / (1 - MARGIN)
+                if short and full > rack.size(now) and now - max(max(short), rack.heard) > QUIET_MS:
+                    rack.learn(now, full * TRY_MORE)
         return self.done(out)
 
     def done(self, verdicts):
@@ -224,13 +231,10 @@
     # The chain: each stage passes a play on (None) or ends it (a verdict)
 
     def run(self, now, ply):
-        for stage, _ in self.chain:
-            verdict = stage(now, ply)
-            if verdict:
-                if verdict.answer:
-                    self.plays.pop(ply.id, None)
-                return [verdict]
-        return []
+        verdict = next(filter(None, (stage(now, ply) for stage, _ in self.chain)))
+        if verdict.answer:
+            self.plays.pop(ply.id, None)
+        return [verdict]
 
     def give_up(self, ply):
         """The final answer at once: a decline with a time to come back, where no set-up can have run."""
@@ -246,9 +250,6 @@
         if barred or row.floor > self.highest(ply) or ply.sends >= self.d.max_allocations or now >= ply.limit:
             return self.give_up(ply)
 
-    def terms_back(self, now, ply, node, outcome):
-        self.seat(ply, -1)
-
     def holding(self, now, ply):
         """Holders of the title that the list calls ready, in order of most room."""
         copies = max(1, min(int(ply.ask.copies), self.d.cells)) if ply.ask.copies else self.d.cells
@@ -324,8 +325,8 @@
         return chosen
 
     def price_back(self, now, ply, node, outcome):
-        if ply.node:
-            ply.node.plays.pop(ply.id, None)
+        if ply.node and ply.node.plays.pop(ply.id, None):
+            self.seat(ply, -1)
             self.load(now, ply.node, -self.rate(ply))
 
     def ration(self, now, ply):
@@ -343,7 +344,7 @@
         last = ply.product.repeat == "paid" or ply.sends + 1 >= self.d.max_allocations
         ply.out, ply.sends, node.last_send = Allocation(ply.sends, last), ply.sends + 1, now
         ply.tried.add(node.id)
-        self.decay_setups(now)
+        self.fade(now)
         node.setups += 1
         self.put(now, ply, node)
         timeout = left if last else min(left, max(PATIENCE * self.usual, TIMEOUT_LEAST_MS))
@@ -360,8 +361,7 @@
 
     def shadow_prices(self, now, node, lk):
         """Duals of the node's streams, link and uplink over the period lk, net of the plays under way."""
-        self.decay_setups(now)
-        self.forecast(now)
+        self.fade(now)
         size, up = self.size(now, node), self.racks[node.rack].size(now)
         stand = SHARE_PRIOR / max(sum(n.link for n in self.nodes.values() if n.state == face.READY), 1e-9)
         total = sum(n.setups for n in self.nodes.values()) + SHARE_PRIOR
@@ -389,16 +389,12 @@
             groups.append((lk * demand * here, choices))
         return duals(groups, caps)
 
-    def forecast(self, now):
-        fade = math.exp(-(now - self.demand_at) / FORECAST_MS)
-        self.demand = [d * fade for d in self.demand]
-        self.demand_at = now
-
-    def decay_setups(self, now):
-        fade = math.exp(-(now - self.setups_at) / SHARE_MS)
+    def fade(self, now):
+        """Lets arrivals and set-ups seen so far lose weight."""
+        self.demand = [d * math.exp(-(now - self.faded) / FORECAST_MS) for d in self.demand]
         for n in self.nodes.values():
-            n.setups *= fade
-        self.setups_at = now
+            n.setups *= math.exp(-(now - self.faded) / SHARE_MS)
+        self.faded = now
 
     # Room, learned from notes and reports
 
@@ -456,12 +452,12 @@
     def told(self, now, node, asked, lag):
         """Takes in what is asked of a link over what it gives, as it stood `lag` ago."""
         size = self.size(now, node)
-        own = node.own - sum(change for at, change in node.log if at > now - lag)
-        node.others, node.told = max(0.0, asked * size - own), now
+        then = node.own - sum(change for at, change in node.log if at > now - lag)
+        node.others, node.told = max(0.0, asked * size - then), now
         self.crowd += CROWD_STEP * (min(node.others / size, 1.5) - self.crowd)
 
     def reported(self, now, node, report):
-        values = {k: v for k, v in zip(self.d.reports, report or ()) if math.isfinite(v) and v >= 0}
+        values = {k: v for k, v in zip(self.d.reports, report) if math.isfinite(v) and v >= 0}
         asked = values.get("x0", values.get("load_share"))
         if asked is not None and asked < 10:
             self.told(now, node, asked, REPORT_LAG_MS)
@@ -481,7 +477,8 @@
         want, out = sum(n.own for n in nodes) * (1 - share * AIM_LOAD), []
 
         def loss(p):
-            return -self.gain(p, p.rung - 1) / (self.rate(p) - self.rate(p, p.rung - 1))
+            lost = p.product.importance * (self.d.rung_worth[p.rung] - self.d.rung_worth[p.rung - 1])
+            return lost / (self.rate(p) - self.rate(p, p.rung - 1))
         able = [p for n in nodes for p in n.plays.values()
                 if p.started is not None and p.rung > p.product.floor and not p.over]
         for p in sorted(able, key=lambda p: (loss(p), p.id)):
@@ -494,16 +491,15 @@
 
     def step_up(self, now, node):
         """One play a look goes up, to the rung that the program offers, where idle room is ample."""
+        worth = self.d.rung_worth
         room = min(self.room(now, node, self.rack_load(now, node.rack), MARGIN + UP_ROOM))
         able = [p for p in node.plays.values() if p.started is not None and not p.over
                 and p.rung < self.highest(p) and now - p.changed >= UP_GAP_MS]
-        ply = max(able, default=None, key=lambda p: self.gain(p, p.rung + 1) * p.left(now))
+        ply = max(able, default=None, key=lambda p: (worth[p.rung + 1] - worth[p.rung]) * p.left(now)
+                  * p.product.importance)
         rung = ply and self.offer(now, ply, node, ply.left(now), room, ply.rung)
         return [] if rung is None else [self.step(now, ply, rung)]
 
-    def gain(self, ply, rung):
-        return ply.product.importance * (self.d.rung_worth[rung] - self.d.rung_worth[ply.rung])
-
     def step(self, now, ply, rung):
         self.load(now, ply.node, self.rate(ply, rung) - self.rate(ply))
         ply.rung, ply.changed = rung, now
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -119,6 +119,20 @@
         d.note(5101, 0, 1, face.DELIVERED, float("inf"))
         self.same("rack", d)
 
+    def test_an_uplink_full_by_account_but_not_short_is_tried(self):
+        d = Drive(nodes=2, racks=1, link_unit=1000.0, rack_kb=1200.0)
+        d.ask(0, 1)
+        d.starts(100, 1, 1)
+        d.say("links tell of more load than the uplink carries, but nothing is short: declined at first")
+        for node in (1, 2):
+            d.note(200 + node, 1, node, face.LINK_ASKED, 0.7)
+        d.ask(300, 2)
+        d.say("seconds without a word of shortage: the uplink carries more, and is tried with a little more")
+        for now in range(1000, 8000, 1000):
+            d.c.wake(d.base + now)
+        d.ask(8000, 3)
+        self.same("uplink", d)
+
 
 if __name__ == "__main__":
     unittest.main()
