--- a/laddergw/interface.py
+++ b/laddergw/interface.py
@@ -17,8 +17,6 @@
 
 class Product(NamedTuple):
     """One product's terms, as the deployment states them."""
-    aim_ms: float            # first-frame target
-    limit_ms: float          # time limit
     importance: float        # a second at a rung worth 1
     repeat: str              # "safe", "keyed" or "paid"
     group: str               # keyed: "all", "zone" or "cell"
@@ -39,25 +37,18 @@
     link_unit: float         # kB/s of a link for a weight of 1
     rack_kb: float           # mean uplink of a rack
     streams: tuple           # by kind of node
-    full_from: float         # nodes answer full from this much asked of the link; 0: never
-    stall: float             # points lost for a missing point of rate
     step_cost_ms: float      # a change of rung, in time of the product's importance
     seen_after_ms: float     # how late notes are
     directors: int
-    number: int              # this director's own, from 0
-    zone: int
     max_allocations: int
     retry_max_ms: float      # longest retry-after that viewers follow; 0: none
-    drain_grace_ms: float
     cold_from: float
     warm_ms: float
     fall_multiple: float
-    fall_ms: float
     budget_free: float       # further allocations; None where they are not rationed
     budget_share: float
     budget_ms: float
     must_ask: bool           # the fleet list comes only when asked for
-    move_price: float
     reports: tuple           # names of the values in a load report
 
 
@@ -82,7 +73,6 @@
     ceiling: float           # highest rung that the viewer can use
     length_ms: float         # hint of its length (handed over: of what is left); None: no hint
     wait_ms: float           # the viewer stops waiting after this
-    moved: bool              # back from a move
 
 
 class Verdict(NamedTuple):
--- a/laddergw/wirehost/settings.py
+++ b/laddergw/wirehost/settings.py
@@ -65,7 +65,7 @@
     repeat = read.word(key + "Repeat")
     if repeat not in REPEATS:
         raise BadSetting(f"setting {key}Repeat: {repeat!r} is not known")
-    return Product(read.ms(key + "Aim"), read.ms(key + "GiveUp"), read.number(key + "Points"), REPEATS[repeat],
+    return Product(read.number(key + "Points"), REPEATS[repeat],
                    read.word(key + "Group", "all"), read.ms(key + "KeyTtl", 0.0),
                    int(floor), int(top), scale, int(seats))
 
@@ -86,17 +86,13 @@
         ladder=ladder, rung_worth=read.many("Specifics.WorthByRung", len(ladder)),
         cells=int(read.number("Specifics.Positions", low=1)), racks=int(read.number("Specifics.Groups", 1, low=1)),
         link_unit=read.number("Specifics.LinkUnitKb", low=1e-9), rack_kb=read.number("Specifics.RackKb", low=1e-9),
-        streams=read.many("Specifics.KindSlots", low=1), full_from=read.number("Specifics.RefusesFrom", 0.0),
-        stall=read.number("Specifics.ShortfallCost", 0.0),
+        streams=read.many("Specifics.KindSlots", low=1),
         step_cost_ms=read.number("Specifics.ChangeCostsS", 0.0) * 1000,
         seen_after_ms=read.ms("Specifics.SeenAfter", 0.0),
-        directors=int(read.number("Siblings", low=1)), number=int(read.number("Ordinal", 0.0)),
-        zone=int(read.number("MyZone", 0.0)), max_allocations=int(read.number("Permissions.MaxAttempts", low=1)),
+        directors=int(read.number("Siblings", low=1)), max_allocations=int(read.number("Permissions.MaxAttempts", low=1)),
         retry_max_ms=read.ms("Permissions.MaxRetryAfter", 0.0) if read.flag("Permissions.RetryAfter", "true") else 0.0,
-        drain_grace_ms=read.ms("Rules.StopSendingWithin", 0.0),
         cold_from=read.number("Rules.ColdFrom", 1.0), warm_ms=read.ms("Rules.WarmWithin", 0.0),
-        fall_multiple=read.number("Rules.FallMultiple", 1.0), fall_ms=read.ms("Rules.Fall", 0.0),
+        fall_multiple=read.number("Rules.FallMultiple", 1.0),
         budget_free=read.number("Rules.FreeResends", None), budget_share=read.number("Rules.ExtraRatio", 0.0),
         budget_ms=read.ms("Rules.CountedOver", 0.0), must_ask=read.word("Discovery", "pushed") == "on_request",
-        move_price=read.number("Prices.Moves", 0.0),
         reports=tuple(read.word("Reporting.Names", "").split(",")))
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -7,17 +7,17 @@
 from laddergw.control import Controller
 
 TRACES = pathlib.Path(__file__).parent / "traces"
-PLAIN = dict(aim_ms=1000.0, limit_ms=4000.0, importance=1.0, repeat="safe", group="all", key_ms=5000.0, floor=0,
+PLAIN = dict(importance=1.0, repeat="safe", group="all", key_ms=5000.0, floor=0,
              top=2, scale=1.0, seats=0)
 
 
 def deployment(products=({},), **changes):
     values = dict(
         products=tuple(face.Product(**{**PLAIN, **p}) for p in products), ladder=(100.0, 200.0, 400.0),
-        rung_worth=(0.3, 0.6, 1.0), cells=4, racks=2, link_unit=9000.0, rack_kb=40000.0, streams=(20.0,), full_from=1.2,
-        stall=6.0, step_cost_ms=400.0, seen_after_ms=500.0, directors=2, number=0, zone=0, max_allocations=3,
-        retry_max_ms=1000.0, drain_grace_ms=250.0, cold_from=0.5, warm_ms=10_000.0, fall_multiple=2.0, fall_ms=1000.0,
-        budget_free=None, budget_share=0.0, budget_ms=0.0, must_ask=False, move_price=0.05, reports=("x0",))
+        rung_worth=(0.3, 0.6, 1.0), cells=4, racks=2, link_unit=9000.0, rack_kb=40000.0, streams=(20.0,), step_cost_ms=400.0,
+        seen_after_ms=500.0, directors=2, max_allocations=3,
+        retry_max_ms=1000.0, cold_from=0.5, warm_ms=10_000.0, fall_multiple=2.0,
+        budget_free=None, budget_share=0.0, budget_ms=0.0, must_ask=False, reports=("x0",))
     return face.Deployment(**{**values, **changes})
 
 
@@ -52,7 +52,7 @@
         return self.c.listed(now, lines, whole)
 
     def ask(self, now, play, product=0, wait=4000.0, title=5, copies=4, ceiling=2, length=None):
-        request = face.Asked(play, product, title, 0, copies, ceiling, length, wait, False)
+        request = face.Asked(play, product, title, 0, copies, ceiling, length, wait)
         return self.run(now, f"asked: play {play} of product {product}", self.c.asked(self.base + now, request))
 
     def starts(self, now, play, node, number=0):
