--- a/laddergw/control.py
+++ b/laddergw/control.py
@@ -20,6 +20,7 @@
 CROWD_START = 0.4          # others' share of a link before anything was heard: a fleet in fair use
 CROWD_STEP = 0.1           # weight of one note in others' usual share: about the last ten notes
 AGE_MS = 15_000.0          # what was told of a node's others fades into their usual share over this
+ABSURD = 10.0              # a load or rung told at or over this is no word at all: links are never asked that
 REPORT_LAG_MS = 300.0      # load reports: usual age
 UPLINK_STEP = 0.5          # weight of one note on what an uplink carries: a few notes settle it
 UPLINK_SPAN = (0.3, 3.0)   # bounds of a believed uplink over its told size; sagging links stretch the account
@@ -172,7 +173,7 @@
 
     def note(self, now, play, node_id, kind, value):
         ply, node = self.plays.get(play), self.nodes.get(node_id)
-        if not math.isfinite(value) or value < 0 or node is None:
+        if not 0 <= value < ABSURD or node is None:  # also NaN and infinite: no note
             return self.done([])
         if kind == face.RUNG_NOW and ply and ply.node is node:
             self.step(now, ply, min(int(value), len(self.d.ladder) - 1))
@@ -457,13 +458,13 @@
         self.crowd += CROWD_STEP * (min(node.others / size, 1.5) - self.crowd)
 
     def reported(self, now, node, report):
-        values = {k: v for k, v in zip(self.d.reports, report) if math.isfinite(v) and v >= 0}
+        values = {k: v for k, v in zip(self.d.reports, report) if 0 <= v < math.inf}
         asked = values.get("x0", values.get("load_share"))
-        if asked is not None and asked < 10:
+        if asked is not None and asked < ABSURD:
             self.told(now, node, asked, REPORT_LAG_MS)
         if "concurrent" in values:
             node.count = max(0.0, values["concurrent"] - len(node.plays))
-        if 0 < values.get("x1", 0) < 10:
+        if 0 < values.get("x1", 0) < ABSURD:
             self.racks[node.rack].learn(now, self.rack_load(now, node.rack) / values["x1"])
 
     # Plays under way
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -117,6 +117,7 @@
         d.say("junk in reports and notes is no report")
         d.note(5100, 0, 1, face.LINK_ASKED, float("nan"))
         d.note(5101, 0, 1, face.DELIVERED, float("inf"))
+        d.note(5102, 0, 1, face.LINK_ASKED, 1e30)
         self.same("rack", d)
 
     def test_an_uplink_full_by_account_but_not_short_is_tried(self):
