Sums kept by rack, values that fade by their own time stamp, holders indexed by cell

Cause: each decision and each look walked the fleet several times. Now a rack keeps its links, our load and what was told as sums; set-ups, arrivals, told loads and beliefs fade lazily; a look visits only nodes with plays of ours.

--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -29,7 +29,7 @@
         d.ask(10, 1)
         d.end(20, 1, 1, face.CANCELLED, over=True)
         d.say("dearer plays come often: the same play is declined, a dear one is taken")
-        d.c.demand[1] = 0.00005
+        d.c.demand[1].add(d.base, 0.00005)
         d.note(30, 0, 1, face.LINK_ASKED, 0.5)
         d.ask(40, 2)
         d.ask(50, 3, product=1)
@@ -127,12 +127,12 @@
         d.say("links tell of more load than the uplink carries, but nothing is short: declined at first")
         for node in (1, 2):
             d.note(200 + node, 1, node, face.LINK_ASKED, 0.6)
-        d.c.demand[0] = 0.0
+        d.c.demand[0].value = 0.0
         d.ask(300, 2)
         d.say("seconds without a word of shortage: the uplink carries more, and is tried with a little more")
         for now in range(1000, 5000, 500):
             d.c.wake(d.base + now)
-        d.c.demand[0] = 0.0
+        d.c.demand[0].value = 0.0
         d.ask(5000, 3)
         self.same("uplink", d)
 
