Cold nodes: each director's first turn at a time of its own within the spacing

Now the first turn falls at a drawn time within the spacing, for starts told and for breaks seen; after our own start it stays free, or a restarted director could serve nobody. Guards also against crowds returning to a node that was only unreachable; could harm by leaving cold nodes idle where few directors have plays for them.

--- a/laddergw/control.py
+++ b/laddergw/control.py
@@ -41,10 +41,10 @@
 ILL_MOST = 5               # doublings at most: a rest of 13 s, about a restart
 ANSWER_START_MS = 150.0    # set-up time assumed before any was seen
 ANSWER_STEP = 0.1          # weight of one set-up in the usual time
-PATIENCE = 5.0             # time-out in usual set-up times: slow ones pass, silent nodes do not
-TIMEOUT_LEAST_MS = 300.0   # a handshake and a busy queue fit
+PATIENCE, TIMEOUT_LEAST_MS = 5.0, 300.0   # time-out in usual set-up times: slow ones pass; a handshake fits
 RETRY_MS = 1_000.0         # longest retry-after; spread over its upper half, against returns in one wave
 LOOP_SWEEPS, LOOP_HALVINGS = 4, 24   # of the dual loop: prices to one part in ten million
+MIX = 2_654_435_761        # odd, 2 ** 32 over the golden ratio: like seeds draw alike by the linear crc32 alone
 SURE = 1.000001            # importance must exceed its cost by more than rounding
 
 
@@ -97,7 +97,7 @@
         self.id, self.plays, self.log, self.state, self.rack = line.node, {}, deque(), face.GONE, None
         self.count, self.started, self.setups = None, None, Fading(SHARE_MS, now)
         self.ill, self.rest, self.settle, self.room = 0, 0.0, 0.0, 0.0
-        self.pace, self.cold, self.last_send, self.short = pace, -math.inf, -math.inf, -math.inf
+        self.pace, self.early, self.cold, self.last_send, self.short = pace, 1.0, *[-math.inf] * 3
 
     def hear(self, now, others):
         """Others' load, now known."""
@@ -161,7 +161,7 @@
             if line.started_ms != node.started and now - line.started_ms < self.d.warm_ms and line.started_ms:
                 node.cold, node.ill, node.rest = line.started_ms, 0, 0.0
                 node.hear(now, 0.0)
-                node.pace = max(node.pace, line.started_ms)
+                node.pace, node.early = max(node.pace, line.started_ms), self.chance()
             node.started = line.started_ms
         self.known = True
         return self.done([])
@@ -179,7 +179,7 @@
         node.state = state
 
     def list_failed(self, now):
-        self.ask_at = now + RETRY_MS if self.d.must_ask else math.inf
+        self.ask_at = now + (RETRY_MS if self.d.must_ask else math.inf)
         return self.done([])
 
     def asked(self, now, ask):
@@ -214,7 +214,7 @@
         for _, back in reversed(self.chain):
             back and back(now, ply, node or ply.node, outcome)
         if over or ply.over or ply.started is not None:
-            self.plays.pop(play, None)
+            del self.plays[play]
             return self.done([])
         return self.done(self.run(now, ply))
 
@@ -312,7 +312,7 @@
         paid = ply.product.repeat == "paid"
         ply.holders = [n for n in ply.holders if now >= n.rest
                        and not (n.ill and (paid or any(p.out for p in n.plays.values())))
-                       and (now - n.pace >= self.d.warm_ms or now - n.last_send >= self.spacing(now, n))]
+                       and (now - n.pace >= self.d.warm_ms or self.turn(now, n))]
         if not ply.holders:
             return self.give_up(ply)
 
@@ -322,7 +322,7 @@
                 node.rest = now + ILL_MS * 2 ** node.ill * (1 + self.chance())
                 node.ill = min(node.ill + 1, ILL_MOST)
             if outcome in (face.UNREACHABLE, face.BROKEN):   # it may be starting: pace it when it answers
-                node.pace = now
+                node.pace, node.early = now, self.chance()
         elif node and outcome == face.FULL:                   # fuller than we were told
             node.hear(now, max(node.others(now, self.crowd), self.size(now, node) - node.own))
             node.rest = max(node.rest, now + ILL_MS)
@@ -433,11 +433,13 @@
         age = min(max(now - node.cold, 0), self.d.warm_ms) / max(self.d.warm_ms, 1)
         return node.links * (self.d.cold_from + (1 - self.d.cold_from) * age if self.d.warm_ms else 1)
 
-    def spacing(self, now, node):
-        """Time between our set-ups at a cold node: all directors together stay at its pace."""
+    def turn(self, now, node):
+        """Whether a cold node may get a set-up: all directors together stay at its pace. The first turn falls
+        at a time of our own within the spacing, or all would send at once when a start is told."""
         share = self.d.cold_from + (1 - self.d.cold_from) * max(0.0, now - node.pace) / self.d.warm_ms
         paced = COLD_PART * max(self.d.fall_multiple, 1) * node.streams * max(share, 1e-6)
-        return self.d.directors * self.d.warm_ms / paced
+        gap = self.d.directors * self.d.warm_ms / paced
+        return now - max(node.last_send, node.pace - node.early * gap) >= gap
 
     def other_streams(self, now, node):
         if node.count is not None and now - node.told.at < AGE_MS:
@@ -450,8 +452,8 @@
         return part.own + part.others(now, self.crowd)
 
     def room(self, now, node, free=MARGIN):
-        return min(self.size(now, node) * (1 - free) - self.load(now, node),
-                   node.rack.size(now) * (1 - free) - self.load(now, node.rack))
+        return min(size * (1 - free) - self.load(now, part)
+                   for part, size in ((node, self.size(now, node)), (node.rack, node.rack.size(now))))
 
     def put(self, now, ply, node):
         ply.node, node.plays[ply.id] = node, ply
@@ -469,8 +471,7 @@
 
     def told(self, now, node, asked, lag):
         """Takes in what is asked of a link over what it gives, as it stood `lag` ago."""
-        size = self.size(now, node)
-        ours = node.own - sum(change for at, change in node.log if at > now - lag)
+        size, ours = self.size(now, node), node.own - sum(change for at, change in node.log if at > now - lag)
         node.hear(now, others := max(0.0, asked * size - ours))
         self.crowd += CROWD_STEP * (min(others / size, 1.5) - self.crowd)
 
@@ -484,8 +485,6 @@
         if 0 < values.get("x1", 0) < ABSURD:
             node.rack.learn(now, self.load(now, node.rack) / values["x1"])
 
-    # Plays under way
-
     def shed(self, now, short, nodes, asked):
         """Steps our plays on a link or uplink asked for too much down by that part, where that loses least.
         Every director does so for its own plays, so together they shed what is asked too much."""
@@ -522,7 +521,7 @@
 
     def chance(self):
         self.draws += 1
-        return crc32(b"%d %d" % (self.seed, self.draws)) / 2 ** 32
+        return crc32(b"%d %d" % (self.seed, self.draws)) * MIX % 2 ** 32 / 2 ** 32
 
 
 def duals(groups, caps):
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -92,6 +92,18 @@
 
 
 class Guards(TraceTest):
+    def test_directors_take_turns_at_a_node_that_started(self):
+        d = None
+        for seed in range(1, 9):
+            e = Drive(nodes=1, seed=seed, directors=8, streams=(25.0,))
+            e.lines = d.lines if d else e.lines
+            d = e
+            d.say(f"director {seed} of 8 hears that node 1 just started: its first turn is at a time of its own")
+            d.listed(20_000, [d.line(1, started=20_000)])
+            for now in (300, 2300, 4300):
+                d.ask(now, now)
+        self.same("turns", d)
+
     def test_a_silent_node_rests_and_is_tried_a_little(self):
         d = Drive(nodes=2)
         d.ask(0, 1)
