Steps up on a note by our part of the room; unheard links drawn where directors are many

(2) Nodes a director hears nothing of rank alike at all directors. What was not told of a link is drawn in the order of most room, from 5 directors on. Guards also against any word that reaches all directors at once; could harm by slow use of room that opens for few plays.

--- a/laddergw/control.py
+++ b/laddergw/control.py
@@ -19,15 +19,14 @@
 FORECAST_MS = 15_000.0     # memory of arrivals: a few dozen plays, short enough to follow a wave
 SHARE_MS = 30_000.0        # memory of where our set-ups went: about one play's length
 SHARE_PRIOR = 4.0          # set-ups' worth of belief that they spread by link size
-CROWD_START = 0.4          # others' share of a link before anything was heard: a fleet in fair use
-CROWD_STEP = 0.1           # weight of one note in others' usual share: about the last ten notes
+CROWD_START, CROWD_STEP = 0.4, 0.1   # others' share of a link before a note: fair use; a note's weight in it
 AGE_MS = 15_000.0          # what was told of a node's others fades into their usual share over this
 ABSURD = 10.0              # a load or rung told at or over this is no word at all: links are never asked that
+FEW, DOUBT = 4, 1.0        # so many directors hear of most nodes; beyond, share of an unheard link drawn
 REPORT_LAG_MS = 300.0      # load reports: usual age
 UPLINK_STEP = 0.5          # weight of one note on what an uplink carries: a few notes settle it
 UPLINK_SPAN = (0.3, 3.0)   # bounds of a believed uplink over its told size; sagging links stretch the account
-QUIET_MS = 3_000.0         # without a word of shortage an uplink is not short: three notes' seconds
-TRY_MORE = 1.1             # an uplink that carries what it is asked is tried with this much more
+QUIET_MS, TRY_MORE = 3_000.0, 1.1   # not short for three notes, an uplink is tried with so much more
 UPLINK_BACK_MS = 30_000.0  # without shortage the belief returns to the told size over this: sags end
 SHORT = 0.98               # delivered share under which plays lose, from the wire's rules
 AIM_LOAD = 0.96            # load of a short link that stepping down aims for: just under its size
@@ -36,15 +35,13 @@
 LOOK_MS = 500.0            # pace of looking over the plays under way: half a note's second
 UP_ROOM = 0.25             # share of a link left free by a step up: others may step up at the same word
 UP_GAP_MS = 8_000.0        # time from a change of a play's rung to a step up: a shortage is over by then
-ILL_MS = 400.0             # first rest of a node that failed; doubles with each further failure
+ILL_MS, ILL_MOST = 400.0, 5   # first rest of a node that failed; doublings at most: to 13 s, about a restart
 COLD_PART = 0.7            # part of a cold node's allowance that we all use: set-ups differ in work
-ILL_MOST = 5               # doublings at most: a rest of 13 s, about a restart
-ANSWER_START_MS = 150.0    # set-up time assumed before any was seen
-ANSWER_STEP = 0.1          # weight of one set-up in the usual time
+ANSWER_START_MS, ANSWER_STEP = 150.0, 0.1   # set-up time before any was seen; weight of one in the usual
 PATIENCE, TIMEOUT_LEAST_MS = 5.0, 300.0   # time-out in usual set-up times: slow ones pass; a handshake fits
 RETRY_MS = 1_000.0         # longest retry-after; spread over its upper half, against returns in one wave
 LOOP_SWEEPS, LOOP_HALVINGS = 4, 24   # of the dual loop: prices to one part in ten million
-MIX = 2_654_435_761        # odd, 2 ** 32 over the golden ratio: like seeds draw alike by the linear crc32 alone
+MIX = 2_654_435_761        # odd, by the linear crc32 alone like seeds draw alike
 SURE = 1.000001            # importance must exceed its cost by more than rounding
 
 
@@ -94,13 +91,12 @@
     """One media node, as far as this director knows it."""
     def __init__(self, line, now, pace):
         super().__init__(now)
-        self.id, self.plays, self.log, self.state, self.rack = line.node, {}, deque(), face.GONE, None
-        self.count, self.started, self.setups = None, None, Fading(SHARE_MS, now)
+        self.id, self.plays, self.log, self.setups = line.node, {}, deque(), Fading(SHARE_MS, now)
+        self.state, self.rack, self.started = face.GONE, None, None
         self.ill, self.rest, self.settle, self.room = 0, 0.0, 0.0, 0.0
         self.pace, self.early, self.cold, self.last_send, self.short = pace, 1.0, *[-math.inf] * 3
 
     def hear(self, now, others):
-        """Others' load, now known."""
         known, told = self.links - self.known.now(now), others - self.told.now(now)
         for part in (self,) if self.state == face.GONE else (self, self.rack):
             part.known.add(now, known)
@@ -220,14 +216,15 @@
 
     def note(self, now, play, node_id, kind, value):
         ply, node, out = self.plays.get(play), self.nodes.get(node_id), []
-        if node is None or not 0 <= value < ABSURD:  # also NaN and infinite: no note
-            return self.done(out)
         fresh = ply and ply.first and ply.started is not None and now - ply.started < 1
+        if node is None or not 0 <= value < ABSURD:  # also NaN and infinite: no note
+            kind = None
         if kind == face.RUNG_NOW and ply and ply.node is node:
             self.step(now, ply, min(int(value), len(self.d.ladder) - 1))
+            ply.changed = -math.inf                  # not our change: it may step up at once
         elif kind == face.LINK_ASKED:
             self.told(now, node, value, 0.0 if fresh else self.d.seen_after_ms)
-            out = self.shed(now, node, [node], value)
+            out = self.shed(now, node, [node], value) or self.step_up(now, node)
         elif kind == face.UPLINK_ASKED and value > 0:
             node.rack.heard = now
             node.rack.learn(now, self.load(now, node.rack) / value)
@@ -259,11 +256,9 @@
         self.ask_at = math.inf if out else self.ask_at
         if now >= self.next_look:
             self.next_look = now + LOOK_MS
-            busy = {p.node.id: p.node for p in self.plays.values() if p.node and p.node.state != face.GONE}
-            out += [step for node in busy.values() for step in self.step_up(now, node)]
             # Told and seen contradict: an uplink full by our account, but no play on it short. It carries
             # more, or sagging links told of more load than there is; else we would decline for nothing.
-            for rack in {id(n.rack): n.rack for n in busy.values()}.values():
+            for rack in {id(p.node.rack): p.node.rack for p in self.plays.values() if p.node}.values():
                 full = self.load(now, rack) / (1 - MARGIN)
                 if full > rack.size(now) and now - rack.heard > QUIET_MS:
                     rack.learn(now, full * TRY_MORE)
@@ -282,11 +277,10 @@
 
     def give_up(self, ply):
         """The final answer at once: a decline with a time to come back, where no set-up can have run."""
-        row = ply.product
+        row, wait = ply.product, min(RETRY_MS, self.d.retry_max_ms) * (1 + self.chance()) / 2
         if ply.may_have_run and (row.repeat == "paid" or row.repeat == "keyed" and row.group != "all"):
             return Verdict(ply.id, answer=face.FAILED)
-        return Verdict(ply.id, answer=face.DECLINED,
-                       retry_ms=min(RETRY_MS, self.d.retry_max_ms) * (1 + self.chance()) / 2)
+        return Verdict(ply.id, answer=face.DECLINED, retry_ms=wait)
 
     def terms(self, now, ply):
         row, held = ply.product, self.seats[ply.ask.product, ply.ask.title]
@@ -303,16 +297,18 @@
         if ply.may_have_run and ply.product.repeat == "keyed":
             alike = {"zone": attrgetter("zone"), "cell": attrgetter("cell")}.get(ply.product.group, bool)
             ply.holders = [n for n in ply.holders if now < ply.key_ends and alike(n) == alike(ply.first)]
+        # Where many directors know little, like accounts rank alike: what was not told of a link is drawn
+        doubt = DOUBT * max(0.0, 1 - FEW / self.d.directors)
         for n in ply.holders:
             n.room = self.room(now, n)
-        ply.holders.sort(key=lambda n: (-n.room, n.id))
+            n.rank = n.room + (doubt and doubt * (n.links - n.known.now(now)) * self.chance())
+        ply.holders.sort(key=lambda n: (-n.rank, n.id))
 
     def health(self, now, ply):
         """Skips nodes that rest after failures, had their share while cold, or (paid plays) failed lately."""
-        paid = ply.product.repeat == "paid"
         ply.holders = [n for n in ply.holders if now >= n.rest
-                       and not (n.ill and (paid or any(p.out for p in n.plays.values())))
-                       and (now - n.pace >= self.d.warm_ms or self.turn(now, n))]
+                       and (now - n.pace >= self.d.warm_ms or self.turn(now, n)) and not (
+                           n.ill and (ply.product.repeat == "paid" or any(p.out for p in n.plays.values())))]
         if not ply.holders:
             return self.give_up(ply)
 
@@ -339,7 +335,7 @@
 
     def offer(self, now, ply, node, lk, room, held=None):
         """The highest rung that fits and whose payoff beats its cost at the node's prices, or None."""
-        if self.rate(ply, ply.product.floor) > room:
+        if held is None and self.rate(ply, ply.product.floor) > room:
             return None
         prices = self.shadow_prices(now, node, lk)
         place, kb = prices[0] / node.streams, prices[1] / self.size(now, node)
@@ -430,20 +426,20 @@
 
     def size(self, now, node):
         """What a link surely gives: a cold node's rises to its told size over the warm-up."""
-        age = min(max(now - node.cold, 0), self.d.warm_ms) / max(self.d.warm_ms, 1)
-        return node.links * (self.d.cold_from + (1 - self.d.cold_from) * age if self.d.warm_ms else 1)
+        return node.links * self.warmth(now, node.cold)
+
+    def warmth(self, now, start):
+        age = max(now - start, 0) / max(self.d.warm_ms, 1e-9)
+        return self.d.cold_from + (1 - self.d.cold_from) * min(age, 1)
 
     def turn(self, now, node):
         """Whether a cold node may get a set-up: all directors together stay at its pace. The first turn falls
         at a time of our own within the spacing, or all would send at once when a start is told."""
-        share = self.d.cold_from + (1 - self.d.cold_from) * max(0.0, now - node.pace) / self.d.warm_ms
-        paced = COLD_PART * max(self.d.fall_multiple, 1) * node.streams * max(share, 1e-6)
-        gap = self.d.directors * self.d.warm_ms / paced
+        paced = COLD_PART * max(self.d.fall_multiple, 1) * node.streams * self.warmth(now, node.pace)
+        gap = self.d.directors * self.d.warm_ms / max(paced, 1e-6)
         return now - max(node.last_send, node.pace - node.early * gap) >= gap
 
     def other_streams(self, now, node):
-        if node.count is not None and now - node.told.at < AGE_MS:
-            return node.count
         rates = [self.rate(p) for p in node.plays.values()] or self.d.ladder
         return node.others(now, self.crowd) * len(rates) / sum(rates)
 
@@ -451,9 +447,11 @@
         """All that is asked of a node's link, or of a rack's uplink."""
         return part.own + part.others(now, self.crowd)
 
-    def room(self, now, node, free=MARGIN):
-        return min(size * (1 - free) - self.load(now, part)
-                   for part, size in ((node, self.size(now, node)), (node.rack, node.rack.size(now))))
+    def room(self, now, node):
+        return min(size * (1 - MARGIN) - self.load(now, part) for part, size in self.sizes(now, node))
+
+    def sizes(self, now, node):
+        return (node, self.size(now, node)), (node.rack, node.rack.size(now))
 
     def put(self, now, ply, node):
         ply.node, node.plays[ply.id] = node, ply
@@ -476,13 +474,11 @@
         self.crowd += CROWD_STEP * (min(others / size, 1.5) - self.crowd)
 
     def reported(self, now, node, report):
-        values = {k: v for k, v in zip(self.d.reports, report) if 0 <= v < math.inf}
+        values = {k: v for k, v in zip(self.d.reports, report) if 0 <= v < ABSURD}
         asked = values.get("x0", values.get("load_share"))
-        if asked is not None and asked < ABSURD:
+        if asked is not None:
             self.told(now, node, asked, REPORT_LAG_MS)
-        if "concurrent" in values:
-            node.count = max(0.0, values["concurrent"] - len(node.plays))
-        if 0 < values.get("x1", 0) < ABSURD:
+        if values.get("x1"):
             node.rack.learn(now, self.load(now, node.rack) / values["x1"])
 
     def shed(self, now, short, nodes, asked):
@@ -506,13 +502,21 @@
         return ply.product.importance * (self.d.rung_worth[rung + 1] - self.d.rung_worth[rung])
 
     def step_up(self, now, node):
-        """One play a look goes up, to the rung that the program offers, where idle room is ample."""
-        room = self.room(now, node, MARGIN + UP_ROOM)
+        """On a note of room our plays go up, where it gains most, to the rung that the program offers, by our
+        part of the room: as our load is to all load. Every director with plays there hears the same note."""
+        want, out = min((size * (1 - MARGIN - UP_ROOM) / max(self.load(now, part), 1e-9) - 1) * node.own
+                        for part, size in self.sizes(now, node)), []
         able = [p for p in node.plays.values()
                 if p.started is not None and p.rung < self.highest(p) and now - p.changed >= UP_GAP_MS]
-        ply = max(able, default=None, key=lambda p: self.gain(p, p.rung) * p.left(now))
-        rung = ply and self.offer(now, ply, node, ply.left(now), room, ply.rung)
-        return [] if rung is None else [self.step(now, ply, rung)]
+        for p in sorted(able, key=lambda p: (-self.gain(p, p.rung) * p.left(now), p.id)):
+            had, extra = self.rate(p), self.rate(p, p.rung + 1) - self.rate(p)
+            if want < extra * self.chance():
+                break
+            rung = self.offer(now, p, node, p.left(now), max(want, extra), p.rung)
+            if rung is not None:
+                out.append(self.step(now, p, rung))
+                want -= self.rate(p) - had
+        return out
 
     def step(self, now, ply, rung):
         self.carry(now, ply.node, self.rate(ply, rung) - self.rate(ply))
@@ -538,7 +542,6 @@
         return total
 
     for _ in range(LOOP_SWEEPS):
-        before = list(prices)
         for e, cap in enumerate(caps):
             prices[e] = 0.0
             if used(e) <= cap:
@@ -548,6 +551,4 @@
                 prices[e] = middle = (low + high) / 2
                 low, high = (low, middle) if used(e) <= cap else (middle, high)
             prices[e] = high
-        if prices == before:                         # also at once, where all fits
-            break
     return prices
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -116,6 +116,32 @@
         d.ask(2810, 5)
         self.same("silent", d)
 
+    def test_a_note_of_room_is_shared_by_the_directors_that_hear_it(self):
+        d = Drive(nodes=1, racks=1, link_unit=2000.0)
+        d.ask(0, 1, ceiling=0)
+        d.starts(10, 1, 1)
+        d.c.plays[1].ask = d.c.plays[1].ask._replace(ceiling=2)
+        d.say("half asked, mostly by others: our part of the room is less than a step, taken by chance, once")
+        for now in range(10_000, 40_000, 5000):
+            d.note(now, 1, 1, face.LINK_ASKED, 0.5)
+        d.say("all the load is ours: the play goes up at once, to the rung that the program offers")
+        e = Drive(nodes=1, racks=1, link_unit=2000.0)
+        e.lines = d.lines
+        e.ask(0, 1, ceiling=0)
+        e.starts(10, 1, 1)
+        e.c.plays[1].ask = e.c.plays[1].ask._replace(ceiling=2)
+        e.note(10_000, 1, 1, face.LINK_ASKED, 0.05)
+        self.same("room", d)
+
+    def test_many_directors_do_not_rank_unheard_nodes_alike(self):
+        d = None
+        for seed in (11, 12, 13, 14):
+            e = Drive(nodes=3, seed=seed, directors=100)
+            e.lines, d = d.lines if d else e.lines, e
+            d.say(f"director {seed}, like accounts of like nodes after a minute without a note")
+            d.ask(60_000, 1)
+        self.same("spread", d)
+
     def test_a_short_rack_is_shed_once(self):
         d = Drive(nodes=4, racks=1, link_unit=1000.0, rack_kb=2000.0)
         for play in range(4):
