The program sees the whole node: others' plays end too, and as many come again

Cause: with a hundred directors each prices its own trickle only, a tenth of a play a node, so nothing has a price and the first comers take top rungs until links are full; then all shed and pay for it. Others' plays are now netted for the half of the period that they still take, and as many come again as end, of the products that we see asked for.

--- a/laddergw/control.py
+++ b/laddergw/control.py
@@ -17,8 +17,8 @@
 TAIL = 0.25                # share of its length that an overdue play is still expected to last
 MARGIN = 0.06              # share of a link or uplink kept free: true rates stray by more than reports show
 FORECAST_MS = 15_000.0     # memory of arrivals: a few dozen plays, short enough to follow a wave
-SHARE_MS = 30_000.0        # memory of where our set-ups went: about one play's length
-SHARE_PRIOR = 4.0          # set-ups' worth of belief that they spread by link size
+STAY = 0.5                 # share of a period that others' plays under way still take: half over
+SHARE_MS, SHARE_PRIOR = 30_000.0, 4.0   # memory of our set-ups' places; set-ups' worth of an even spread
 CROWD_START, CROWD_STEP = 0.4, 0.1   # others' share of a link before a note: fair use; a note's weight in it
 AGE_MS = 15_000.0          # what was told of a node's others fades into their usual share over this
 ABSURD = 10.0              # a load or rung told at or over this is no word at all: links are never asked that
@@ -40,9 +40,8 @@
 ANSWER_START_MS, ANSWER_STEP = 150.0, 0.1   # set-up time before any was seen; weight of one in the usual
 PATIENCE, TIMEOUT_LEAST_MS = 5.0, 300.0   # time-out in usual set-up times: slow ones pass; a handshake fits
 RETRY_MS = 1_000.0         # longest retry-after; spread over its upper half, against returns in one wave
-LOOP_SWEEPS, LOOP_HALVINGS = 4, 24   # of the dual loop: prices to one part in ten million
 MIX = 2_654_435_761        # odd, by the linear crc32 alone like seeds draw alike
-SURE = 1.000001            # importance must exceed its cost by more than rounding
+LOOP_SWEEPS, LOOP_HALVINGS, SURE = 4, 24, 1.000001   # of the dual loop; worth beats cost by more than rounding
 
 
 class Allocation(NamedTuple):
@@ -326,8 +325,7 @@
     def price(self, now, ply):
         """The bid-price test at each holder in turn; the first that makes an offer gets the play."""
         for node in ply.holders:
-            fits = node.streams - len(node.plays) - self.other_streams(now, node) >= 1
-            rung = self.offer(now, ply, node, ply.length, node.room) if fits else None
+            rung = self.offer(now, ply, node, ply.length, node.room)
             if rung is not None:
                 ply.rung, ply.holders = rung, [node]
                 return None
@@ -335,7 +333,8 @@
 
     def offer(self, now, ply, node, lk, room, held=None):
         """The highest rung that fits and whose payoff beats its cost at the node's prices, or None."""
-        if held is None and self.rate(ply, ply.product.floor) > room:
+        place = node.streams - len(node.plays) - self.other_streams(now, node) >= 1
+        if held is None and (not place or self.rate(ply, ply.product.floor) > room):
             return None
         prices = self.shadow_prices(now, node, lk)
         place, kb = prices[0] / node.streams, prices[1] / self.size(now, node)
@@ -395,9 +394,12 @@
         prior, total = SHARE_PRIOR / max(self.ready, 1e-9), self.setups.now(now) + SHARE_PRIOR
         here = (node.setups.now(now) + prior * node.links) / total
         beside = (sum(n.setups.now(now) for n in rack.members.values()) + prior * rack.links) / total
-        caps = [lk * (1 - self.other_streams(now, node) / node.streams),
-                lk * (1 - MARGIN - node.others(now, self.crowd) / size),
-                lk * (1 - MARGIN - rack.others(now, self.crowd) / up)]
+        # Others' plays end as ours do, and as many come again, of the products that we see asked for
+        streams = self.other_streams(now, node)
+        again = streams / LENGTH_MS / max(sum(demand.now(now) for demand in self.demand), 1e-12)
+        caps = [lk * (1 - STAY * streams / node.streams),
+                lk * (1 - MARGIN - STAY * node.others(now, self.crowd) / size),
+                lk * (1 - MARGIN - STAY * rack.others(now, self.crowd) / up)]
         for n in rack.members.values():
             for p in n.plays.values():
                 stay = min(p.left(now), lk)
@@ -406,14 +408,14 @@
                     caps[0] -= stay / node.streams
                     caps[1] -= stay * self.rate(p) / size
         groups = []
+        held = min(LENGTH_MS, lk) * (1 - min(LENGTH_MS, lk) / (2 * lk))   # it may start at any time in lk (q)
         for row, demand in zip(self.rows, self.demand):
-            held = min(LENGTH_MS, lk) * (1 - min(LENGTH_MS, lk) / (2 * lk))   # starts at any time (q)
             # the rack's uplink also carries what our set-ups at its other nodes will ask
             choices = [(row.importance * self.d.rung_worth[r] * LENGTH_MS,
                         (held / node.streams, held * self.d.ladder[r] * row.scale / size,
                          held * self.d.ladder[r] * row.scale / up * beside / max(here, 1e-9)))
                        for r in range(row.floor, min(row.top, len(self.d.ladder) - 1) + 1)]
-            groups.append((lk * demand.now(now) * here, choices))
+            groups.append((lk * demand.now(now) * (here + again), choices))
         return duals(groups, caps)
 
     # Room, learned from notes and reports
@@ -440,7 +442,7 @@
         return now - max(node.last_send, node.pace - node.early * gap) >= gap
 
     def other_streams(self, now, node):
-        rates = [self.rate(p) for p in node.plays.values()] or self.d.ladder
+        rates = [self.rate(p) for p in (node.plays or self.plays).values() if p.node] or self.d.ladder
         return node.others(now, self.crowd) * len(rates) / sum(rates)
 
     def load(self, now, part):
@@ -497,8 +499,7 @@
             out.append(self.step(now, p, p.rung - 1))
         return out
 
-    def gain(self, ply, rung):
-        """Importance that a step up from a rung brings."""
+    def gain(self, ply, rung):                       # what a step up from it brings
         return ply.product.importance * (self.d.rung_worth[rung + 1] - self.d.rung_worth[rung])
 
     def step_up(self, now, node):
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -36,6 +36,18 @@
         self.same("reserve", d)
 
 
+    def test_others_plays_come_again(self):
+        d = Drive(nodes=1, racks=1, link_unit=2000.0)
+        d.say("others ask a tenth of the link: those that come again leave room for the top rung")
+        d.note(0, 0, 1, face.LINK_ASKED, 0.1)
+        d.ask(10, 1)
+        d.end(20, 1, 1, face.CANCELLED, over=True)
+        d.say("others ask two thirds, and we see one play now and then: the top rung fits, but not for all that come")
+        d.note(30, 0, 1, face.LINK_ASKED, 0.66)
+        d.ask(40, 2)
+        self.same("again", d)
+
+
 class Rules(TraceTest):
     def test_paid_plays_go_again_only_when_nothing_ran(self):
         d = Drive(products=({"repeat": "paid"},))
