--- a/laddergw/control.py
+++ b/laddergw/control.py
@@ -41,7 +41,7 @@
 PATIENCE, TIMEOUT_LEAST_MS = 5.0, 300.0   # time-out in usual set-up times: slow ones pass; a handshake fits
 RETRY_MS = 1_000.0         # longest retry-after; spread over its upper half, against returns in one wave
 MIX = 2_654_435_761        # odd, by the linear crc32 alone like seeds draw alike
-LOOP_SWEEPS, LOOP_HALVINGS, SURE = 4, 24, 1.000001   # of the dual loop; worth beats cost by more than rounding
+LOOP_SWEEPS, LOOP_HALVINGS, SURE = 4, 24, 1.000001   # of the dual loop; worth beats cost by over rounding
 
 
 class Allocation(NamedTuple):
