--- a/laddergw/control.py
+++ b/laddergw/control.py
@@ -22,7 +22,8 @@
 CROWD_START, CROWD_STEP = 0.4, 0.1   # others' share of a link before a note: fair use; a note's weight in it
 AGE_MS = 15_000.0          # what was told of a node's others fades into their usual share over this
 ABSURD = 10.0              # a load or rung told at or over this is no word at all: links are never asked that
-FEW, DOUBT = 4, 1.0        # so many directors hear of most nodes; beyond, share of an unheard link drawn
+FEW = 4                    # directors: so many hear of most nodes
+DOUBT, WARY = 1.0, 0.26    # with more: share of an unheard link drawn; share left free beyond MARGIN
 REPORT_LAG_MS = 300.0      # load reports: usual age
 UPLINK_STEP = 0.5          # weight of one note on what an uplink carries: a few notes settle it
 UPLINK_SPAN = (0.3, 3.0)   # bounds of a believed uplink over its told size; sagging links stretch the account
@@ -122,13 +123,15 @@
     def __init__(self, deployment, seed, now):
         self.d, self.seed, self.draws, self.nodes, self.plays, self.known = deployment, seed, 0, {}, {}, False
         self.rows, self.demand = deployment.products, [Fading(FORECAST_MS, now) for _ in deployment.products]
-        self.crowd, self.usual, self.ready = CROWD_START, ANSWER_START_MS, 0.0   # ready: links in use
+        self.crowd, self.notes, self.usual, self.ready = CROWD_START, 1, ANSWER_START_MS, 0.0
         self.racks = [Rack(deployment.rack_kb, now) for _ in range(deployment.racks)]
         self.setups = Fading(SHARE_MS, now)
         self.cells = [{} for _ in range(deployment.cells)]   # their nodes, by id
         self.taken, self.further = deque(), deque()  # times, for the budget
         self.seats, self.next_look = Counter(), now + LOOK_MS
         self.ask_at = now if deployment.must_ask else math.inf
+        self.many = max(0.0, 1 - FEW / deployment.directors)
+        self.margin = MARGIN + WARY * self.many      # where little is known plays start low and rise on notes
         self.chain = ((self.terms, None), (self.holding, None), (self.health, self.health_back),
                       (self.price, self.price_back), (self.ration, None), (self.send, self.send_back))
 
@@ -237,8 +240,7 @@
         node.short, rack.heard, size, had = now, now, self.size(now, node), node.others(now, self.crowd)
         together = any(n is not node and now - n.short < TOGETHER_MS for n in rack.members.values())
         if had + node.own > size or not together:
-            # Short alone: the node itself, whatever its load says (a sagging link, one that stands still)
-            if now >= node.settle:
+            if now >= node.settle:                   # alone: the node itself (a sag, a stand-still)
                 node.hear(now, max(had, size / share - node.own))
             return self.shed(now, node, [node], 1 / share)
         if now >= rack.settle:                       # the uplink, learned once a settling: notes lag steps
@@ -255,10 +257,10 @@
         self.ask_at = math.inf if out else self.ask_at
         if now >= self.next_look:
             self.next_look = now + LOOK_MS
-            # Told and seen contradict: an uplink full by our account, but no play on it short. It carries
-            # more, or sagging links told of more load than there is; else we would decline for nothing.
+            # Told and seen contradict: an uplink full by our account, but not short. It carries more, or
+            # sagging links told of more load than there is; else we would decline for nothing.
             for rack in {id(p.node.rack): p.node.rack for p in self.plays.values() if p.node}.values():
-                full = self.load(now, rack) / (1 - MARGIN)
+                full = self.load(now, rack) / (1 - self.margin)
                 if full > rack.size(now) and now - rack.heard > QUIET_MS:
                     rack.learn(now, full * TRY_MORE)
         return self.done(out)
@@ -297,10 +299,9 @@
             alike = {"zone": attrgetter("zone"), "cell": attrgetter("cell")}.get(ply.product.group, bool)
             ply.holders = [n for n in ply.holders if now < ply.key_ends and alike(n) == alike(ply.first)]
         # Where many directors know little, like accounts rank alike: what was not told of a link is drawn
-        doubt = DOUBT * max(0.0, 1 - FEW / self.d.directors)
         for n in ply.holders:
             n.room = self.room(now, n)
-            n.rank = n.room + (doubt and doubt * (n.links - n.known.now(now)) * self.chance())
+            n.rank = n.room + (self.many and DOUBT * self.many * (n.links - n.known.now(now)) * self.chance())
         ply.holders.sort(key=lambda n: (-n.rank, n.id))
 
     def health(self, now, ply):
@@ -322,8 +323,7 @@
             node.hear(now, max(node.others(now, self.crowd), self.size(now, node) - node.own))
             node.rest = max(node.rest, now + ILL_MS)
 
-    def price(self, now, ply):
-        """The bid-price test at each holder in turn; the first that makes an offer gets the play."""
+    def price(self, now, ply):                       # the first holder that makes an offer gets the play
         for node in ply.holders:
             rung = self.offer(now, ply, node, ply.length, node.room)
             if rung is not None:
@@ -398,8 +398,8 @@
         streams = self.other_streams(now, node)
         again = streams / LENGTH_MS / max(sum(demand.now(now) for demand in self.demand), 1e-12)
         caps = [lk * (1 - STAY * streams / node.streams),
-                lk * (1 - MARGIN - STAY * node.others(now, self.crowd) / size),
-                lk * (1 - MARGIN - STAY * rack.others(now, self.crowd) / up)]
+                lk * (1 - self.margin - STAY * node.others(now, self.crowd) / size),
+                lk * (1 - self.margin - STAY * rack.others(now, self.crowd) / up)]
         for n in rack.members.values():
             for p in n.plays.values():
                 stay = min(p.left(now), lk)
@@ -445,12 +445,11 @@
         rates = [self.rate(p) for p in (node.plays or self.plays).values() if p.node] or self.d.ladder
         return node.others(now, self.crowd) * len(rates) / sum(rates)
 
-    def load(self, now, part):
-        """All that is asked of a node's link, or of a rack's uplink."""
+    def load(self, now, part):                       # all that is asked of a link or an uplink
         return part.own + part.others(now, self.crowd)
 
     def room(self, now, node):
-        return min(size * (1 - MARGIN) - self.load(now, part) for part, size in self.sizes(now, node))
+        return min(size * (1 - self.margin) - self.load(now, part) for part, size in self.sizes(now, node))
 
     def sizes(self, now, node):
         return (node, self.size(now, node)), (node.rack, node.rack.size(now))
@@ -473,7 +472,8 @@
         """Takes in what is asked of a link over what it gives, as it stood `lag` ago."""
         size, ours = self.size(now, node), node.own - sum(change for at, change in node.log if at > now - lag)
         node.hear(now, others := max(0.0, asked * size - ours))
-        self.crowd += CROWD_STEP * (min(others / size, 1.5) - self.crowd)
+        self.notes += 1
+        self.crowd += max(CROWD_STEP, 1 / self.notes) * (min(others / size, 1.5) - self.crowd)
 
     def reported(self, now, node, report):
         values = {k: v for k, v in zip(self.d.reports, report) if 0 <= v < ABSURD}
