--- a/laddergw/control.py
+++ b/laddergw/control.py
@@ -300,7 +300,7 @@
             ply.holders = [n for n in ply.holders if now < ply.key_ends and alike(n) == alike(ply.first)]
         # Where many directors know little, like accounts rank alike: what was not told of a link is drawn
         for n in ply.holders:
-            n.room = self.room(now, n)
+            n.room = self.room(now, n, self.margin)
             n.rank = n.room + (self.many and DOUBT * self.many * (n.links - n.known.now(now)) * self.chance())
         ply.holders.sort(key=lambda n: (-n.rank, n.id))
 
@@ -334,7 +334,7 @@
     def offer(self, now, ply, node, lk, room, held=None):
         """The highest rung that fits and whose payoff beats its cost at the node's prices, or None."""
         place = node.streams - len(node.plays) - self.other_streams(now, node) >= 1
-        if held is None and (not place or self.rate(ply, ply.product.floor) > room):
+        if held is None and (not place or self.rate(ply, ply.product.floor) > self.room(now, node, MARGIN)):
             return None
         prices = self.shadow_prices(now, node, lk)
         place, kb = prices[0] / node.streams, prices[1] / self.size(now, node)
@@ -347,9 +347,9 @@
         for rung in range(ply.product.floor if held is None else held + 1, self.highest(ply) + 1):
             rate = self.rate(ply, rung)
             payoff, cost = ply.product.importance * self.d.rung_worth[rung] * lk, lk / 2 * (place + rate * kb)
-            # Each step of the ladder must also pay for what it adds: worth rises slower than rate, so a
-            # top rung can beat its cost as a whole while its last step takes more than it brings.
-            if rate - has <= room and payoff - below[0] > (cost - below[1]) * SURE:
+            least = held is None and rung == ply.product.floor    # within MARGIN a low play beats a decline
+            # Each step must pay for what it adds: a top rung can pay as a whole while its last step does not
+            if (rate - has <= room or least) and payoff - below[0] > (cost - below[1]) * SURE:
                 chosen, below = rung, (payoff, cost)
         return chosen
 
@@ -448,8 +448,8 @@
     def load(self, now, part):                       # all that is asked of a link or an uplink
         return part.own + part.others(now, self.crowd)
 
-    def room(self, now, node):
-        return min(size * (1 - self.margin) - self.load(now, part) for part, size in self.sizes(now, node))
+    def room(self, now, node, margin):
+        return min(size * (1 - margin) - self.load(now, part) for part, size in self.sizes(now, node))
 
     def sizes(self, now, node):
         return (node, self.size(now, node)), (node.rack, node.rack.size(now))
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -152,7 +152,10 @@
         d.ask(10, 1)
         d.starts(20, 1, 1)
         for now in range(9000, 18_000, 3000):
-            d.note(now, 1, 1, face.LINK_ASKED, 0.45)
+            d.note(now, 1, 1, face.LINK_ASKED, 0.2)
+        d.say("hardly room for the lowest rung beyond the wide margin: taken there, not declined")
+        d.note(19_000, 1, 1, face.LINK_ASKED, 0.66)
+        d.ask(19_010, 2)
         self.same("rise", d)
 
     def test_many_directors_do_not_rank_unheard_nodes_alike(self):
