Plays are placed once all that came at one moment is known

Cause: after a stand-still of a director a batch holds requests with the drain or the leaving that concerns them behind; each was decided on the spot, so plays went to nodes that the same batch calls draining. The host now calls decide after all events of a moment; events on plays already waiting, told twice or contradicting each other, change nothing, and a viewer who left gets no set-up. Guards against any order of events within a batch; could harm nothing but hosts that forget the call.

--- a/laddergw/control.py
+++ b/laddergw/control.py
@@ -1,7 +1,8 @@
 """Decides who plays, on which media node and at which rung; docs/design.md tells the reasons.
 
 Call: one Controller(deployment, seed, now) a director, then a method for each thing that happens: listed,
-list_failed, asked, handed_over, playing, ended, note, left, wake. Each returns (verdicts, next wake time).
+list_failed, asked, handed_over, playing, ended, note, left, wake; after all that came at one moment, decide.
+Each returns (verdicts, next wake time).
 The types that go in and out are in laddergw/interface.py. Times are ms with fractions, rates kB a second.
 """
 import math
@@ -57,7 +58,7 @@
         self.length, self.holders = ask.length_ms or LENGTH_MS, []
         self.limit, self.key_ends, self.changed = now + ask.wait_ms, now + product.key_ms, now
         self.started = self.out = self.node = self.first = None   # out: its allocation
-        self.sends, self.tried, self.may_have_run, self.over = 0, set(), False, False
+        self.sends, self.tried, self.may_have_run, self.over, self.seen = 0, set(), False, False, False
 
     def left(self, now):
         """Expected time still to play."""
@@ -127,11 +128,11 @@
         self.racks = [Rack(deployment.rack_kb, now) for _ in range(deployment.racks)]
         self.setups = Fading(SHARE_MS, now)
         self.cells = [{} for _ in range(deployment.cells)]   # their nodes, by id
-        self.taken, self.further = deque(), deque()  # times, for the budget
+        self.taken, self.further, self.pending = deque(), deque(), []   # times for the budget, plays to place
         self.seats, self.next_look = Counter(), now + LOOK_MS
         self.ask_at = now if deployment.must_ask else math.inf
-        self.many = max(0.0, 1 - FEW / deployment.directors)
-        self.margin = MARGIN + WARY * self.many      # where little is known plays start low and rise on notes
+        self.many = max(0.0, 1 - FEW / deployment.directors)   # how little each knows
+        self.margin = MARGIN + WARY * self.many
         self.chain = ((self.terms, None), (self.holding, None), (self.health, self.health_back),
                       (self.price, self.price_back), (self.ration, None), (self.send, self.send_back))
 
@@ -144,8 +145,7 @@
         for line in lines:
             if line.node not in self.nodes:
                 if line.state == face.GONE:
-                    continue
-                # after our own start any node may have started just now
+                    continue                         # (after our own start any may be cold)
                 self.nodes[line.node] = Node(line, now, -math.inf if self.known else now)
             node = self.nodes[line.node]
             self.enlist(now, node, face.GONE)
@@ -183,9 +183,13 @@
     def asked(self, now, ask):
         ply = self.plays[ask.play] = Play(ask, self.rows[ask.product], now)
         self.taken.append(now)
-        verdicts = self.run(now, ply)
-        self.demand[ask.product].add(now, 1 / FORECAST_MS)  # after its pricing: no play competes with itself
-        return self.done(verdicts)
+        self.pending.append(ply)
+        return self.done([])
+
+    def decide(self, now):
+        """Places what waits, when all that came with it is known: a drain or a leaving may stand behind."""
+        waiting, self.pending = self.pending, []
+        return self.done([verdict for ply in waiting for verdict in self.run(now, ply)])
 
     def handed_over(self, now, ask, node_id):
         ply = self.plays[ask.play] = Play(ask, self.rows[ask.product], now)
@@ -207,14 +211,12 @@
         node, ply = self.nodes.get(node_id), self.plays.get(play)
         if node and report:
             self.reported(now, node, report)
-        if ply is None or ply.sends - 1 != number:
+        if ply is None or ply.sends - 1 != number or ply in self.pending:
             return self.done([])
         for _, back in reversed(self.chain):
             back and back(now, ply, node or ply.node, outcome)
-        if over or ply.over or ply.started is not None:
-            del self.plays[play]
-            return self.done([])
-        return self.done(self.run(now, ply))
+        self.plays.pop(play) if over or ply.started is not None else self.pending.append(ply)
+        return self.done([])
 
     def note(self, now, play, node_id, kind, value):
         ply, node, out = self.plays.get(play), self.nodes.get(node_id), []
@@ -271,10 +273,12 @@
     # The chain: each stage passes a play on (None) or ends it (a verdict)
 
     def run(self, now, ply):
-        verdict = next(filter(None, (stage(now, ply) for stage, _ in self.chain)))
-        if verdict.answer:
+        verdict = None if ply.over else next(filter(None, (stage(now, ply) for stage, _ in self.chain)))
+        if ply.over or verdict.answer:               # left meanwhile: no answer is owed
             self.plays.pop(ply.id, None)
-        return [verdict]
+        self.demand[ply.ask.product].add(now, (not ply.seen) / FORECAST_MS)   # after its pricing
+        ply.seen = True
+        return [verdict] if verdict else []
 
     def give_up(self, ply):
         """The final answer at once: a decline with a time to come back, where no set-up can have run."""
@@ -289,8 +293,7 @@
         if barred or row.floor > self.highest(ply) or ply.sends >= self.d.max_allocations or now >= ply.limit:
             return self.give_up(ply)
 
-    def holding(self, now, ply):
-        """Holders of the title that the list calls ready, in order of most room."""
+    def holding(self, now, ply):                     # holders that the list calls ready, most room first
         home, cells = int(ply.ask.home), self.d.cells
         copies = min(int(ply.ask.copies) or cells, cells)
         ply.holders = [n for j in range(copies) for n in self.cells[(home + j) % cells].values()
@@ -309,8 +312,7 @@
         ply.holders = [n for n in ply.holders if now >= n.rest
                        and (now - n.pace >= self.d.warm_ms or self.turn(now, n)) and not (
                            n.ill and (ply.product.repeat == "paid" or any(p.out for p in n.plays.values())))]
-        if not ply.holders:
-            return self.give_up(ply)
+        return None if ply.holders else self.give_up(ply)
 
     def health_back(self, now, ply, node, outcome):
         if node and outcome in (face.ERROR, face.TIMED_OUT, face.UNREACHABLE, face.BROKEN):
@@ -333,8 +335,8 @@
 
     def offer(self, now, ply, node, lk, room, held=None):
         """The highest rung that fits and whose payoff beats its cost at the node's prices, or None."""
-        place = node.streams - len(node.plays) - self.other_streams(now, node) >= 1
-        if held is None and (not place or self.rate(ply, ply.product.floor) > self.room(now, node, MARGIN)):
+        full = node.streams - len(node.plays) - self.other_streams(now, node) < 1
+        if held is None and (full or self.rate(ply, ply.product.floor) > self.room(now, node, MARGIN)):
             return None
         prices = self.shadow_prices(now, node, lk)
         place, kb = prices[0] / node.streams, prices[1] / self.size(now, node)
@@ -359,8 +361,7 @@
             self.carry(now, ply.node, -self.rate(ply))
             ply.node = None
 
-    def ration(self, now, ply):
-        """Further allocations only within the stated budget, counted over a sliding window."""
+    def ration(self, now, ply):                      # the stated budget, counted over a sliding window
         if ply.sends and self.d.budget_free is not None:
             for times, slack in (self.taken, 1), (self.further, -1):   # ms, so that rounding never favours us
                 while times and times[0] < now - self.d.budget_ms + slack:
--- a/laddergw/wirehost/__main__.py
+++ b/laddergw/wirehost/__main__.py
@@ -1,4 +1,5 @@
 """Hosts controllers on the bench's wire: reads batches on standard input, writes replies to standard output."""
+import contextlib
 import sys
 import traceback
 
@@ -77,12 +78,27 @@
         return [], None   # answers to probes and messages between directors, which we never ask for
 
 
+@contextlib.contextmanager
+def telling(key, hosted, dead, out):
+    """The wire asks for an instance's failure to be told, whatever it is; the others go on."""
+    try:
+        yield
+    except Exception as error:
+        hosted.pop(key, None)
+        if key not in dead:
+            dead.add(key)
+            print(f"laddergw: instance {key}: {type(error).__name__}: {error}", file=sys.stderr)
+            if not isinstance(error, settings.BadSetting):
+                traceback.print_exc()
+            out.append(codec.text_action(codec.BAIL_OUT, key, f"{type(error).__name__}: {error}"))
+
+
 def serve(stdin, stdout):
     pages, hosted, dead, offset = {}, {}, set(), 0
     while (batch := codec.read_batch(stdin, offset)) is not None:
         number, clock, events, size = batch
         offset += size
-        now, out = clock / 1000, []
+        now, out, touched = clock / 1000, [], {}
         for code, f, tail in events:
             if code == codec.PAGE:
                 pages[f[0]] = tail
@@ -90,22 +106,20 @@
             key = f[0]
             if code == codec.KILLED:
                 hosted.pop(key, None)
+                touched.pop(key, None)
                 continue
-            try:
+            with telling(key, hosted, dead, out):
                 if code == codec.POWER_ON:
                     dead.discard(key)
                     hosted.pop(key, None)
                     hosted[key] = Instance(key, f[1], tail.decode("utf-8", "replace"), now)
                 elif key in hosted:
                     hosted[key].encode(now, hosted[key].event(code, f, tail, now, pages), out)
-            except Exception as error:   # the wire asks for the instance's failure to be told, whatever it is
-                hosted.pop(key, None)
-                if key not in dead:
-                    dead.add(key)
-                    print(f"laddergw: instance {key}: {type(error).__name__}: {error}", file=sys.stderr)
-                    if not isinstance(error, settings.BadSetting):
-                        traceback.print_exc()
-                    out.append(codec.text_action(codec.BAIL_OUT, key, f"{type(error).__name__}: {error}"))
+                    touched[key] = True
+        for key in touched:
+            with telling(key, hosted, dead, out):
+                if key in hosted:
+                    hosted[key].encode(now, hosted[key].controller.decide(now), out)
         stdout.write(codec.reply(number, b"".join(out)))
         stdout.flush()
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -104,6 +104,23 @@
 
 
 class Guards(TraceTest):
+    def test_a_heap_of_events_after_a_stand_still(self):
+        d = Drive(nodes=2)
+        d.say("two plays are asked for; behind them in the same batch stand a drain and the leaving of one viewer")
+        d.ask(0, 1, together=True)
+        d.ask(0, 2, together=True)
+        d.run(0, "node 1 drains", d.listed(20_000, [d.line(1, face.DRAINING)]), together=True)
+        d.run(0, "viewer of play 2 left", d.c.left(20_000, 2), together=True)
+        d.run(0, "all told", ([], 0))
+        d.say("its time-out comes twice and with the viewer's leaving: one further allocation, then nothing")
+        for what in "first", "again":
+            d.run(750, f"time-out of play 1, {what}", d.c.ended(20_750, 1, 0, face.TIMED_OUT, 2, False, ()), True)
+        d.run(750, "node 1 is ready again", d.listed(20_750, [d.line(1)]), together=True)
+        d.run(750, "all told", ([], 0))
+        d.run(800, "viewer of play 1 left", d.c.left(20_800, 1), together=True)
+        d.end(1500, 1, 1, face.TIMED_OUT, number=1)
+        self.same("heap", d)
+
     def test_directors_take_turns_at_a_node_that_started(self):
         d = None
         for seed in range(1, 9):
