--- a/laddergw/control.py
+++ b/laddergw/control.py
@@ -35,7 +35,7 @@
 SETTLE_MS = 700.0          # wait, past the notes' lateness, before a shortage is answered again
 TOGETHER_MS = 2_000.0      # nodes of a rack short within this are short together: two notes' seconds
 LOOK_MS = 500.0            # pace of looking over the plays under way: half a note's second
-UP_ROOM = 0.25             # share of a link left free by a step up: others may step up at the same word
+UP_ROOM, UP_SHARED = 0.25, 0.2   # share of a link left free by a step up; less of it where many share room
 UP_GAP_MS = 8_000.0        # time from a change of a play's rung to a step up: a shortage is over by then
 ILL_MS, ILL_MOST = 400.0, 5   # first rest of a node that failed; doublings at most: to 13 s, about a restart
 COLD_PART = 0.7            # part of a cold node's allowance that we all use: set-ups differ in work
@@ -132,7 +132,7 @@
         self.seats, self.next_look = Counter(), now + LOOK_MS
         self.ask_at = now if deployment.must_ask else math.inf
         self.many = max(0.0, 1 - FEW / deployment.directors)   # how little each knows
-        self.margin = MARGIN + WARY * self.many
+        self.margin, self.up_to = MARGIN + WARY * self.many, 1 - MARGIN - UP_ROOM + UP_SHARED * self.many
         self.chain = ((self.terms, None), (self.holding, None), (self.health, self.health_back),
                       (self.price, self.price_back), (self.ration, None), (self.send, self.send_back))
 
@@ -506,7 +506,7 @@
     def step_up(self, now, node):
         """On a note of room our plays go up, where it gains most, to the rung that the program offers, by our
         part of the room: as our load is to all load. Every director with plays there hears the same note."""
-        want, out = min((size * (1 - MARGIN - UP_ROOM) / max(self.load(now, part), 1e-9) - 1) * node.own
+        want, out = min((size * self.up_to / max(self.load(now, part), 1e-9) - 1) * node.own
                         for part, size in self.sizes(now, node)), []
         able = [p for p in node.plays.values()
                 if p.started is not None and p.rung < self.highest(p) and now - p.changed >= UP_GAP_MS]
