Holders are probed before one is chosen where load is told to probes only

Cause: notes of kinds 3 and 4 never come at the new sites, so the others' usual share stayed at its start value and every node showed room for a top rung; nothing went up. Two holders with no word of the last second are probed, the play waits at most 200 ms.

--- a/laddergw/control.py
+++ b/laddergw/control.py
@@ -41,6 +41,8 @@
 COLD_PART = 0.7            # part of a cold node's allowance that we all use: set-ups differ in work
 ANSWER_START_MS, ANSWER_STEP = 150.0, 0.1   # set-up time before any was seen; weight of one in the usual
 PATIENCE, TIMEOUT_LEAST_MS = 5.0, 300.0   # time-out in usual set-up times: slow ones pass; a handshake fits
+ASK_MOST, FRESH_MS = 2, 1_000.0   # holders probed before one is chosen; a report tells so long: under a change or two
+ECHO_WAIT_MS = 200.0       # a play waits so long for probes: a set-up's time, far under first-frame targets
 RETRY_MS = 1_000.0         # longest retry-after; spread over its upper half, against returns in one wave
 MIX = 2_654_435_761        # odd, by the linear crc32 alone like seeds draw alike
 LOOP_SWEEPS, LOOP_HALVINGS, SURE = 4, 24, 1.000001   # of the dual loop; worth beats cost by over rounding
@@ -59,6 +61,7 @@
         self.limit, self.key_ends, self.changed = now + ask.wait_ms, now + product.key_ms, now
         self.started = self.out = self.node = self.first = None   # out: its allocation
         self.sends, self.tried, self.may_have_run, self.over, self.seen = 0, set(), False, False, False
+        self.until, self.asks = None, ()             # it waits so long for these probes
 
     def left(self, now):
         """Expected time still to play."""
@@ -96,6 +99,7 @@
         self.state, self.rack, self.started = face.GONE, None, None
         self.ill, self.rest, self.settle, self.room = 0, 0.0, 0.0, 0.0
         self.pace, self.early, self.cold, self.last_send, self.short = pace, 1.0, *[-math.inf] * 3
+        self.heard, self.asked = -math.inf, None     # its last report; since when a probe is out
 
     def hear(self, now, others):
         known, told = self.links - self.known.now(now), others - self.told.now(now)
@@ -129,12 +133,13 @@
         self.setups = Fading(SHARE_MS, now)
         self.cells = [{} for _ in range(deployment.cells)]   # their nodes, by id
         self.taken, self.further, self.pending = deque(), deque(), []   # times for the budget, plays to place
+        self.waiting, self.blind = {}, deployment.probes and deployment.told_by == "probe"   # plays that wait for probes
         self.seats, self.next_look = Counter(), now + LOOK_MS
         self.ask_at = now if deployment.must_ask else math.inf
         self.many = max(0.0, 1 - FEW / deployment.directors)   # how little each knows
         self.margin, self.up_to = MARGIN + WARY * self.many, 1 - MARGIN - UP_ROOM + UP_SHARED * self.many
         self.chain = ((self.terms, None), (self.holding, None), (self.health, self.health_back),
-                      (self.price, self.price_back), (self.ration, None), (self.send, self.send_back))
+                      (self.inquire, None), (self.price, self.price_back), (self.ration, None), (self.send, self.send_back))
 
     # What happens, told by the host
 
@@ -226,6 +231,19 @@
         self.plays.pop(play) if over or ply.started is not None else self.pending.append(ply)
         return self.done([])
 
+    def probed(self, now, node_id, outcome, delay, report):
+        node, out = self.nodes.get(node_id), []
+        if node is None:
+            return self.done([])
+        node.asked = None
+        if outcome == face.SERVED and report:
+            out = self.reported(now, node, report)
+        elif outcome != face.FULL:                   # too many probes at once tell nothing
+            self.fail(now, node)
+        for ply in [p for p in self.waiting.values() if not any(n.asked for n in p.asks)]:
+            self.pending.append(self.waiting.pop(ply.id))
+        return self.done(out)
+
     def note(self, now, play, node_id, kind, value):
         ply, node, out = self.plays.get(play), self.nodes.get(node_id), []
         fresh = ply and ply.first and ply.started is not None and now - ply.started < 1
@@ -265,6 +283,8 @@
     def wake(self, now):
         out = [Verdict(follow=True)] if now >= self.ask_at else []
         self.ask_at = math.inf if out else self.ask_at
+        for ply in [p for p in self.waiting.values() if now >= p.until]:
+            self.pending.append(self.waiting.pop(ply.id))
         if now >= self.next_look:
             self.next_look = now + LOOK_MS
             # Told and seen contradict: an uplink full by our account, but not short. It carries more, or
@@ -276,7 +296,7 @@
         return self.done(out)
 
     def done(self, verdicts):
-        return verdicts, min(self.next_look, self.ask_at)
+        return verdicts, min(self.next_look, self.ask_at, *(ply.until for ply in self.waiting.values()))
 
     # The chain: each stage passes a play on (None) or ends it (a verdict)
 
@@ -284,6 +304,8 @@
         verdict = None if ply.over else next(filter(None, (stage(now, ply) for stage, _ in self.chain)))
         if ply.over or verdict.answer:               # left meanwhile: no answer is owed
             self.plays.pop(ply.id, None)
+        if ply.id in self.waiting:
+            return [verdict]
         # After its pricing. Further tries are no demand: counted, a storm of them priced all out, for good
         self.demand[ply.ask.product].add(now, (not (ply.seen or ply.ask.again)) / FORECAST_MS)
         ply.seen = True
@@ -325,15 +347,32 @@
 
     def health_back(self, now, ply, node, outcome):
         if node and outcome in (face.ERROR, face.TIMED_OUT, face.UNREACHABLE, face.BROKEN):
-            if now >= node.rest:                     # failures of one moment count once
-                node.rest = now + ILL_MS * 2 ** node.ill * (1 + self.chance())
-                node.ill = min(node.ill + 1, ILL_MOST)
+            self.fail(now, node)
             if outcome in (face.UNREACHABLE, face.BROKEN):   # it may be starting: pace it when it answers
                 node.pace, node.early = now, self.chance()
         elif node and outcome == face.FULL:                   # fuller than we were told
             node.hear(now, max(node.others(now, self.crowd), self.size(now, node) - node.own))
             node.rest = max(node.rest, now + ILL_MS)
 
+    def fail(self, now, node):
+        if now >= node.rest:                         # failures of one moment count once
+            node.rest = now + ILL_MS * 2 ** node.ill * (1 + self.chance())
+            node.ill = min(node.ill + 1, ILL_MOST)
+
+    def inquire(self, now, ply):
+        """Where load is told to probes only: asks the first holders for theirs before one is chosen."""
+        asks = [n for n in ply.holders[:ASK_MOST] if now - n.heard > FRESH_MS] if self.blind else ()
+        if ply.until is not None or not asks:
+            return None
+        ply.until, ply.asks, self.waiting[ply.id] = now + ECHO_WAIT_MS, asks, ply
+        return Verdict(ply.id, probe=self.probe(now, asks))
+
+    def probe(self, now, nodes):
+        nodes = [n for n in nodes if n.asked is None]
+        for node in nodes:
+            node.asked = now
+        return tuple(n.id for n in nodes)
+
     def price(self, now, ply):                       # the first holder that makes an offer gets the play
         for node in ply.holders:
             rung = self.offer(now, ply, node, ply.length, node.room)
@@ -392,6 +431,7 @@
         return Verdict(ply.id, node.id, ply.rung, timeout)
 
     def send_back(self, now, ply, node, outcome):
+        ply.until = None
         if outcome not in (face.FULL, face.UNREACHABLE, face.NEVER_SENT):
             ply.may_have_run = True
         ply.out = None
@@ -489,11 +529,16 @@
 
     def reported(self, now, node, report):
         values = {k: v for k, v in zip(self.d.reports, report) if 0 <= v < ABSURD}
-        asked = values.get("x0", values.get("load_share"))
+        asked, up, out = values.get("x0", values.get("load_share")), values.get("x1"), []
         if asked is not None:
             self.told(now, node, asked, REPORT_LAG_MS)
-        if values.get("x1"):
-            node.rack.learn(now, self.load(now, node.rack) / values["x1"])
+            node.heard = now
+        if up:
+            node.rack.learn(now, self.load(now, node.rack) / up)
+        if self.blind and asked is not None:         # nothing else tells of room
+            out = self.shed(now, node, [node], asked)
+            out = out or self.shed(now, node.rack, node.rack.members.values(), up or 0) or self.step_up(now, node)
+        return out
 
     def shed(self, now, short, nodes, asked):
         """Steps our plays on a link or uplink asked for too much down by that part, where that loses least.
--- a/laddergw/interface.py
+++ b/laddergw/interface.py
@@ -25,6 +25,7 @@
     top: int                 # highest rung
     scale: float             # its rates over the ladder's
     seats: int               # plays of one title that a director may hold; 0: no cap
+    live: bool = False       # its titles are live
 
 
 class Deployment(NamedTuple):
@@ -50,6 +51,12 @@
     budget_ms: float
     must_ask: bool           # the fleet list comes only when asked for
     reports: tuple           # names of the values in a load report
+    probes: bool = False     # a node may be asked for its load
+    told_by: str = "answers" # what load reports come with: "answers", "probe" (answers to probes alone), "none"
+    probe_price: float = 0.0   # of one probe a play, as a part of all worth asked for
+    cross_price: float = 0.0   # of plays that cross zones, as a part of all worth asked for
+    zone: int = 0            # of this director
+    join: float = 1.0        # what a further viewer of a live title's stream adds, as a part of its rate
 
 
 class NodeLine(NamedTuple):
@@ -79,7 +86,8 @@
 class Verdict(NamedTuple):
     """One decision. `node` set: allocate there at `rung` with `timeout_ms`; `answer`: the final one;
     `rung` alone: change the rung of a playing play; `move`: take the play off its node;
-    `follow`: ask for the fleet list and its changes."""
+    `follow`: ask for the fleet list and its changes; `probe`: nodes to ask for their load now. A verdict with a
+    play and no more than `probe` keeps the play for a later one."""
     play: int = None
     node: int = None
     rung: int = None
@@ -88,3 +96,4 @@
     retry_ms: float = None
     move: bool = False
     follow: bool = False
+    probe: tuple = ()
--- a/laddergw/wirehost/__main__.py
+++ b/laddergw/wirehost/__main__.py
@@ -30,7 +30,9 @@
     def encode(self, now, result, out):
         verdicts, wake = result
         for v in verdicts:
-            out.append(self.one(v))
+            out.extend(codec.action(codec.INSPECT, self.number, node) for node in v.probe)
+            if v != face.Verdict(v.play, probe=v.probe):     # it holds more than probes
+                out.append(self.one(v))
         if wake is not None and (self.wake is None or wake < self.wake):
             self.wake = wake
             out.append(codec.action(codec.AFTER, self.number, max(1, micros(wake - now)), 0))
@@ -75,7 +77,9 @@
             lines = [face.NodeLine(e[6], e[0], e[1], STATES.get(e[2], face.GONE), e[3] / 1000, e[4], e[5])
                      for e in pages.get(f[3], ())]
             return c.listed(now, lines, f[1] != FORM_DELTA)
-        return [], None   # answers to probes and messages between directors, which we never ask for
+        if code == codec.ECHO:
+            return c.probed(now, f[1], OUTCOMES.get(f[3], face.ERROR), f[2] / 1000, tail)
+        return [], None   # messages between directors, which we never send
 
 
 @contextlib.contextmanager
--- a/laddergw/wirehost/settings.py
+++ b/laddergw/wirehost/settings.py
@@ -9,6 +9,7 @@
 
 
 REPEATS = {"pure": "safe", "token": "keyed", "side_effect": "paid"}
+TOLD_BY = ("answers", "probe", "none")
 REQUIRED = object()
 
 
@@ -29,18 +30,18 @@
             raise BadSetting(f"setting {key} is missing")
         return default
 
-    def convert(self, key, text, low):
+    def convert(self, key, text, low, high=math.inf):
         try:
             number = float(text)
         except ValueError:
             raise BadSetting(f"setting {key}: {text!r} is not a number") from None
-        if not math.isfinite(number) or number < low:
+        if not math.isfinite(number) or not low <= number <= high:
             raise BadSetting(f"setting {key}: {text} is out of range")
         return number
 
-    def number(self, key, default=REQUIRED, low=0.0):
+    def number(self, key, default=REQUIRED, low=0.0, high=math.inf):
         text = self.word(key, None if default is not REQUIRED else REQUIRED)
-        return default if text is None else self.convert(key, text, low)
+        return default if text is None else self.convert(key, text, low, high)
 
     def ms(self, key, default=REQUIRED):
         value = self.number(key, default)
@@ -52,6 +53,17 @@
             raise BadSetting(f"setting {key}: {text!r} is neither true nor false")
         return text == "true"
 
+    def flags(self, key, size, default):
+        parts = self.word(key, ",".join(["true" if default else "false"] * size)).split(",")
+        if len(parts) != size or set(parts) - {"true", "false"}:
+            raise BadSetting(f"setting {key}: {','.join(parts)!r} is not {size} times true or false")
+        return [part == "true" for part in parts]
+
+    def among(self, key, words, default):
+        if (text := self.word(key, default)) not in words:
+            raise BadSetting(f"setting {key}: {text!r} is not one of {', '.join(words)}")
+        return text
+
     def many(self, key, size=None, default=REQUIRED, low=0.0):
         text = self.word(key, default)
         numbers = tuple(self.convert(key, part, low) for part in text.split(",") if part)
@@ -60,14 +72,14 @@
         return numbers
 
 
-def product(read, index, floor, top, scale, seats):
+def product(read, index, floor, top, scale, seats, live):
     key = f"Grades.{index}."
     repeat = read.word(key + "Repeat")
     if repeat not in REPEATS:
         raise BadSetting(f"setting {key}Repeat: {repeat!r} is not known")
     return Product(read.number(key + "Points"), REPEATS[repeat],
                    read.word(key + "Group", "all"), read.ms(key + "KeyTtl", 0.0),
-                   int(floor), int(top), scale, int(seats))
+                   int(floor), int(top), scale, int(seats), live)
 
 
 def decode(text):
@@ -80,7 +92,7 @@
     tops = ",".join([str(len(ladder) - 1)] * grades)
     columns = zip(read.many("Specifics.LowestRung", grades, zeros), read.many("Specifics.HighestRung", grades, tops),
                   read.many("Specifics.ScaleByClass", grades, ones, 1e-9),
-                  read.many("Specifics.ClassSeats", grades, zeros))
+                  read.many("Specifics.ClassSeats", grades, zeros), read.flags("Specifics.Live", grades, False))
     return Deployment(
         products=tuple(product(read, i, *row) for i, row in enumerate(columns)),
         ladder=ladder, rung_worth=read.many("Specifics.WorthByRung", len(ladder)),
@@ -95,4 +107,7 @@
         fall_multiple=read.number("Rules.FallMultiple", 1.0),
         budget_free=read.number("Rules.FreeResends", None), budget_share=read.number("Rules.ExtraRatio", 0.0),
         budget_ms=read.ms("Rules.CountedOver", 0.0), must_ask=read.word("Discovery", "pushed") == "on_request",
-        reports=tuple(read.word("Reporting.Names", "").split(",")))
+        reports=tuple(read.word("Reporting.Names", "").split(",")),
+        probes=read.flag("Permissions.Probes", "false"), told_by=read.among("Reporting.How", TOLD_BY, "answers"),
+        probe_price=read.number("Prices.Probe", 0.0), cross_price=read.number("Prices.CrossZone", 0.0),
+        zone=int(read.number("MyZone", 0)), join=read.number("Specifics.Join", 1.0, high=1.0))
