--- a/laddergw/control.py
+++ b/laddergw/control.py
@@ -336,7 +336,7 @@
         for n in ply.holders:
             n.room = self.room(now, n, self.margin)
             n.rank = n.room + (self.many and DOUBT * self.many * (n.links - n.known.now(now)) * self.chance())
-        ply.holders.sort(key=lambda n: (-n.rank, n.id))
+        ply.holders.sort(key=lambda n: (self.crossing(n), -n.rank, n.id))
 
     def health(self, now, ply):
         """Skips nodes that rest after failures, had their share while cold, or (paid plays) failed lately."""
@@ -390,6 +390,7 @@
         place, kb = prices[0] / node.streams, prices[1] / self.size(now, node)
         kb += prices[2] / node.rack.size(now)
         chosen, below, has = None, (0.0, 0.0), 0.0
+        cross = self.crossing(node) * ply.product.importance * lk if held is None else 0.0
         if held is not None:                         # a play under way: what it has, and what a change costs
             has = self.rate(ply, held)
             below = (ply.product.importance * (self.d.rung_worth[held] * lk + self.d.step_cost_ms),
@@ -397,6 +398,7 @@
         for rung in range(ply.product.floor if held is None else held + 1, self.highest(ply) + 1):
             rate = self.rate(ply, rung)
             payoff, cost = ply.product.importance * self.d.rung_worth[rung] * lk, lk / 2 * (place + rate * kb)
+            cost += cross
             least = held is None and rung == ply.product.floor    # within MARGIN a low play beats a decline
             # Each step must pay for what it adds: a top rung can pay as a whole while its last step does not
             if (rate - has <= room or least) and payoff - below[0] > (cost - below[1]) * SURE:
@@ -470,6 +472,9 @@
 
     # Room, learned from notes and reports
 
+    def crossing(self, node):                        # what a play there costs for its zone, in parts of its worth
+        return self.d.cross_price if node.zone != self.d.zone else 0.0
+
     def highest(self, ply):
         return min(ply.product.top, int(ply.ask.ceiling), len(self.d.ladder) - 1)
 
