Shared streams weigh their part, and a common draw picks their holder

Cause: each further viewer of a live title's stream adds Join of its rate and takes no place; every play was counted in full and spread by each director's own draw. Holders with room for the play's highest rung rank alike and are ordered by a draw over title and node.

--- a/laddergw/control.py
+++ b/laddergw/control.py
@@ -96,7 +96,7 @@
     def __init__(self, line, now, pace):
         super().__init__(now)
         self.id, self.plays, self.log, self.setups = line.node, {}, deque(), Fading(SHARE_MS, now)
-        self.state, self.rack, self.started = face.GONE, None, None
+        self.state, self.rack, self.started, self.shared = face.GONE, None, None, Counter()   # viewers by stream
         self.ill, self.rest, self.settle, self.room = 0, 0.0, 0.0, 0.0
         self.pace, self.early, self.cold, self.last_send, self.short = pace, 1.0, *[-math.inf] * 3
         self.heard, self.asked = -math.inf, None     # its last report; since when a probe is out
@@ -336,7 +336,13 @@
         for n in ply.holders:
             n.room = self.room(now, n, self.margin)
             n.rank = n.room + (self.many and DOUBT * self.many * (n.links - n.known.now(now)) * self.chance())
-        ply.holders.sort(key=lambda n: (self.crossing(n), -n.rank, n.id))
+        if self.shares(ply):                         # a common draw: all directors' viewers meet at the same node
+            need = self.rate(ply, self.highest(ply))
+            for n in ply.holders:
+                n.rank = math.inf if n.room > need else n.room
+            ply.holders.sort(key=lambda n: (self.crossing(n), -n.rank, crc32(b"%d %d" % (n.id, ply.ask.title)) * MIX % 2 ** 32))
+        else:
+            ply.holders.sort(key=lambda n: (self.crossing(n), -n.rank, n.id))
 
     def health(self, now, ply):
         """Skips nodes that rest after failures, had their share while cold, or (paid plays) failed lately."""
@@ -384,7 +390,7 @@
     def offer(self, now, ply, node, lk, room, held=None):
         """The highest rung that fits and whose payoff beats its cost at the node's prices, or None."""
         full = node.streams - len(node.plays) - self.other_streams(now, node) < 1
-        if held is None and (full or self.rate(ply, ply.product.floor) > self.room(now, node, MARGIN)):
+        if held is None and (full or self.adds(ply, node, ply.product.floor) > self.room(now, node, MARGIN)):
             return None
         prices = self.shadow_prices(now, node, lk)
         place, kb = prices[0] / node.streams, prices[1] / self.size(now, node)
@@ -396,7 +402,7 @@
             below = (ply.product.importance * (self.d.rung_worth[held] * lk + self.d.step_cost_ms),
                      lk / 2 * (place + has * kb))
         for rung in range(ply.product.floor if held is None else held + 1, self.highest(ply) + 1):
-            rate = self.rate(ply, rung)
+            rate = self.adds(ply, node, rung)
             payoff, cost = ply.product.importance * self.d.rung_worth[rung] * lk, lk / 2 * (place + rate * kb)
             cost += cross
             least = held is None and rung == ply.product.floor    # within MARGIN a low play beats a decline
@@ -408,7 +414,7 @@
     def price_back(self, now, ply, node, outcome):
         if ply.node and ply.node.plays.pop(ply.id, None):
             self.seats[ply.ask.product, ply.ask.title] -= 1
-            self.carry(now, ply.node, -self.rate(ply))
+            self.weigh(now, ply, -1)
             ply.node = None
 
     def ration(self, now, ply):                      # the stated budget, counted over a sliding window
@@ -512,7 +518,26 @@
     def put(self, now, ply, node):
         ply.node, node.plays[ply.id] = node, ply
         self.seats[ply.ask.product, ply.ask.title] += 1
-        self.carry(now, node, self.rate(ply))
+        self.weigh(now, ply, 1)
+
+    def shares(self, ply):
+        return ply.product.live and self.d.join < 1
+
+    def adds(self, ply, node, rung):
+        """What a viewer adds to a node's link: of a live stream that is there already, only a part of its rate."""
+        joins = self.shares(ply) and node.shared[ply.ask.product, ply.ask.title, rung]
+        return self.rate(ply, rung) * (self.d.join if joins else 1)
+
+    def weigh(self, now, ply, sign):
+        """Takes a play into what its node carries (1) or out of it (-1)."""
+        key = ply.ask.product, ply.ask.title, ply.rung
+        if sign > 0:
+            self.carry(now, ply.node, self.adds(ply, ply.node, ply.rung))
+        ply.node.shared[key] += sign
+        if sign < 0:
+            self.carry(now, ply.node, -self.adds(ply, ply.node, ply.rung))
+            if not ply.node.shared[key]:
+                del ply.node.shared[key]
 
     def carry(self, now, node, change):
         change = max(change, -node.own)
@@ -582,8 +607,9 @@
         return out
 
     def step(self, now, ply, rung):
-        self.carry(now, ply.node, self.rate(ply, rung) - self.rate(ply))
+        self.weigh(now, ply, -1)
         ply.rung, ply.changed = rung, now
+        self.weigh(now, ply, 1)
         return Verdict(ply.id, rung=rung)
 
     def chance(self):
