--- a/laddergw/control.py
+++ b/laddergw/control.py
@@ -31,7 +31,7 @@
 QUIET_MS, TRY_MORE = 3_000.0, 1.1   # not short for three notes, an uplink is tried with so much more
 UPLINK_BACK_MS = 30_000.0  # without shortage the belief returns to the told size over this: sags end
 SHORT = 0.98               # delivered share under which plays lose, from the wire's rules
-AIM_LOAD = 0.96            # load of a short link that stepping down aims for: just under its size
+AIM_LOAD = 0.86            # load of a short link that stepping down aims for: just under its size
 SETTLE_MS = 700.0          # wait, past the notes' lateness, before a shortage is answered again
 TOGETHER_MS = 2_000.0      # nodes of a rack short within this are short together: two notes' seconds
 LOOK_MS = 500.0            # pace of looking over the plays under way: half a note's second
@@ -114,7 +114,7 @@
         super().__init__(now)
         self.stated, self.members = stated, {}
         self.over = Fading(UPLINK_BACK_MS, now)      # what it is believed to carry beyond that
-        self.settle, self.heard = 0.0, -math.inf
+        self.settle, self.heard, self.short = 0.0, -math.inf, -math.inf   # heard: x1; short: together
 
     def size(self, now):
         return self.stated + self.over.now(now)
@@ -137,7 +137,7 @@
         self.seats, self.next_look = Counter(), now + LOOK_MS
         self.ask_at = now if deployment.must_ask else math.inf
         self.many = max(0.0, 1 - FEW / deployment.directors)   # how little each knows
-        self.margin, self.up_to = MARGIN + WARY * self.many, 1 - MARGIN - UP_ROOM + UP_SHARED * self.many
+        self.up_to = 1 - MARGIN - UP_ROOM + UP_SHARED * self.many
         self.chain = ((self.terms, None), (self.holding, None), (self.health, self.health_back),
                       (self.inquire, None), (self.price, self.price_back), (self.ration, None), (self.send, self.send_back))
 
@@ -265,7 +265,7 @@
 
     def delivered(self, now, node, rack, share):
         """Plays at a node get too little: the fault is its own, or its uplink's when others share it."""
-        node.short, rack.heard, size, had = now, now, self.size(now, node), node.others(now, self.crowd)
+        node.short, rack.short, size, had = now, now, self.size(now, node), node.others(now, self.crowd)
         together = any(n is not node and now - n.short < TOGETHER_MS for n in rack.members.values())
         if had + node.own > size or not together:
             if now >= node.settle:                   # alone: the node itself (a sag, a stand-still)
@@ -290,8 +290,8 @@
             # Told and seen contradict: an uplink full by our account, but not short. It carries more, or
             # sagging links told of more load than there is; else we would decline for nothing.
             for rack in {id(p.node.rack): p.node.rack for p in self.plays.values() if p.node}.values():
-                full = self.load(now, rack) / (1 - self.margin)
-                if full > rack.size(now) and now - rack.heard > QUIET_MS:
+                full = self.load(now, rack) / (1 - self.margin(now, rack))
+                if full > rack.size(now) and now - max(rack.heard, rack.short) > QUIET_MS:
                     rack.learn(now, full * TRY_MORE)
         return self.done(out)
 
@@ -334,7 +334,7 @@
             ply.holders = [n for n in ply.holders if now < ply.key_ends and alike(n) == alike(ply.first)]
         # Where many directors know little, like accounts rank alike: what was not told of a link is drawn
         for n in ply.holders:
-            n.room = self.room(now, n, self.margin)
+            n.room = self.room(now, n)
             n.rank = n.room + (self.many and DOUBT * self.many * (n.links - n.known.now(now)) * self.chance())
         if self.shares(ply):                         # a common draw: all directors' viewers meet at the same node
             need = self.rate(ply, self.highest(ply))
@@ -456,8 +456,8 @@
         streams = self.other_streams(now, node)
         again = streams / LENGTH_MS / max(sum(demand.now(now) for demand in self.demand), 1e-12)
         caps = [lk * (1 - STAY * streams / node.streams),
-                lk * (1 - self.margin - STAY * node.others(now, self.crowd) / size),
-                lk * (1 - self.margin - STAY * rack.others(now, self.crowd) / up)]
+                lk * (1 - self.margin(now, node) - STAY * node.others(now, self.crowd) / size),
+                lk * (1 - self.margin(now, rack) - STAY * rack.others(now, self.crowd) / up)]
         for n in rack.members.values():
             for p in n.plays.values():
                 stay = min(p.left(now), lk)
@@ -509,8 +509,13 @@
     def load(self, now, part):                       # all that is asked of a link or an uplink
         return part.own + part.others(now, self.crowd)
 
-    def room(self, now, node, margin):
-        return min(size * (1 - margin) - self.load(now, part) for part, size in self.sizes(now, node))
+    def room(self, now, node, margin=None):
+        return min(size * (1 - (self.margin(now, part) if margin is None else margin)) - self.load(now, part)
+                   for part, size in self.sizes(now, node))
+
+    def margin(self, now, part):                     # kept free of new plays; wider for what was not told lately
+        doubt = (now - part.heard) / AGE_MS if self.blind else 1.0
+        return MARGIN + WARY * self.many * min(doubt, 1.0)
 
     def sizes(self, now, node):
         return (node, self.size(now, node)), (node.rack, node.rack.size(now))
@@ -565,6 +570,7 @@
             node.heard = now
         if up:
             node.rack.learn(now, self.load(now, node.rack) / up)
+            node.rack.heard = now
         if self.blind and asked is not None:         # nothing else tells of room
             out = self.shed(now, node, [node], asked)
             out = out or self.shed(now, node.rack, node.rack.members.values(), up or 0) or self.step_up(now, node)
