Plays go up by probes of our own; an uplink not short is believed as large as its account

Nodes of plays that could go up are probed where that pays for the probe. The raise of a quiet uplink belief to account over margin filled uplinks to 1.2 of their size; it is the account now.

--- a/laddergw/control.py
+++ b/laddergw/control.py
@@ -36,6 +36,7 @@
 TOGETHER_MS = 2_000.0      # nodes of a rack short within this are short together: two notes' seconds
 LOOK_MS = 500.0            # pace of looking over the plays under way: half a note's second
 UP_ROOM, UP_SHARED = 0.25, 0.2   # share of a link left free by a step up; less of it where many share room
+UP_PART, HOPE = 0.3, 3.0   # probed: part of the room that one director takes; gain over a probe's price to ask for it
 UP_GAP_MS = 8_000.0        # time from a change of a play's rung to a step up: a shortage is over by then
 ILL_MS, ILL_MOST = 400.0, 5   # first rest of a node that failed; doublings at most: to 13 s, about a restart
 COLD_PART = 0.7            # part of a cold node's allowance that we all use: set-ups differ in work
@@ -99,7 +100,7 @@
         self.state, self.rack, self.started, self.shared = face.GONE, None, None, Counter()   # viewers by stream
         self.ill, self.rest, self.settle, self.room = 0, 0.0, 0.0, 0.0
         self.pace, self.early, self.cold, self.last_send, self.short = pace, 1.0, *[-math.inf] * 3
-        self.heard, self.asked = -math.inf, None     # its last report; since when a probe is out
+        self.heard, self.asked, self.next_up = -math.inf, None, None   # its last report; a probe is out since; the next
 
     def hear(self, now, others):
         known, told = self.links - self.known.now(now), others - self.told.now(now)
@@ -290,10 +291,12 @@
             # Told and seen contradict: an uplink full by our account, but not short. It carries more, or
             # sagging links told of more load than there is; else we would decline for nothing.
             for rack in {id(p.node.rack): p.node.rack for p in self.plays.values() if p.node}.values():
-                full = self.load(now, rack) / (1 - self.margin(now, rack))
+                full = self.load(now, rack) / (1 if self.blind else 1 - self.margin(now, rack))
                 if full > rack.size(now) and now - max(rack.heard, rack.short) > QUIET_MS:
                     rack.learn(now, full * TRY_MORE)
-        return self.done(out)
+            if self.blind:
+                out.append(Verdict(probe=self.look_up(now)))
+        return self.done([v for v in out if v.follow or v.probe])
 
     def done(self, verdicts):
         return verdicts, min(self.next_look, self.ask_at, *(ply.until for ply in self.waiting.values()))
@@ -373,6 +376,23 @@
         ply.until, ply.asks, self.waiting[ply.id] = now + ECHO_WAIT_MS, asks, ply
         return Verdict(ply.id, probe=self.probe(now, asks))
 
+    def look_up(self, now):
+        """Where no note tells of room: nodes of ours to probe, where a step up of our plays would pay for it."""
+        price, nodes = HOPE * self.d.probe_price * LENGTH_MS * max(row.importance for row in self.rows), []
+        for node in {id(p.node): p.node for p in self.plays.values() if p.node and p.started is not None}.values():
+            if node.next_up is None:                 # not all at once after a start
+                node.next_up = now + self.chance() * UP_GAP_MS
+            if now < max(node.next_up, node.heard + UP_GAP_MS / 2) or node.state == face.GONE:
+                continue
+            able = [p for p in node.plays.values() if self.may_rise(now, p)]
+            if sum(self.gain(p, p.rung) * p.left(now) for p in able) > price:
+                node.next_up = now + UP_GAP_MS
+                nodes.append(node)
+        return self.probe(now, nodes)
+
+    def may_rise(self, now, ply):
+        return ply.started is not None and ply.rung < self.highest(ply) and now - ply.changed >= UP_GAP_MS
+
     def probe(self, now, nodes):
         nodes = [n for n in nodes if n.asked is None]
         for node in nodes:
@@ -600,8 +620,10 @@
         part of the room: as our load is to all load. Every director with plays there hears the same note."""
         want, out = min((size * self.up_to / max(self.load(now, part), 1e-9) - 1) * node.own
                         for part, size in self.sizes(now, node)), []
-        able = [p for p in node.plays.values()
-                if p.started is not None and p.rung < self.highest(p) and now - p.changed >= UP_GAP_MS]
+        if self.blind:                               # no one else heard this
+            want = UP_PART * min(size * min(self.up_to, 1 - self.margin(now, part)) - self.load(now, part)
+                                 for part, size in self.sizes(now, node))
+        able = [p for p in node.plays.values() if self.may_rise(now, p)]
         for p in sorted(able, key=lambda p: (-self.gain(p, p.rung) * p.left(now), p.id)):
             had, extra = self.rate(p), self.rate(p, p.rung + 1) - self.rate(p)
             if want < extra * self.chance():
