Others' plays are planned anew in the program; peers tell each other reports and short uplinks

They step down when short; the program plans their whole load anew (STAY 0, as many streams as their load holds over the mean rate of all our plays).

--- a/laddergw/control.py
+++ b/laddergw/control.py
@@ -18,7 +18,7 @@
 TAIL = 0.25                # share of its length that an overdue play is still expected to last
 MARGIN = 0.06              # share of a link or uplink kept free: true rates stray by more than reports show
 FORECAST_MS = 15_000.0     # memory of arrivals: a few dozen plays, short enough to follow a wave
-STAY = 0.5                 # share of a period that others' plays under way still take: half over
+STAY = 0.0                 # share of a period that others' plays under way still take: half over
 SHARE_MS, SHARE_PRIOR = 30_000.0, 4.0   # memory of our set-ups' places; set-ups' worth of an even spread
 CROWD_START, CROWD_STEP = 0.4, 0.1   # others' share of a link before a note: fair use; a note's weight in it
 AGE_MS = 15_000.0          # what was told of a node's others fades into their usual share over this
@@ -36,6 +36,7 @@
 TOGETHER_MS = 2_000.0      # nodes of a rack short within this are short together: two notes' seconds
 LOOK_MS = 500.0            # pace of looking over the plays under way: half a note's second
 UP_ROOM, UP_SHARED = 0.25, 0.2   # share of a link left free by a step up; less of it where many share room
+MAIL_PART, LINE = 0.25, 5.0  # what telling a report may cost over its probe; bytes of a line of mail
 UP_PART, HOPE = 0.3, 3.0   # probed: part of the room that one director takes; gain over a probe's price to ask for it
 UP_GAP_MS = 8_000.0        # time from a change of a play's rung to a step up: a shortage is over by then
 ILL_MS, ILL_MOST = 400.0, 5   # first rest of a node that failed; doublings at most: to 13 s, about a restart
@@ -111,11 +112,11 @@
 
 class Rack(Account):
     """The nodes behind one uplink."""
-    def __init__(self, stated, now):
+    def __init__(self, number, stated, now):
         super().__init__(now)
-        self.stated, self.members = stated, {}
+        self.number, self.stated, self.members = number, stated, {}
         self.over = Fading(UPLINK_BACK_MS, now)      # what it is believed to carry beyond that
-        self.settle, self.heard, self.short = 0.0, -math.inf, -math.inf   # heard: x1; short: together
+        self.settle, self.heard, self.short, self.learned = 0.0, *[-math.inf] * 3   # heard: x1
 
     def size(self, now):
         return self.stated + self.over.now(now)
@@ -130,7 +131,8 @@
         self.d, self.seed, self.draws, self.nodes, self.plays, self.known = deployment, seed, 0, {}, {}, False
         self.rows, self.demand = deployment.products, [Fading(FORECAST_MS, now) for _ in deployment.products]
         self.crowd, self.notes, self.usual, self.ready = CROWD_START, 1, ANSWER_START_MS, 0.0
-        self.racks = [Rack(deployment.rack_kb, now) for _ in range(deployment.racks)]
+        self.loads, self.shorts = {}, {}             # to be told to peers
+        self.racks = [Rack(n, deployment.rack_kb, now) for n in range(deployment.racks)]
         self.setups = Fading(SHARE_MS, now)
         self.cells = [{} for _ in range(deployment.cells)]   # their nodes, by id
         self.taken, self.further, self.pending = deque(), deque(), []   # times for the budget, plays to place
@@ -245,6 +247,18 @@
             self.pending.append(self.waiting.pop(ply.id))
         return self.done(out)
 
+    def mail(self, now, sender, loads, shares):
+        """What a peer saw feeds the accounts as our own reports do; it lists no node."""
+        for node_id, asked in loads:
+            node = self.nodes.get(node_id)
+            if node and node.state != face.GONE and 0 <= asked < ABSURD and now - node.heard > LOOK_MS:
+                self.told(now, node, asked, REPORT_LAG_MS + LOOK_MS)
+                node.heard = now - LOOK_MS
+        for number, share in shares:
+            if 0 <= number < len(self.racks) and 0 < share < SHORT:
+                self.uplink_short(now, self.racks[number], share)
+        return self.done([])
+
     def note(self, now, play, node_id, kind, value):
         ply, node, out = self.plays.get(play), self.nodes.get(node_id), []
         fresh = ply and ply.first and ply.started is not None and now - ply.started < 1
@@ -272,10 +286,18 @@
             if now >= node.settle:                   # alone: the node itself (a sag, a stand-still)
                 node.hear(now, max(had, size / share - node.own))
             return self.shed(now, node, [node], 1 / share)
-        if now >= rack.settle:                       # the uplink, learned once a settling: notes lag steps
-            rack.learn(now, self.load(now, rack) * share)
+        if now >= rack.settle:
+            if now - rack.learned > SETTLE_MS:
+                self.shorts[rack.number] = share
+            self.uplink_short(now, rack, share)
         return self.shed(now, rack, [n for n in rack.members.values() if now >= n.settle], 1 / share)
 
+    def uplink_short(self, now, rack, share):        # learned once a settling: notes lag steps
+        rack.short = now
+        if now - rack.learned > self.d.seen_after_ms + SETTLE_MS:
+            rack.learn(now, self.load(now, rack) * share)
+            rack.learned = now
+
     def left(self, now, play):
         if ply := self.plays.get(play):
             ply.over = True                          # it keeps its place until its allocation is told to end
@@ -296,7 +318,9 @@
                     rack.learn(now, full * TRY_MORE)
             if self.blind:
                 out.append(Verdict(probe=self.look_up(now)))
-        return self.done([v for v in out if v.follow or v.probe])
+            if self.d.peers and (self.loads or self.shorts):
+                out.append(self.tell())
+        return self.done([v for v in out if v.follow or v.probe or v.tell])
 
     def done(self, verdicts):
         return verdicts, min(self.next_look, self.ask_at, *(ply.until for ply in self.waiting.values()))
@@ -376,6 +400,16 @@
         ply.until, ply.asks, self.waiting[ply.id] = now + ECHO_WAIT_MS, asks, ply
         return Verdict(ply.id, probe=self.probe(now, asks))
 
+    def tell(self):
+        """Our reports and shortages since the last look, to as many drawn peers as a part of a probe's price pays for."""
+        cost = max(self.d.peer_price * LINE / 256, 1e-9)
+        many = min(int(MAIL_PART * self.d.probe_price / cost), self.d.directors - 1)
+        start, size = int(self.chance() * self.d.directors), self.d.directors
+        peers = [(start + n) % size for n in range(many + 1) if (start + n) % size != self.d.number][:many]
+        verdict = Verdict(tell=tuple(peers), loads=tuple(self.loads.items()), shares=tuple(self.shorts.items()))
+        self.loads, self.shorts = {}, {}
+        return verdict
+
     def look_up(self, now):
         """Where no note tells of room: nodes of ours to probe, where a step up of our plays would pay for it."""
         price, nodes = HOPE * self.d.probe_price * LENGTH_MS * max(row.importance for row in self.rows), []
@@ -474,7 +508,8 @@
         beside = (sum(n.setups.now(now) for n in rack.members.values()) + prior * rack.links) / total
         # Others' plays end as ours do, and as many come again, of the products that we see asked for
         streams = self.other_streams(now, node)
-        again = streams / LENGTH_MS / max(sum(demand.now(now) for demand in self.demand), 1e-12)
+        held = min(LENGTH_MS, lk) * (1 - min(LENGTH_MS, lk) / (2 * lk))   # it may start at any time in lk (q)
+        again = streams / held / max(sum(demand.now(now) for demand in self.demand), 1e-12)
         caps = [lk * (1 - STAY * streams / node.streams),
                 lk * (1 - self.margin(now, node) - STAY * node.others(now, self.crowd) / size),
                 lk * (1 - self.margin(now, rack) - STAY * rack.others(now, self.crowd) / up)]
@@ -486,7 +521,6 @@
                     caps[0] -= stay / node.streams
                     caps[1] -= stay * self.rate(p) / size
         groups = []
-        held = min(LENGTH_MS, lk) * (1 - min(LENGTH_MS, lk) / (2 * lk))   # it may start at any time in lk (q)
         for row, demand in zip(self.rows, self.demand):
             # the rack's uplink also carries what our set-ups at its other nodes will ask
             choices = [(row.importance * self.d.rung_worth[r] * LENGTH_MS,
@@ -523,7 +557,7 @@
         return now - max(node.last_send, node.pace - node.early * gap) >= gap
 
     def other_streams(self, now, node):
-        rates = [self.rate(p) for p in (node.plays or self.plays).values() if p.node] or self.d.ladder
+        rates = [self.rate(p) for p in self.plays.values() if p.node] or self.d.ladder
         return node.others(now, self.crowd) * len(rates) / sum(rates)
 
     def load(self, now, part):                       # all that is asked of a link or an uplink
@@ -534,8 +568,8 @@
                    for part, size in self.sizes(now, node))
 
     def margin(self, now, part):                     # kept free of new plays; wider for what was not told lately
-        doubt = (now - part.heard) / AGE_MS if self.blind else 1.0
-        return MARGIN + WARY * self.many * min(doubt, 1.0)
+        doubt = min((now - part.heard) / AGE_MS, 1 - part.known.now(now) / max(part.links, 1e-9)) if self.blind else 1.0
+        return MARGIN + WARY * self.many * min(max(doubt, 0.0), 1.0)
 
     def sizes(self, now, node):
         return (node, self.size(now, node)), (node.rack, node.rack.size(now))
@@ -587,7 +621,7 @@
         asked, up, out = values.get("x0", values.get("load_share")), values.get("x1"), []
         if asked is not None:
             self.told(now, node, asked, REPORT_LAG_MS)
-            node.heard = now
+            node.heard, self.loads[node.id] = now, asked
         if up:
             node.rack.learn(now, self.load(now, node.rack) / up)
             node.rack.heard = now
--- a/laddergw/interface.py
+++ b/laddergw/interface.py
@@ -56,6 +56,9 @@
     probe_price: float = 0.0   # of one probe a play, as a part of all worth asked for
     cross_price: float = 0.0   # of plays that cross zones, as a part of all worth asked for
     zone: int = 0            # of this director
+    number: int = 0          # of this director; they count from 0
+    peers: bool = False      # directors may send each other messages
+    peer_price: float = 0.0  # of 256 bytes received for each play, as a part of all worth asked for
     join: float = 1.0        # what a further viewer of a live title's stream adds, as a part of its rate
 
 
@@ -97,3 +100,6 @@
     move: bool = False
     follow: bool = False
     probe: tuple = ()
+    tell: tuple = ()         # numbers of directors to be told:
+    loads: tuple = ()        # (node, what is asked of its link over what it gives)
+    shares: tuple = ()       # (rack, share of their rates that plays behind its uplink get)
--- a/laddergw/wirehost/__main__.py
+++ b/laddergw/wirehost/__main__.py
@@ -3,7 +3,7 @@
 import sys
 import traceback
 
-from laddergw import interface as face
+from laddergw import interface as face, mail
 from laddergw.control import Controller
 from laddergw.wirehost import codec, settings
 
@@ -31,7 +31,9 @@
         verdicts, wake = result
         for v in verdicts:
             out.extend(codec.action(codec.INSPECT, self.number, node) for node in v.probe)
-            if v != face.Verdict(v.play, probe=v.probe):     # it holds more than probes
+            if v.tell:
+                out.extend(codec.message(self.number, peer, m) for m in mail.pack(v.loads, v.shares) for peer in v.tell)
+            elif v != face.Verdict(v.play, probe=v.probe):   # it holds more than probes
                 out.append(self.one(v))
         if wake is not None and (self.wake is None or wake < self.wake):
             self.wake = wake
@@ -79,7 +81,12 @@
             return c.listed(now, lines, f[1] != FORM_DELTA)
         if code == codec.ECHO:
             return c.probed(now, f[1], OUTCOMES.get(f[3], face.ERROR), f[2] / 1000, tail)
-        return [], None   # messages between directors, which we never send
+        if code == codec.MAIL:
+            try:
+                return c.mail(now, f[1], *mail.unpack(tail))
+            except mail.Malformed as error:
+                print(f"laddergw: instance {self.number}: mail of {f[1]}: {error}", file=sys.stderr)
+        return [], None
 
 
 @contextlib.contextmanager
--- a/laddergw/wirehost/codec.py
+++ b/laddergw/wirehost/codec.py
@@ -8,7 +8,7 @@
 
 (POWER_ON, REGISTRY, REQUEST, STARTED, REPLY, HANGUP, ALARM, ECHO, MAIL, KILLED, INHERITED, INTERIM,
  PAGE) = range(13)
-SET_RATE, BAIL_OUT, PUSH_BACK, REASSIGN, FAIL, DELIVER, INSPECT, TRACK, AFTER, REMARK = 0, 1, 2, 4, 6, 8, 9, 10, 11, 13
+SET_RATE, BAIL_OUT, PUSH_BACK, REASSIGN, FAIL, DELIVER, INSPECT, TRACK, AFTER, BROADCAST_TO, REMARK = 0, 1, 2, 4, 6, 8, 9, 10, 11, 12, 13
 
 HEAD = struct.Struct("<IQII")
 REPLY_HEAD = struct.Struct("<II")
@@ -20,7 +20,8 @@
 TAIL = {POWER_ON: 1, MAIL: 1, REPLY: 4, ECHO: 4, PAGE: ENTRY.size}   # bytes for each counted item
 ACTIONS = {code: struct.Struct(form) for code, form in {
     SET_RATE: "<BIQB", BAIL_OUT: "<BIH", PUSH_BACK: "<BIQI", REASSIGN: "<BIQ", FAIL: "<BIQ",
-    DELIVER: "<BIQII", INSPECT: "<BII", TRACK: "<BIB", AFTER: "<BIII", REMARK: "<BIH"}.items()}
+    DELIVER: "<BIQII", INSPECT: "<BII", TRACK: "<BIB", AFTER: "<BIII", REMARK: "<BIH",
+    BROADCAST_TO: "<BIIH"}.items()}
 
 
 def read_exactly(stream, size, what, offset):
@@ -87,5 +88,9 @@
     return ACTIONS[code].pack(code, instance, len(body)) + body
 
 
+def message(instance, peer, data):
+    return ACTIONS[BROADCAST_TO].pack(BROADCAST_TO, instance, peer, len(data)) + data
+
+
 def reply(number, body):
     return REPLY_HEAD.pack(number, len(body)) + body
