A play whose last step pays at its node's prices steps down less readily

Cause: plays at rung 1 stepped to 0 while others kept the top: each director shed its own part, whatever its plays brought for their rate. The admission's test on the last step decides who goes first: what still pays takes 0.3 of its part.

--- a/laddergw/control.py
+++ b/laddergw/control.py
@@ -32,6 +32,7 @@
 UPLINK_BACK_MS = 30_000.0  # without shortage the belief returns to the told size over this: sags end
 SHORT = 0.98               # delivered share under which plays lose, from the wire's rules
 AIM_LOAD = 0.86            # load of a short link that stepping down aims for: just under its size
+KEEP = 0.3                 # share of a step down that plays take whose last step pays: others' go first
 SETTLE_MS = 700.0          # wait, past the notes' lateness, before a shortage is answered again
 TOGETHER_MS = 2_000.0      # nodes of a rack short within this are short together: two notes' seconds
 LOOK_MS = 500.0            # pace of looking over the plays under way: half a note's second
@@ -640,12 +641,19 @@
         able = [(self.rate(p) - self.rate(p, p.rung - 1), p.id, p) for n in nodes for p in n.plays.values()
                 if p.started is not None and p.rung > p.product.floor]
         for freed, _, p in sorted(able, key=lambda a: (self.gain(a[2], a[2].rung - 1) / a[0], a[1])):
-            if want < freed * self.chance():         # the last step by chance: not all directors round up
+            part = 1 if not self.pays(now, p) else KEEP   # what pays at the node's prices goes down later than others'
+            if want * part < freed * self.chance():  # the last step by chance: not all directors round up
                 break
             want -= freed
             out.append(self.step(now, p, p.rung - 1))
         return out
 
+    def pays(self, now, ply):                        # its last step, at its node's prices: the admission's test
+        lk, freed = ply.left(now), self.rate(ply) - self.rate(ply, ply.rung - 1)
+        prices = self.shadow_prices(now, ply.node, lk)
+        kb = prices[1] / self.size(now, ply.node) + prices[2] / ply.node.rack.size(now)
+        return self.gain(ply, ply.rung - 1) * lk > lk / 2 * freed * kb * SURE
+
     def gain(self, ply, rung):                       # what a step up from it brings
         return ply.product.importance * (self.d.rung_worth[rung + 1] - self.d.rung_worth[rung])
 
