--- a/laddergw/control.py
+++ b/laddergw/control.py
@@ -17,6 +17,7 @@
 LENGTH_MS = 40_000.0       # length of a play without a hint, from the design page
 TAIL = 0.25                # share of its length that an overdue play is still expected to last
 MARGIN = 0.06              # share of a link or uplink kept free: true rates stray by more than reports show
+LEAST_OVER = 0.05          # over a link or uplink by so much, a low play still beats a decline: dearer steps go
 FORECAST_MS = 15_000.0     # memory of arrivals: a few dozen plays, short enough to follow a wave
 STAY = 0.0                 # share of a period that others' plays under way still take: half over
 SHARE_MS, SHARE_PRIOR = 30_000.0, 4.0   # memory of our set-ups' places; set-ups' worth of an even spread
@@ -445,7 +446,7 @@
     def offer(self, now, ply, node, lk, room, held=None):
         """The highest rung that fits and whose payoff beats its cost at the node's prices, or None."""
         full = node.streams - len(node.plays) - self.other_streams(now, node) < 1
-        if held is None and (full or self.adds(ply, node, ply.product.floor) > self.room(now, node, MARGIN)):
+        if held is None and (full or self.adds(ply, node, ply.product.floor) > self.room(now, node, -LEAST_OVER)):
             return None
         prices = self.shadow_prices(now, node, lk)
         place, kb = prices[0] / node.streams, prices[1] / self.size(now, node)
