--- a/laddergw/control.py
+++ b/laddergw/control.py
@@ -22,6 +22,7 @@
 STAY = 0.0                 # share of a period that others' plays under way still take: half over
 SHARE_MS, SHARE_PRIOR = 30_000.0, 4.0   # memory of our set-ups' places; set-ups' worth of an even spread
 CROWD_START, CROWD_STEP = 0.4, 0.1   # others' share of a link before a note: fair use; a note's weight in it
+RATE_PRIOR = 4.0           # plays' worth of the ladder's middle in what a play of others is taken to ask
 AGE_MS = 15_000.0          # what was told of a node's others fades into their usual share over this
 ABSURD = 10.0              # a load or rung told at or over this is no word at all: links are never asked that
 FEW = 4                    # directors: so many hear of most nodes
@@ -559,8 +560,8 @@
         return now - max(node.last_send, node.pace - node.early * gap) >= gap
 
     def other_streams(self, now, node):
-        rates = [self.rate(p) for p in self.plays.values() if p.node] or self.d.ladder
-        return node.others(now, self.crowd) * len(rates) / sum(rates)
+        rates, usual = [self.rate(p) for p in self.plays.values() if p.node], (self.d.ladder[0] * self.d.ladder[-1]) ** 0.5
+        return node.others(now, self.crowd) * (len(rates) + RATE_PRIOR) / (sum(rates) + RATE_PRIOR * usual)
 
     def load(self, now, part):                       # all that is asked of a link or an uplink
         return part.own + part.others(now, self.crowd)
