--- a/laddergw/control.py
+++ b/laddergw/control.py
@@ -316,8 +316,9 @@
             # Told and seen contradict: an uplink full by our account, but not short. It carries more, or
             # sagging links told of more load than there is; else we would decline for nothing.
             for rack in {id(p.node.rack): p.node.rack for p in self.plays.values() if p.node}.values():
-                full = self.load(now, rack) / (1 if self.blind else 1 - self.margin(now, rack))
-                if full > rack.size(now) and now - max(rack.heard, rack.short) > QUIET_MS:
+                asked, free = self.load(now, rack), 1 - self.margin(now, rack)
+                full = asked / (1 - MARGIN if self.blind else free)
+                if asked > free * rack.size(now) and now - max(rack.heard, rack.short) > QUIET_MS:
                     rack.learn(now, full * TRY_MORE)
             if self.blind:
                 out.append(Verdict(probe=self.look_up(now)))
