--- a/laddergw/control.py
+++ b/laddergw/control.py
@@ -640,22 +640,24 @@
         if asked <= 1 or now < short.settle:
             return []
         short.settle = now + self.d.seen_after_ms + SETTLE_MS
-        want, out = sum(n.own for n in nodes) * (1 - AIM_LOAD / asked), []
-        able = [(self.rate(p) - self.rate(p, p.rung - 1), p.id, p) for n in nodes for p in n.plays.values()
-                if p.started is not None and p.rung > p.product.floor]
-        for freed, _, p in sorted(able, key=lambda a: (self.gain(a[2], a[2].rung - 1) / a[0], a[1])):
-            part = 1 if not self.pays(now, p) else KEEP   # what pays at the node's prices goes down later than others'
-            if want * part < freed * self.chance():  # the last step by chance: not all directors round up
+        want, out = sum(n.own for n in nodes) * (1 - AIM_LOAD / asked), {}
+        able = [p for n in nodes for p in n.plays.values() if p.started is not None]
+        while able := [p for p in able if p.rung > p.product.floor]:
+            p = min(able, key=lambda p: (self.gain(p, p.rung - 1) / self.frees(p), p.id))
+            part = KEEP if self.pays(now, p) else 1  # what pays at the node's prices goes down later than others'
+            if want * part < self.frees(p) * self.chance():   # the last step by chance: not all directors round up
                 break
-            want -= freed
-            out.append(self.step(now, p, p.rung - 1))
-        return out
+            want -= self.frees(p)
+            out[p.id] = self.step(now, p, p.rung - 1)    # several rungs at once cost one change
+        return list(out.values())
+
+    def frees(self, ply):                            # what its last step takes
+        return self.rate(ply) - self.rate(ply, ply.rung - 1)
 
     def pays(self, now, ply):                        # its last step, at its node's prices: the admission's test
-        lk, freed = ply.left(now), self.rate(ply) - self.rate(ply, ply.rung - 1)
-        prices = self.shadow_prices(now, ply.node, lk)
-        kb = prices[1] / self.size(now, ply.node) + prices[2] / ply.node.rack.size(now)
-        return self.gain(ply, ply.rung - 1) * lk > lk / 2 * freed * kb * SURE
+        lk, (_, link, uplink) = ply.left(now), self.shadow_prices(now, ply.node, ply.left(now))
+        kb = link / self.size(now, ply.node) + uplink / ply.node.rack.size(now)
+        return self.gain(ply, ply.rung - 1) * lk > lk / 2 * self.frees(ply) * kb * SURE
 
     def gain(self, ply, rung):                       # what a step up from it brings
         return ply.product.importance * (self.d.rung_worth[rung + 1] - self.d.rung_worth[rung])
