--- a/laddergw/control.py
+++ b/laddergw/control.py
@@ -39,7 +39,7 @@
 TOGETHER_MS = 2_000.0      # nodes of a rack short within this are short together: two notes' seconds
 LOOK_MS = 500.0            # pace of looking over the plays under way: half a note's second
 UP_ROOM, UP_SHARED = 0.25, 0.2   # share of a link left free by a step up; less of it where many share room
-MAIL_PART, LINE = 0.25, 5.0  # what telling a report may cost over its probe; bytes of a line of mail
+MAIL_PART, LINE = 0.12, 5.0  # what telling a report may cost over its probe; bytes of a line of mail
 UP_PART, HOPE = 0.3, 3.0   # probed: part of the room that one director takes; gain over a probe's price to ask for it
 UP_GAP_MS = 8_000.0        # time from a change of a play's rung to a step up: a shortage is over by then
 ILL_MS, ILL_MOST = 400.0, 5   # first rest of a node that failed; doublings at most: to 13 s, about a restart
@@ -66,7 +66,7 @@
         self.limit, self.key_ends, self.changed = now + ask.wait_ms, now + product.key_ms, now
         self.started = self.out = self.node = self.first = None   # out: its allocation
         self.sends, self.tried, self.may_have_run, self.over, self.seen = 0, set(), False, False, False
-        self.until, self.asks, self.first_part = None, (), 1.0   # it waits so long for these probes; Controller.part
+        self.until, self.asks = None, ()             # it waits so long for these probes
 
     def left(self, now):
         """Expected time still to play."""
@@ -101,7 +101,7 @@
     def __init__(self, line, now, pace):
         super().__init__(now)
         self.id, self.plays, self.log, self.setups = line.node, {}, deque(), Fading(SHARE_MS, now)
-        self.state, self.rack, self.started, self.shared = face.GONE, None, None, {}   # streams
+        self.state, self.rack, self.started, self.shared = face.GONE, None, None, Counter()   # viewers by stream
         self.ill, self.rest, self.settle, self.room = 0, 0.0, 0.0, 0.0
         self.pace, self.early, self.cold, self.last_send, self.short = pace, 1.0, *[-math.inf] * 3
         self.heard, self.asked, self.next_up = -math.inf, None, None   # its last report; a probe is out since; the next
@@ -368,8 +368,9 @@
             n.room = self.room(now, n)
             n.rank = n.room + (self.many and DOUBT * self.many * (n.links - n.known.now(now)) * self.chance())
         if self.shares(ply):                         # a common draw: all directors' viewers meet at the same node
+            need = self.rate(ply, self.highest(ply))
             for n in ply.holders:
-                n.rank = math.inf if n.room > self.adds(ply, n, self.highest(ply)) else n.room
+                n.rank = math.inf if n.room > need else n.room
             ply.holders.sort(key=lambda n: (self.crossing(n), -n.rank, crc32(b"%d %d" % (n.id, ply.ask.title)) * MIX % 2 ** 32))
         else:
             ply.holders.sort(key=lambda n: (self.crossing(n), -n.rank, n.id))
@@ -578,7 +579,6 @@
         return (node, self.size(now, node)), (node.rack, node.rack.size(now))
 
     def put(self, now, ply, node):
-        ply.first_part = self.part(ply, node, ply.rung)
         ply.node, node.plays[ply.id] = node, ply
         self.seats[ply.ask.product, ply.ask.title] += 1
         self.weigh(now, ply, 1)
@@ -586,30 +586,21 @@
     def shares(self, ply):
         return ply.product.live and self.d.join < 1
 
-    def stream(self, ply, node, rung):
-        """Our viewers of the play's stream there, and what part of the rate the first one added."""
-        return node.shared.get((ply.ask.product, ply.ask.title, rung), (0, 1.0))
-
-    def part(self, ply, node, rung):
-        """What part of its rate a further viewer adds. Many directors' viewers of a title that we hold twice meet."""
-        met = self.shares(ply) and (self.stream(ply, node, rung)[0] or self.many and ply.node is None
-                                    and self.seats[ply.ask.product, ply.ask.title])
-        return self.d.join if met else 1.0
-
     def adds(self, ply, node, rung):
-        return self.rate(ply, rung) * self.part(ply, node, rung)
+        """What a viewer adds to a node's link: of a live stream that is there already, only a part of its rate."""
+        joins = self.shares(ply) and node.shared[ply.ask.product, ply.ask.title, rung]
+        return self.rate(ply, rung) * (self.d.join if joins else 1)
 
     def weigh(self, now, ply, sign):
-        """Takes a play into what its node carries (1) or out of it (-1); the last to leave a stream frees the rest."""
-        node, key = ply.node, (ply.ask.product, ply.ask.title, ply.rung)
-        viewers, first = self.stream(ply, node, ply.rung)
-        if sign > 0 and not viewers:
-            first = ply.first_part
-        part = first if viewers == (sign < 0) else self.d.join if self.shares(ply) else 1.0
-        node.shared[key] = viewers + sign, first
-        if viewers + sign == 0:
-            del node.shared[key]
-        self.carry(now, node, sign * part * self.rate(ply))
+        """Takes a play into what its node carries (1) or out of it (-1)."""
+        key = ply.ask.product, ply.ask.title, ply.rung
+        if sign > 0:
+            self.carry(now, ply.node, self.adds(ply, ply.node, ply.rung))
+        ply.node.shared[key] += sign
+        if sign < 0:
+            self.carry(now, ply.node, -self.adds(ply, ply.node, ply.rung))
+            if not ply.node.shared[key]:
+                del ply.node.shared[key]
 
     def carry(self, now, node, change):
         change = max(change, -node.own)
@@ -661,9 +652,7 @@
         return list(out.values())
 
     def frees(self, ply):                            # what its last step takes
-        viewers, first = self.stream(ply, ply.node, ply.rung)
-        part = self.d.join if self.shares(ply) and (viewers > 1 or first < 1) else 1.0
-        return (self.rate(ply) - self.rate(ply, ply.rung - 1)) * part
+        return self.rate(ply) - self.rate(ply, ply.rung - 1)
 
     def pays(self, now, ply):                        # its last step, at its node's prices: the admission's test
         lk, (_, link, uplink) = ply.left(now), self.shadow_prices(now, ply.node, ply.left(now))
