Settings retold to a running module; a probe left unanswered puts a holder last; tests of the move

Cause: retold switched rows only, racks, cells and margins were fixed at start; a play whose probe stayed out for 200 ms went to that very node (its trace test showed it). Plays keep the terms that they were taken on. pays() divided by a link of size 0 (weighted out), guarded.

--- a/laddergw/control.py
+++ b/laddergw/control.py
@@ -49,6 +49,7 @@
 ASK_MOST, FRESH_MS = 1, 1_000.0   # holders probed before one is chosen; a report tells so long: under a change or two
 ECHO_WAIT_MS = 200.0       # a play waits so long for probes: a set-up's time, far under first-frame targets
 RETRY_MS = 1_000.0         # longest retry-after; spread over its upper half, against returns in one wave
+SHAPE = "racks", "rack_kb", "cells", "link_unit", "streams"   # settings on which accounts of nodes and racks are built
 MIX = 2_654_435_761        # odd, by the linear crc32 alone like seeds draw alike
 LOOP_SWEEPS, LOOP_HALVINGS, SURE = 4, 24, 1.000001   # of the dual loop; worth beats cost by over rounding
 
@@ -60,8 +61,9 @@
 
 class Play:
     """One play, from its request to its end."""
-    def __init__(self, ask, product, now):
-        self.ask, self.id, self.product, self.rung = ask, ask.play, product, product.floor
+    def __init__(self, ask, deployment, now):
+        product = deployment.products[ask.product]   # the terms that it was taken on are its own to its end
+        self.ask, self.id, self.product, self.rung, self.d = ask, ask.play, product, product.floor, deployment
         self.length, self.holders = ask.length_ms or LENGTH_MS, []
         self.limit, self.key_ends, self.changed = now + ask.wait_ms, now + product.key_ms, now
         self.started = self.out = self.node = self.first = None   # out: its allocation
@@ -131,19 +133,14 @@
 
 class Controller:
     def __init__(self, deployment, seed, now):
-        self.d, self.seed, self.draws, self.nodes, self.plays, self.known = deployment, seed, 0, {}, {}, False
-        self.rows, self.demand = deployment.products, [Fading(FORECAST_MS, now) for _ in deployment.products]
+        self.seed, self.draws, self.nodes, self.plays, self.known, self.demand = seed, 0, {}, {}, False, []
         self.crowd, self.notes, self.usual, self.ready = CROWD_START, 1, ANSWER_START_MS, 0.0
         self.loads, self.shorts = {}, {}             # to be told to peers
-        self.racks = [Rack(n, deployment.rack_kb, now) for n in range(deployment.racks)]
         self.setups = Fading(SHARE_MS, now)
-        self.cells = [{} for _ in range(deployment.cells)]   # their nodes, by id
         self.taken, self.further, self.pending = deque(), deque(), []   # times for the budget, plays to place
-        self.waiting, self.blind = {}, deployment.probes and deployment.told_by == "probe"   # plays that wait for probes
-        self.seats, self.next_look = Counter(), now + LOOK_MS
-        self.ask_at = now if deployment.must_ask else math.inf
-        self.many = max(0.0, 1 - FEW / deployment.directors)   # how little each knows
-        self.up_to = 1 - MARGIN - UP_ROOM + UP_SHARED * self.many
+        self.waiting, self.seats, self.next_look, self.ask_at = {}, Counter(), now + LOOK_MS, math.inf
+        self.d = None
+        self.retold(now, deployment)
         self.chain = ((self.terms, None), (self.holding, None), (self.health, self.health_back),
                       (self.inquire, None), (self.price, self.price_back), (self.ration, None), (self.send, self.send_back))
 
@@ -161,9 +158,8 @@
             node = self.nodes[line.node]
             self.enlist(now, node, face.GONE)
             if line.state != face.GONE:
-                node.cell, node.rack, node.zone = line.cell, self.racks[line.cell % self.d.racks], line.zone
-                node.links = line.weight * self.d.link_unit
-                node.streams = self.d.streams[min(line.kind, len(self.d.streams) - 1)]
+                node.line = line
+                self.fit(node)
             self.enlist(now, node, line.state)
             if node.started is None:
                 node.hear(now, self.crowd * node.links)
@@ -175,6 +171,11 @@
         self.known = True
         return self.done([])
 
+    def fit(self, node):                             # what a node's line means in this deployment
+        line, d = node.line, self.d
+        node.cell, node.rack, node.zone = line.cell, self.racks[line.cell % d.racks], line.zone
+        node.links, node.streams = line.weight * d.link_unit, d.streams[min(line.kind, len(d.streams) - 1)]
+
     def enlist(self, now, node, state):
         """Takes a node out of the sums of its rack and of the fleet, or into them."""
         if (node.state == face.GONE) != (state == face.GONE):
@@ -192,7 +193,7 @@
         return self.done([])
 
     def asked(self, now, ask):
-        ply = self.plays[ask.play] = Play(ask, self.rows[ask.product], now)
+        ply = self.plays[ask.play] = Play(ask, self.d, now)
         self.taken.append(now)
         self.pending.append(ply)
         return self.done([])
@@ -207,11 +208,28 @@
             node.hear(now, max(0.0, others))
         return self.done([])
 
-    def retold(self, deployment):                    # limits were switched: plays under way keep theirs
-        self.d, self.rows = deployment, deployment.products
+    def retold(self, now, deployment):
+        """Settings at start or switched: plays under way keep their terms, accounts of nodes move into the new shape."""
+        old, self.d, self.rows = self.d, deployment, deployment.products
+        self.demand += [Fading(FORECAST_MS, now) for _ in self.rows[len(self.demand):]]
+        self.many = max(0.0, 1 - FEW / deployment.directors)   # how little each knows
+        self.up_to = 1 - MARGIN - UP_ROOM + UP_SHARED * self.many
+        self.blind = deployment.probes and deployment.told_by == "probe"
+        if deployment.must_ask and not (old and old.must_ask):
+            self.ask_at = now
+        if old and all(getattr(old, key) == getattr(deployment, key) for key in SHAPE):
+            return
+        states = [(node, node.state) for node in self.nodes.values()]
+        for node, _ in states:
+            self.enlist(now, node, face.GONE)
+        self.racks = [Rack(n, deployment.rack_kb, now) for n in range(deployment.racks)]
+        self.cells = [{} for _ in range(deployment.cells)]   # their nodes, by id
+        for node, state in states:
+            self.fit(node)
+            self.enlist(now, node, state)
 
     def handed_over(self, now, ask, node_id):
-        ply = self.plays[ask.play] = Play(ask, self.rows[ask.product], now)
+        ply = self.plays[ask.play] = Play(ask, self.d, now)
         ply.started, ply.sends = now, 1
         self.demand[ask.product].add(now, 1 / ply.length)   # plays under way over their length: Little's law
         if node_id in self.nodes:
@@ -268,7 +286,7 @@
         if node is None or not 0 <= value < ABSURD:  # also NaN and infinite: no note
             kind = None
         if kind == face.RUNG_NOW and ply and ply.node is node:
-            self.step(now, ply, min(int(value), len(self.d.ladder) - 1))
+            self.step(now, ply, min(int(value), len(ply.d.ladder) - 1))
             ply.changed = -math.inf                  # not our change: it may step up at once
         elif kind == face.LINK_ASKED:
             self.told(now, node, value, 0.0 if fresh else self.d.seen_after_ms)
@@ -398,6 +416,8 @@
 
     def inquire(self, now, ply):
         """Where load is told to probes only: asks the first holders for theirs before one is chosen."""
+        # Guards against stand-stills, whatever their cause: what left a probe unanswered comes last
+        ply.holders.sort(key=lambda n: n.asked is not None and now - n.asked >= ECHO_WAIT_MS)
         asks = [n for n in ply.holders[:ASK_MOST] if now - n.heard > FRESH_MS] if self.blind else ()
         if ply.until is not None or not asks:
             return None
@@ -457,11 +477,11 @@
         cross = self.crossing(node) * ply.product.importance * lk if held is None else 0.0
         if held is not None:                         # a play under way: what it has, and what a change costs
             has = self.rate(ply, held)
-            below = (ply.product.importance * (self.d.rung_worth[held] * lk + self.d.step_cost_ms),
+            below = (ply.product.importance * (ply.d.rung_worth[held] * lk + self.d.step_cost_ms),
                      lk / 2 * (place + has * kb))
         for rung in range(ply.product.floor if held is None else held + 1, self.highest(ply) + 1):
             rate = self.adds(ply, node, rung)
-            payoff, cost = ply.product.importance * self.d.rung_worth[rung] * lk, lk / 2 * (place + rate * kb)
+            payoff, cost = ply.product.importance * ply.d.rung_worth[rung] * lk, lk / 2 * (place + rate * kb)
             cost += cross
             least = held is None and rung == ply.product.floor    # within MARGIN a low play beats a decline
             # Each step must pay for what it adds: a top rung can pay as a whole while its last step does not
@@ -540,10 +560,10 @@
         return self.d.cross_price if node.zone != self.d.zone else 0.0
 
     def highest(self, ply):
-        return min(ply.product.top, int(ply.ask.ceiling), len(self.d.ladder) - 1)
+        return min(ply.product.top, int(ply.ask.ceiling), len(ply.d.ladder) - 1)
 
     def rate(self, ply, rung=None):
-        return self.d.ladder[ply.rung if rung is None else rung] * ply.product.scale
+        return ply.d.ladder[ply.rung if rung is None else rung] * ply.product.scale
 
     def size(self, now, node):
         """What a link surely gives: a cold node's rises to its told size over the warm-up."""
@@ -655,12 +675,14 @@
         return self.rate(ply) - self.rate(ply, ply.rung - 1)
 
     def pays(self, now, ply):                        # its last step, at its node's prices: the admission's test
+        if self.size(now, ply.node) <= 0:            # weighted out
+            return False
         lk, (_, link, uplink) = ply.left(now), self.shadow_prices(now, ply.node, ply.left(now))
         kb = link / self.size(now, ply.node) + uplink / ply.node.rack.size(now)
         return self.gain(ply, ply.rung - 1) * lk > lk / 2 * self.frees(ply) * kb * SURE
 
     def gain(self, ply, rung):                       # what a step up from it brings
-        return ply.product.importance * (self.d.rung_worth[rung + 1] - self.d.rung_worth[rung])
+        return ply.product.importance * (ply.d.rung_worth[rung + 1] - ply.d.rung_worth[rung])
 
     def step_up(self, now, node):
         """On a note of room our plays go up, where it gains most, to the rung that the program offers, by our
--- a/laddergw/director/director.py
+++ b/laddergw/director/director.py
@@ -82,7 +82,7 @@
         self.generations.switch(limits, self.loop.now)
         self.budgets.set(allowed(limits))
         self.room.switch(limits.adaptive)
-        self.controller.retold(deployment_with(self.house.deployment, self.house.names, limits))
+        self.controller.retold(self.loop.now, deployment_with(self.house.deployment, self.house.names, limits))
         self.watch("limits changed", generation=self.generations.current.number, lines=len(changed))
         if self.tap is not None:
             self.tap("limits changed", self.loop.now, {"generation": self.generations.current.number, "older": len(self.generations.older), "lines": changed})
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -44,10 +44,16 @@
 
     @staticmethod
     def show(v):
+        if v.tell:
+            return f"tells {', '.join(map(str, v.tell))}: loads {dict(v.loads)}, short uplinks {dict(v.shares)}"
+        if v.probe:
+            return f"{'' if v.play is None else f'play {v.play} waits, '}probes {', '.join(map(str, v.probe))}"
         if v.node is not None:
             return f"play {v.play} to node {v.node} at rung {v.rung}, time-out {v.timeout_ms:.0f}"
         if v.answer:
             return f"play {v.play} {v.answer}" + (f", come back in {v.retry_ms:.0f}" if v.retry_ms else "")
+        if v == face.Verdict(v.play):
+            return f"play {v.play} waits"
         return "move" if v.move else "follow the list" if v.follow else f"play {v.play} to rung {v.rung}"
 
     def listed(self, now, lines, whole=False):
@@ -64,6 +70,16 @@
         return self.run(now, f"play {play} on {node}: {outcome}",
                         self.c.ended(self.base + now, play, number, outcome, node, over, report))
 
+    def echo(self, now, node, outcome=face.SERVED, report=()):
+        return self.run(now, f"probe of {node}: {outcome} {' '.join(map(str, report))}",
+                        self.c.probed(self.base + now, node, outcome, 5.0, report))
+
+    def mail(self, now, loads=(), shares=()):
+        return self.run(now, f"mail: {dict(loads)} {dict(shares)}", self.c.mail(self.base + now, 1, loads, shares))
+
+    def wake(self, now):
+        return self.run(now, "wakes", self.c.wake(self.base + now))
+
     def note(self, now, play, node, kind, value):
         return self.run(now, f"note on {node}: {kind} {value}", self.c.note(self.base + now, play, node, kind, value))
 
--- /dev/null
+++ b/tests/test_move.py
@@ -0,0 +1,144 @@
+"""What the move brought, without the bench: probes, mail, shared streams, zones, settings switched while plays are under way."""
+import math
+import unittest
+
+from laddergw import interface as face, mail
+from laddergw.wirehost import settings
+from tests.helpers import Drive, TraceTest, deployment
+
+BLIND = dict(streams=(60.0,), probes=True, told_by="probe", probe_price=0.01, directors=200)
+LIVE = ({"live": True}, {"importance": 2.0})
+
+
+class Probes(TraceTest):
+    def test_load_is_asked_for_before_a_play_is_placed(self):
+        """Seen: without notes every node showed room for a top rung, and links were asked over their size all day."""
+        d = Drive(nodes=3, **BLIND)
+        d.say("the first holder is asked; its report tells of no room: the lowest rung, or another holder")
+        node = d.ask(0, 1)[0].probe[0]
+        d.echo(20, node, report=(0.97,))
+        d.say("a probe that stays out, then one that fails: the play waits 200 ms at most and goes elsewhere")
+        other = d.ask(2_000, 2)[0].probe[0]
+        d.wake(2_150)
+        d.wake(2_200)
+        d.echo(2_250, other, face.TIMED_OUT)
+        d.say("reports that make no sense tell nothing, and stop nothing")
+        for at, values in enumerate(((math.nan,), (math.inf,), (-1.0,), (), (1e30,))):
+            d.echo(3_000 + at, 1, report=values)
+        d.echo(3_010, 99, report=(0.5,))
+        self.same("probes", d)
+
+    def test_a_play_that_waits_is_answered_once(self):
+        d = Drive(nodes=1, **BLIND)
+        d.say("its viewer leaves while the probe is out: no answer is owed")
+        d.ask(0, 1)
+        d.c.left(d.base + 10, 1)
+        d.echo(20, 1, report=(0.2,))
+        d.say("its time limit passes while the probe is out: declined at once, with a time to come back")
+        d.ask(5_000, 2, wait=100.0)
+        d.wake(5_200)
+        d.echo(5_210, 1, report=(0.2,))
+        self.same("waits", d)
+        self.assertEqual((d.c.plays, d.c.waiting, d.c.pending), ({}, {}, []))
+
+
+class Peers(TraceTest):
+    def test_reports_and_short_uplinks_go_to_drawn_peers(self):
+        d = Drive(nodes=2, peers=True, peer_price=0.0078, **BLIND)
+        node = d.ask(0, 1)[0].probe[0]
+        d.echo(20, node, report=(0.3,))
+        d.say("told at the next look, never to ourselves, to as many as a part of a probe's price pays for")
+        told = d.wake(600)
+        self.assertNotIn(0, told[-1].tell)
+        d.say("a peer's word is taken as our own report is: no probe is needed; what makes no sense is passed over")
+        d.mail(5_000, [(1, 0.3), (2, 0.2), (99, 0.1), (1, math.nan), (2, -1.0), (2, math.inf)], [(0, 0.9), (77, 0.5), (1, 0.0), (1, math.nan)])
+        d.ask(5_010, 2)
+        self.same("peers", d)
+        self.assertNotIn(99, d.c.nodes)
+
+    def test_messages_go_both_ways_and_broken_ones_are_refused(self):
+        loads, shares = [(4_000_000_000, 0.5), (7, 2.55)], [(3, 0.9)]
+        message, = mail.pack(loads, shares)
+        self.assertEqual(mail.unpack(message), (loads, shares))
+        many = mail.pack([(n, 1.0) for n in range(120)], shares)
+        self.assertTrue(all(len(m) <= mail.MOST for m in many))
+        self.assertEqual([n for m in many for n, _ in mail.unpack(m)[0]], list(range(120)))
+        for size in range(len(message)):
+            if (size - 12) % 3 or size < 12:         # cut at a whole uplink line it is a shorter message
+                with self.assertRaises(mail.Malformed):
+                    mail.unpack(message[:size])
+        with self.assertRaises(mail.Malformed):
+            mail.unpack(b"\x09" + message[1:])
+
+
+class Streams(unittest.TestCase):
+    def test_the_last_to_leave_a_shared_stream_frees_the_rest(self):
+        """Each further viewer of a live title's stream adds `join` of its rate; all gone, the account is where it was."""
+        d = Drive(nodes=1, products=LIVE, join=0.3, cells=1, racks=1, streams=(60.0,))
+        for play in 1, 2, 3:
+            d.ask(play, play, ceiling=1)
+            d.starts(100 + play, play, 1)
+        self.assertAlmostEqual(d.c.nodes[1].own, 200 * 1.6)
+        d.end(200, 1, 1, face.SERVED, over=True)
+        self.assertAlmostEqual(d.c.nodes[1].own, 200 * 1.3)
+        for play in 2, 3:
+            d.end(200 + play, play, 1, face.SERVED, over=True)
+        self.assertAlmostEqual(d.c.nodes[1].own, 0)
+        self.assertEqual(d.c.nodes[1].shared, {})
+
+    def test_directors_meet_at_the_same_holder(self):
+        """Spread by each director's own draw, viewers of one title shared hardly a stream."""
+        chosen = {Drive(nodes=4, products=LIVE, join=0.3, seed=seed, directors=200).ask(0, 1, ceiling=0)[0].node for seed in range(9)}
+        self.assertEqual(len(chosen), 1)
+        chosen = {Drive(nodes=4, seed=seed, directors=200).ask(0, 1, ceiling=0)[0].node for seed in range(9)}
+        self.assertGreater(len(chosen), 1)
+
+
+class Zones(unittest.TestCase):
+    def test_the_own_zone_comes_first_and_crossing_has_its_price(self):
+        d = Drive(nodes=2, cross_price=0.05, zone=1)
+        d.listed(0, [d.line(1, zone=0), d.line(2, zone=1)])
+        self.assertEqual(d.ask(0, 1)[0].node, 2)
+        d.listed(10, [d.line(2, state=face.DRAINING, zone=1)])
+        self.assertEqual(d.ask(20, 2)[0].node, 1)
+
+
+class Switch(unittest.TestCase):
+    OLD, NEW = deployment(), deployment(({}, {"live": True, "importance": 2.0}), racks=3, cells=5, link_unit=5000.0, ladder=(150.0, 300.0),
+                                        rung_worth=(0.4, 1.0), join=0.3, **BLIND)
+
+    def test_accounts_and_plays_go_through_a_switch_and_back(self):
+        d = Drive(nodes=4)
+        for play in range(6):
+            d.starts(play + 100, play, d.ask(play, play)[0].node)
+        before = [(rack.links, rack.own) for rack in d.c.racks]
+        d.c.retold(d.base + 200, self.NEW)
+        self.assertAlmostEqual(sum(rack.own for rack in d.c.racks), sum(n.own for n in d.c.nodes.values()))
+        self.assertAlmostEqual(sum(rack.links for rack in d.c.racks), 4 * 5000.0)
+        d.ask(210, 10, product=1)
+        d.c.retold(d.base + 220, self.OLD)           # while that play waits for its probe
+        self.assertEqual([(rack.links, rack.own) for rack in d.c.racks], before)
+        placed = d.wake(410)
+        self.assertEqual([v.play for v in placed if v.node], [10])
+        for play in range(6):                        # on the terms that they were taken on: nothing is left over
+            d.end(500 + play, play, d.c.plays[play].node.id, face.SERVED, over=True)
+        d.end(600, 10, placed[0].node, face.SERVED, over=True)
+        self.assertEqual([round(n.own, 6) for n in d.c.nodes.values()], [0.0] * 4)
+        self.assertEqual(d.c.plays, {})
+
+
+class WireSettings(unittest.TestCase):
+    BASE = {"Grades.count": "1", "Grades.0.Points": "1", "Grades.0.Repeat": "pure", "Specifics.LadderKb": "100,200", "Specifics.WorthByRung": "0.5,1",
+            "Specifics.Positions": "2", "Specifics.LinkUnitKb": "100", "Specifics.RackKb": "300", "Specifics.KindSlots": "9", "Siblings": "4",
+            "Permissions.MaxAttempts": "3"}
+
+    def read(self, **values):
+        return settings.decode("\n".join(f"{k}={v}" for k, v in (self.BASE | {k.replace("_", "."): v for k, v in values.items()}).items()))
+
+    def test_what_is_missing_takes_its_default_and_nonsense_is_refused_by_key(self):
+        usual = self.read()
+        self.assertEqual((usual.probes, usual.told_by, usual.peers, usual.join, usual.zone, usual.products[0].live), (False, "answers", False, 1.0, 0, False))
+        for key, value in (("Permissions.Probes", "maybe"), ("Reporting.How", "guess"), ("Specifics.Join", "1.5"), ("Specifics.Join", "nan"),
+                           ("Prices.Probe", "-1"), ("Specifics.Live", "true,false"), ("MyZone", "x"), ("Permissions.Peers", "1"), ("Prices.Peer", "inf")):
+            with self.assertRaisesRegex(settings.BadSetting, key):
+                self.read(**{key.replace(".", "_"): value})
