Director goes over to another shape's settings while it runs; probes, mail, rehearse move

SIGHUP takes over deployment, peers and keys of the file; a refused file, or one that the limits in force do not fit, changes nothing; plays keep the terms that they were taken on.

--- a/laddergw/cli/rehearsing.py
+++ b/laddergw/cli/rehearsing.py
@@ -14,7 +14,7 @@
 
 
 def rehearse(
-    name: Annotated[str, typer.Argument(help="bad-day, quiet, limits (the operators' file switched), apart (planners killed), stitched (sessions with notices), or a named day: laddergw days list")] = "bad-day",
+    name: Annotated[str, typer.Argument(help="bad-day, quiet, limits (the operators' file switched), move (directors' files switched to another shape and back), apart (planners killed), stitched (sessions with notices), or a named day: laddergw days list")] = "bad-day",
     seed: Annotated[int, typer.Option(help="draws everything")] = 1,
     seconds: Annotated[Optional[float], typer.Option(help="time in which new plays come; 60, with stitched 120, with a named day its own")] = None,
     rate: Annotated[Optional[float], typer.Option(help="new plays a second; 24 or the day's own")] = None,
@@ -38,6 +38,8 @@
         return apart(seed, usual(), report, memory, keep, log, kills)
     if name == "limits" and day is None:
         return limits(seed, usual(), report, memory, keep, log)
+    if name == "move" and day is None:
+        return move(seed, usual(), report, memory, keep, log)
     if name == "stitched" and day is None:
         return stitched(seed, sessions, seconds or 120.0, report, memory, keep, log)
     own: dict = {"bad-day": script.bad_day, "quiet": lambda _: []}
@@ -92,6 +94,18 @@
     conclude(the_plant, the_script, records, stage.conductor.missed, "in memory" if memory else "on loopback", began, seed, said, report, bool(found["dropped"]))
 
 
+def move(seed: int, the_plant, report: Path | None, memory: bool, keep: Path | None, log: str) -> None:
+    """Running directors switched to settings of another shape and back while a bad day plays; a dropped play counts as broken."""
+    from laddergw.lab import move as lab, script
+    began, the_script = time.monotonic(), script.bad_day(the_plant)
+    stage = lab.stage_for(the_plant, the_script, memory, str(keep) if keep else None, log)
+    records = played(stage)
+    found = lab.moved(records)
+    said = [f"{stage.turns} rounds of files; " + ", ".join(f"{name} {value}" for name, value in found.items())]
+    typer.echo(said[0])
+    conclude(the_plant, the_script, records, stage.conductor.missed, "in memory" if memory else "on loopback", began, seed, said, report, bool(found["dropped"]))
+
+
 def apart(seed: int, the_plant, report: Path | None, memory: bool, keep: Path | None, log: str, kills: int) -> None:
     """Edges and planners, the planners killed and started again all through a bad day."""
     from laddergw.lab import script
--- a/laddergw/control.py
+++ b/laddergw/control.py
@@ -218,7 +218,7 @@
         if deployment.must_ask and not (old and old.must_ask):
             self.ask_at = now
         if old and all(getattr(old, key) == getattr(deployment, key) for key in SHAPE):
-            return
+            return self.done([])
         states = [(node, node.state) for node in self.nodes.values()]
         for node, _ in states:
             self.enlist(now, node, face.GONE)
@@ -227,6 +227,7 @@
         for node, state in states:
             self.fit(node)
             self.enlist(now, node, state)
+        return self.done([])
 
     def handed_over(self, now, ask, node_id):
         ply = self.plays[ask.play] = Play(ask, self.d, now)
--- a/laddergw/director/carrying.py
+++ b/laddergw/director/carrying.py
@@ -15,6 +15,7 @@
 from laddergw.http.client import Call
 
 ENDED, MOVED, STOPPED, LOST = "ended", "moved", "director stops", "broken"
+PROBE_OUTCOMES = {200: face.SERVED, 429: face.FULL, 503: face.FULL}
 TOLD_TO_VIEWER = {face.SERVED: ENDED, face.BROKEN: LOST}
 
 
@@ -62,8 +63,6 @@
         a, r = ply.allocation, ply.request
         if a is None or a.name != name or a.state != alloc.WAITING:
             return
-        deployment = self.house.deployment
-        rate = deployment.ladder[a.rung] * deployment.products[ply.product].scale
         left_ms = a.lease_ends - self.loop.now
 
         def body(session) -> bytes:
@@ -172,9 +171,28 @@
 
     def rate(self, ply: Try) -> float:
         """What its rung asks of a link, kB a second."""
-        deployment = self.house.deployment
+        deployment = ply.deployment
         return deployment.ladder[ply.allocation.rung] * deployment.products[ply.product].scale
 
+    def probe(self, node: int) -> None:
+        """Asks a node for its load; the module hears what came, in a later turn."""
+        link, asked_at = self.fleet.links.get(node), self.loop.now
+        if link is None:
+            return self.loop.soon(lambda: self.feed(self.controller.probed, self.loop.now, node, face.UNREACHABLE, 0.0, ()))
+        return link.probe(lambda call: self.probe_ended(node, asked_at, call))
+
+    def probe_ended(self, node: int, asked_at: float, call: Call) -> None:
+        outcome, report = face.TIMED_OUT if call.status is None else PROBE_OUTCOMES.get(call.status, face.ERROR), ()
+        if call.refused:
+            outcome = face.UNREACHABLE
+        if outcome == face.SERVED:
+            try:
+                report = frames.read_probe_answer(call.body, self.house.deployment.reports)
+            except frames.Malformed as error:
+                outcome = face.ERROR
+                self.watch("bad answer", node=node, reason=str(error))
+        self.feed(self.controller.probed, self.loop.now, node, outcome, self.loop.now - asked_at, report)
+
     def change_rung(self, ply: Try, rung: int) -> None:
         a = ply.allocation
         link = self.fleet.links.get(a.node) if a is not None else None
--- a/laddergw/director/director.py
+++ b/laddergw/director/director.py
@@ -9,7 +9,7 @@
 from typing import Any, Callable
 from zlib import crc32
 
-from laddergw import interface as face
+from laddergw import interface as face, mail
 from laddergw.control import Controller
 from laddergw.director import allocation as alloc
 from laddergw.director import door, frames, tokens
@@ -19,6 +19,7 @@
 from laddergw.director.life import Life
 from laddergw.director.link import Link
 from laddergw.director.pace import OFF, Room, full
+from laddergw.director.post import Post
 from laddergw.director.tries import Try
 from laddergw.director.windows import Budgets
 from laddergw.http.limits import PeerLimits
@@ -65,7 +66,9 @@
         self.fleet = Fleet(loop, house.lists, str(house.number), self.make_link, self.list_changed, self.list_failed, tap)
         self.server = Server(loop, house.listen, self.serve, PeerLimits(connections=self.bounds.connections), tap)
         self.address = self.server.address
-        self.pages: dict[tuple[str, str], Callable[[Exchange], None]] = {("POST", "/v1/plays"): self.arrive}
+        self.pages: dict[tuple[str, str], Callable[[Exchange], None]] = {("POST", "/v1/plays"): self.arrive,
+                                                                             ("POST", "/v1/mail"): self.mail_came}
+        self.post = Post(loop, house.number, house.peers, lambda: self.house.keys, wall)
         loop.at_turn_end(self.turn_ends)
         if not house.deployment.must_ask:
             self.fleet.follow()
@@ -82,12 +85,27 @@
         self.generations.switch(limits, self.loop.now)
         self.budgets.set(allowed(limits))
         self.room.switch(limits.adaptive)
-        self.controller.retold(self.loop.now, deployment_with(self.house.deployment, self.house.names, limits))
+        self.feed(self.controller.retold, self.loop.now, deployment_with(self.house.deployment, self.house.names, limits))
         self.watch("limits changed", generation=self.generations.current.number, lines=len(changed))
         if self.tap is not None:
             self.tap("limits changed", self.loop.now, {"generation": self.generations.current.number, "older": len(self.generations.older), "lines": changed})
         return changed
 
+    def change_house(self, house: House) -> None:
+        """The file read again: its keys, deployment and peers hold from now on; plays under way keep the terms that they were taken on.
+        What needs a restart stays as it is. The way back is the same step."""
+        self.change_keys(house.keys, house.retired)
+        if (house.names, house.deployment, house.peers) == (self.house.names, self.house.deployment, self.house.peers):
+            return
+        self.house = self.house._replace(names=house.names, deployment=house.deployment, peers=house.peers)
+        self.products = {name: index for index, name in enumerate(house.names)}
+        self.most_importance = max(product.importance for product in house.deployment.products)
+        self.post.reach(house.peers)
+        self.feed(self.controller.retold, self.loop.now, deployment_with(house.deployment, house.names, self.limits))
+        self.watch("deployment changed", products=len(house.names), held=self.held, waiting=self.waiting)
+        if self.tap is not None:
+            self.tap("deployment changed", self.loop.now, {"products": list(house.names), "held": self.held, "waiting": self.waiting})
+
     def limits_refused(self, texts: list[str]) -> None:
         """A file was refused: what is in force stays."""
         self.generations.refused += 1
@@ -174,7 +192,8 @@
         effective = self.limits.find(request.route, request.product)
         life = Life(effective.terms, repeat, exchange.read_at, door.waits(request.wait_ms, exchange.late, margin), margin)
         self.numbers += 1
-        ply = Try(self.numbers, exchange, request, product, self.earlier(request), life, generation, budget_names(effective.rows, self.limits))
+        ply = Try(self.numbers, exchange, request, product, self.earlier(request), life, generation, budget_names(effective.rows, self.limits),
+                  self.house.deployment)
         product_row = self.house.deployment.products[product]
         slow = full(self.waiting, self.room.size(self.ready_nodes()), product_row.importance, self.most_importance, ply.earlier.tries)
         turned = (door.turn_away(self.bounds, self.waiting, self.held, self.stopping, self.chance()) or door.no_room(slow, self.bounds, self.chance())
@@ -203,6 +222,16 @@
                 self.watch("token refused", reason=str(error))
         return tokens.Earlier(request.key, wall, 1, False)
 
+    def mail_came(self, exchange: Exchange) -> None:
+        """A message of another director. One that makes no sense is refused, told, and changes nothing."""
+        try:
+            sender, loads, shares = self.post.read(exchange.body)
+        except mail.Malformed as error:
+            self.watch("mail refused", reason=str(error))
+            return exchange.answer(400, frames.problem(str(error)))
+        exchange.answer(200, b"{}")
+        return self.feed(self.controller.mail, self.loop.now, sender, loads, shares)
+
     def admit(self, ply: Try) -> None:
         r, now = ply.request, self.loop.now
         ply.asked = True
@@ -265,6 +294,10 @@
     def carry_out(self, verdict: face.Verdict) -> None:
         if verdict.follow:
             return self.fleet.follow()
+        for node in verdict.probe:
+            self.probe(node)
+        if verdict.tell:
+            return self.post.send(verdict.tell, mail.pack(verdict.loads, verdict.shares))
         ply = self.tries.get(verdict.play)
         if ply is None:
             return
@@ -360,4 +393,5 @@
     def wind_up(self) -> None:
         if self.loop.running:
             self.fleet.close()
+            self.post.close()
             self.loop.stop()
--- a/laddergw/director/frames.py
+++ b/laddergw/director/frames.py
@@ -176,6 +176,11 @@
     return read_report(frame, names, what), [read_note(row, what, 0) for row in rows(frame, "notes", what, 2)]
 
 
+def read_probe_answer(data: bytes, names: tuple) -> tuple:
+    """The report in a node's answer to a probe."""
+    return read_report(body_of(data, "probe answer"), names, "probe answer")
+
+
 def read_note(row: list, what: str, at: int) -> tuple[str, float]:
     kind, value = row[at], row[at + 1]
     if kind not in NOTES or isinstance(value, bool) or not isinstance(value, (int, float)):
--- a/laddergw/director/house.py
+++ b/laddergw/director/house.py
@@ -37,8 +37,11 @@
     retired: frozenset[str] = frozenset()   # ids of keys that are taken no more
     planners: tuple[tuple[str, int], ...] = ()
     tls: tuple[str, str, str] | None = None # files: own certificate, its key, the authority's certificate
+    peers: tuple[tuple[int, tuple[str, int]], ...] = ()    # other directors by number
 
 
+LIVE_FIELDS = ("keys", "retired", "names", "deployment", "peers")    # what a running director takes over
+YES_NO = ("yes", "no")
 REPEATS = ("safe", "keyed", "paid")
 GROUPS = ("all", "zone", "cell")
 KEY_LEAST = 16                              # bytes of a signing key
@@ -59,11 +62,12 @@
     bounds = top.under("bounds", None)
     read_bounds = take_bounds(bounds) if bounds is not None else Bounds()
     rows, told = take_deployment(deployment) if deployment is not None else ((), None)
-    number = top.whole("number", 0, 0, 65_535)
+    number, peers = top.whole("number", 0, 0, 65_535), take_peers(top)
+    told = told._replace(number=number, peers=bool(peers)) if told is not None else None
     if told is not None and told.directors is not None and number >= told.directors:
         top.fault(top.places.get("number", form.place), "number", f"{number} of {told.directors} directors: counts from 0")
     house = House(number, top.whole("seed", 1, 0, 2 ** 63), top.address("listen"), top.address("list"), keys,
-                  rows, told, read_bounds, retired, take_planners(top, "planner"), take_tls(top))
+                  rows, told, read_bounds, retired, take_planners(top, "planner"), take_tls(top), peers)
     top.no_others()
     faults.settle()
     return house
@@ -71,7 +75,17 @@
 
 def other_changes(old: House, new: House) -> list[str]:
     """What differs between two readings beside the keys: that needs a restart."""
-    return [name for name in House._fields if name not in ("keys", "retired") and getattr(old, name) != getattr(new, name)]
+    return [name for name in House._fields if name not in LIVE_FIELDS and getattr(old, name) != getattr(new, name)]
+
+
+def switch_fault(old: House, new: House) -> str | None:
+    """Why a running director cannot go over to these settings; None where it can. Plays are counted by a product's place."""
+    shared = min(len(old.names), len(new.names))
+    if old.names[:shared] != new.names[:shared]:
+        return f"product: {', '.join(new.names)} after {', '.join(old.names)}: products keep their places, new ones come last"
+    if old.number != new.number:
+        return f"number: {new.number} after {old.number}: a director keeps its number"
+    return None
 
 
 def signing_keys(top: Reader) -> tuple[tuple[str, bytes], ...]:
@@ -101,6 +115,26 @@
     return tuple(found)
 
 
+def take_peers(top: Reader) -> tuple[tuple[int, tuple[str, int]], ...]:
+    """Other directors by number: (peer 3 "10.0.0.7" 8100)."""
+    top.known.add("peer")
+    found: dict[int, tuple[str, int]] = {}
+    for form in top.keys.get("peer", ()):
+        read = Reader(Form((form.items[0], form), form.place), top.faults, top.path)
+        atoms = read.atoms("peer", NEEDED, 3, 3)
+        if atoms is None:
+            continue
+        number = read.as_number("peer", atoms[0], 0, 65_535, True)
+        port = read.as_number("peer", atoms[2], 1, 65_535, True)
+        if not isinstance(atoms[1].value, str) or not atoms[1].value:
+            top.fault(atoms[1].place, "peer", f"{atoms[1].value!r} is not an address")
+        elif number in found:
+            top.fault(form.place, "peer", f"director {number} stands twice")
+        elif number is not None and port is not None:
+            found[int(number)] = atoms[1].value, int(port)
+    return tuple(found.items())
+
+
 def take_tls(top: Reader) -> tuple[str, str, str] | None:
     """(tls (certificate "edge.pem") (key "edge.key") (authority "authority.pem"))."""
     under = top.under("tls", None)
@@ -145,7 +179,10 @@
         cold_from=read.number("cold-from", 1.0, 0, 1), warm_ms=read.number("warm-ms", 0.0, 0, 3_600_000),
         fall_multiple=read.number("fall-multiple", 1.0, 0.01, 1_000), budget_free=free, budget_share=share or 0.0,
         budget_ms=window or 0.0, must_ask=read.word("list-comes", "pushed", ("pushed", "asked")) == "asked",
-        reports=read.words("reports", ()))
+        reports=read.words("reports", ()), probes=read.word("probes", "no", YES_NO) == "yes",
+        told_by=read.word("told-by", "answers", ("answers", "probe", "none")), probe_price=read.number("probe-price", 0.0, 0, 1),
+        cross_price=read.number("cross-price", 0.0, 0, 1), zone=read.whole("zone", 0, 0, 10_000),
+        peer_price=read.number("peer-price", 0.0, 0, 1), join=read.number("join", 1.0, 0, 1))
     if ladder and any(low >= high for low, high in zip(ladder, ladder[1:])):
         read.fault(read.places["ladder"], "ladder", "rates must rise from rung to rung")
     if told.rung_worth and any(low > high for low, high in zip(told.rung_worth, told.rung_worth[1:])):
@@ -159,7 +196,7 @@
     row = face.Product(read.number("importance", NEEDED, 1e-9, 1e9), read.word("repeat", "safe", REPEATS),
                        read.word("group", "all", GROUPS), read.number("key-ms", 0.0, 0, 3_600_000),
                        read.whole("floor", 0, 0, max(rungs - 1, 0)), top, read.number("scale", 1.0, 1e-6, 1e6),
-                       read.whole("seats", 0, 0, 1_000_000))
+                       read.whole("seats", 0, 0, 1_000_000), read.word("live", "no", YES_NO) == "yes")
     if row.floor > row.top:
         read.fault(read.places.get("floor", read.form.place), "floor", f"rung {row.floor} is over the top rung {row.top}")
     if row.repeat == "keyed" and not row.key_ms:
--- a/laddergw/director/link.py
+++ b/laddergw/director/link.py
@@ -7,6 +7,7 @@
 from laddergw.http.limits import PoolLimits
 
 KEEP_LIMIT_MS = 1_000.0    # a keep without an answer is sent again on a new connection
+PROBE_LIMIT_MS = 250.0     # a probe without an answer by then has failed
 OPEN_LIMIT_MS = 1_500.0    # the long answer's first line
 ONE = PoolLimits(connections=1, waiting=4, idle_ms=60_000.0)
 SET_UPS = PoolLimits()
@@ -29,6 +30,7 @@
         self.notes = Pool(loop, address, ONE)
         self.control = Pool(loop, address, ONE)
         self.set_ups = Pool(loop, address, SET_UPS, tap)
+        self.probes = Pool(loop, address, ONE)
         self.session = Session(loop.now)
         self.confirms: dict[str, None] = {}
         self.releases: dict[str, None] = {}
@@ -186,6 +188,11 @@
             return None
         return self.set_ups.call("POST", "/v1/setups", body(self.session), done, label=label)
 
+    def probe(self, done: Callable[[Call], None]) -> None:
+        """Asks the node for its load."""
+        call = self.probes.call("GET", "/v1/report", b"", done)
+        self.loop.after(PROBE_LIMIT_MS, lambda: call.cut("no answer to a probe in time"))
+
     def when_up(self, call: Callable[[], None]) -> None:
         self.held_up.append(call)
 
@@ -196,5 +203,5 @@
         if self.stream is not None:
             self.stream.cut("link closed")
         self.forget()
-        for pool in self.notes, self.control, self.set_ups:
+        for pool in self.notes, self.control, self.set_ups, self.probes:
             pool.close()
--- a/laddergw/director/program.py
+++ b/laddergw/director/program.py
@@ -13,6 +13,7 @@
 from laddergw.director.watching import Watcher, health, logger
 from laddergw.loop.sockets import SocketLoop
 from laddergw.terms.limits import Limits
+from laddergw.terms.loading import load_file
 
 EXIT_GOOD, EXIT_FAILED, EXIT_FILE = 0, 1, 2
 TAP_FLUSH_MS = 20.0        # a killed director loses at most so much of its records
@@ -41,15 +42,22 @@
         resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
 
 
-def read_again(path: str, director: Director, log) -> None:
-    """The file anew, at SIGHUP: its keys hold from now on; a refused file changes nothing; the rest waits for a restart."""
+def read_again(path: str, director: Director, log, limits: str | None = None) -> None:
+    """The file anew, at SIGHUP: its keys, deployment and peers hold from now on; a refused file, or one that the limits in force do not fit,
+    changes nothing; the rest waits for a restart."""
     try:
         house = houses.read_file(path)
     except houses.Refused as error:
         log.error("file refused", faults=[str(fault) for fault in error.faults])
         return
-    director.change_keys(house.keys, house.retired)
+    against = houses.switch_fault(director.house, house)
+    if against is None and limits is not None:
+        against = "; ".join(load_file(limits, house).texts()) or None
+    if against is not None:
+        log.error("file refused", faults=[against])
+        return
     others = houses.other_changes(director.house, house)
+    director.change_house(house)
     log.info("keys changed", signs=house.keys[0][0], taken=[name for name, _ in house.keys], retired=sorted(house.retired), for_restart=others)
 
 
@@ -64,7 +72,7 @@
 
 def again(path: str, director: Director, watch: LimitsFile | None, log) -> None:
     """At SIGHUP: the director's own file, and the limits at once."""
-    read_again(path, director, log)
+    read_again(path, director, log, watch.path if watch is not None else None)
     if watch is not None:
         watch.look(at_once=True)
 
--- a/laddergw/director/tries.py
+++ b/laddergw/director/tries.py
@@ -5,17 +5,19 @@
 from laddergw.director.tokens import Earlier
 from laddergw.http.client import Call
 from laddergw.http.server import Exchange
+from laddergw.interface import Deployment
 from laddergw.terms.generations import Generation
 
 
 class Try:
     """One request for a play. `life` says what its terms allow; `budgets`: names of those that its further allocations draw on."""
     __slots__ = ("id", "exchange", "request", "product", "earlier", "asked_at", "life", "generation", "budgets", "allocation", "call", "body",
-                 "timer", "lease_timer", "answered", "playing", "left", "asked", "node_ms", "ending", "sent_at")
+                 "timer", "lease_timer", "answered", "playing", "left", "asked", "node_ms", "ending", "sent_at", "deployment")
 
     def __init__(self, number: int, exchange: Exchange, request: Request, product: int, earlier: Earlier, life: Life,
-                 generation: Generation, budgets: tuple[str, ...]):
+                 generation: Generation, budgets: tuple[str, ...], deployment: Deployment):
         self.id, self.exchange, self.request, self.product, self.earlier = number, exchange, request, product, earlier
+        self.deployment = deployment              # that it was taken on: a switch does not change it
         self.asked_at, self.life, self.generation, self.budgets = life.asked_at, life, generation, budgets
         self.allocation: Allocation | None = None
         self.call: Call | None = None
--- a/laddergw/lab/node_stand_in.py
+++ b/laddergw/lab/node_stand_in.py
@@ -115,7 +115,7 @@
     # Faults, by script
 
     def fault(self, what: str, value: Any = None) -> None:
-        """Sets a fault: mute, late (ms), errors (part), cut (part), drip, lose (part), hush (part), still (ms), die, vanish, drain; None ends it."""
+        """Sets a fault: mute, late (ms), errors (part), cut (part), drip, lose (part), hush (part), untold (load is told to probes alone), still (ms), die, vanish, drain; None ends it."""
         if what == "still":
             self.still_until = max(self.still_until, self.loop.now + value)
             self.loop.at(self.still_until, self.wake)
@@ -167,6 +167,9 @@
         try:
             if exchange.path == "/v1/notes":
                 return self.open_session(exchange)
+            if exchange.path == "/v1/report":
+                self.record("probed", self.loop.now, node=self.facts.node)
+                return self.reply(exchange, 200, {"report": self.load_report()})
             if exchange.method == "GET":
                 if self.faults.get("stall") and exchange.path.endswith(".ts"):
                     return None                  # it answers playlists and set-ups, and gives no segment
@@ -275,7 +278,8 @@
             return
         held.ready = True
         self.record("set up", self.loop.now, node=self.facts.node, allocation=held.name, play=held.play, product=held.product)
-        body = json.dumps({"report": self.report(), "notes": [["link asked", self.asked()], ["uplink asked", self.rack.asked()]]})
+        body = json.dumps({} if self.faults.get("untold") else
+                          {"report": self.report(), "notes": [["link asked", self.asked()], ["uplink asked", self.rack.asked()]]})
         if self.chance() < self.faults.get("hush", 0.0):
             return None                          # the work is done, the answer never comes
         if self.chance() < self.faults.get("lose", 0.0):
@@ -353,7 +357,10 @@
     def asked(self) -> float:
         return self.rate() / (self.facts.link_kb * self.warmth() * self.faults.get("sag", 1.0))
 
-    def report(self) -> dict:
+    def report(self) -> dict:                    # with the answers to set-ups
+        return {} if self.faults.get("untold") else self.load_report()
+
+    def load_report(self) -> dict:
         return {"x0": round(self.asked(), 4), "x1": round(self.rack.asked(), 4), "concurrent": len(self.held),
                 "load_share": round(min(1.0, self.asked()), 4)}
 
@@ -371,7 +378,7 @@
             self.push({"clock": self.clock()})
 
     def tell(self) -> None:
-        if self.held and not self.faults.get("mute"):
+        if self.held and not self.faults.get("mute") and not self.faults.get("untold"):
             self.push({"notes": [[None, "link asked", round(self.asked(), 4)], [None, "uplink asked", round(self.rack.asked(), 4)]]})
 
     def tell_short(self) -> None:
