--- a/laddergw/control.py
+++ b/laddergw/control.py
@@ -1,7 +1,7 @@
 """Decides who plays, on which media node and at which rung; docs/design.md tells the reasons.
 
 Call: one Controller(deployment, seed, now) a director, then a method for each thing that happens: listed,
-list_failed, asked, handed_over, playing, ended, note, left, wake; after all that came at one moment, decide.
+list_failed, asked, handed_over, playing, ended, probed, mail, note, left, wake, retold; after all, decide.
 Each returns (verdicts, next wake time).
 The types that go in and out are in laddergw/interface.py. Times are ms with fractions, rates kB a second.
 """
@@ -17,7 +17,7 @@
 LENGTH_MS = 40_000.0       # length of a play without a hint, from the design page
 TAIL = 0.25                # share of its length that an overdue play is still expected to last
 MARGIN = 0.06              # share of a link or uplink kept free: true rates stray by more than reports show
-LEAST_OVER = 0.05          # over a link or uplink by so much, a low play still beats a decline: dearer steps go
+LEAST_OVER = 0.05          # so far over a link or uplink a low play beats a decline: dear steps go
 FORECAST_MS = 15_000.0     # memory of arrivals: a few dozen plays, short enough to follow a wave
 STAY = 0.0                 # share of a period that others' plays under way still take: half over
 SHARE_MS, SHARE_PRIOR = 30_000.0, 4.0   # memory of our set-ups' places; set-ups' worth of an even spread
@@ -40,16 +40,16 @@
 LOOK_MS = 500.0            # pace of looking over the plays under way: half a note's second
 UP_ROOM, UP_SHARED = 0.25, 0.2   # share of a link left free by a step up; less of it where many share room
 MAIL_PART, LINE = 0.12, 5.0  # what telling a report may cost over its probe; bytes of a line of mail
-UP_PART, HOPE = 0.3, 3.0   # probed: part of the room that one director takes; gain over a probe's price to ask for it
+UP_PART, HOPE = 0.3, 3.0   # part of probed room that one director takes; gain over a probe's price
 UP_GAP_MS = 8_000.0        # time from a change of a play's rung to a step up: a shortage is over by then
 ILL_MS, ILL_MOST = 400.0, 5   # first rest of a node that failed; doublings at most: to 13 s, about a restart
 COLD_PART = 0.7            # part of a cold node's allowance that we all use: set-ups differ in work
 ANSWER_START_MS, ANSWER_STEP = 150.0, 0.1   # set-up time before any was seen; weight of one in the usual
 PATIENCE, TIMEOUT_LEAST_MS = 5.0, 300.0   # time-out in usual set-up times: slow ones pass; a handshake fits
-ASK_MOST, FRESH_MS = 1, 1_000.0   # holders probed before one is chosen; a report tells so long: under a change or two
+ASK_MOST, FRESH_MS = 1, 1_000.0   # holders probed before the choice; a report is fresh so long
 ECHO_WAIT_MS = 200.0       # a play waits so long for probes: a set-up's time, far under first-frame targets
 RETRY_MS = 1_000.0         # longest retry-after; spread over its upper half, against returns in one wave
-SHAPE = "racks", "rack_kb", "cells", "link_unit", "streams"   # settings on which accounts of nodes and racks are built
+SHAPE = "racks", "rack_kb", "cells", "link_unit", "streams"   # accounts are built on these
 MIX = 2_654_435_761        # odd, by the linear crc32 alone like seeds draw alike
 LOOP_SWEEPS, LOOP_HALVINGS, SURE = 4, 24, 1.000001   # of the dual loop; worth beats cost by over rounding
 
@@ -103,10 +103,10 @@
     def __init__(self, line, now, pace):
         super().__init__(now)
         self.id, self.plays, self.log, self.setups = line.node, {}, deque(), Fading(SHARE_MS, now)
-        self.state, self.rack, self.started, self.shared = face.GONE, None, None, Counter()   # viewers by stream
+        self.state, self.rack, self.started, self.shared = face.GONE, None, None, Counter()   # streams
         self.ill, self.rest, self.settle, self.room = 0, 0.0, 0.0, 0.0
         self.pace, self.early, self.cold, self.last_send, self.short = pace, 1.0, *[-math.inf] * 3
-        self.heard, self.asked, self.next_up = -math.inf, None, None   # its last report; a probe is out since; the next
+        self.heard, self.asked, self.next_up = -math.inf, None, None   # report, probe out since, next one
 
     def hear(self, now, others):
         known, told = self.links - self.known.now(now), others - self.told.now(now)
@@ -135,14 +135,14 @@
     def __init__(self, deployment, seed, now):
         self.seed, self.draws, self.nodes, self.plays, self.known, self.demand = seed, 0, {}, {}, False, []
         self.crowd, self.notes, self.usual, self.ready = CROWD_START, 1, ANSWER_START_MS, 0.0
-        self.loads, self.shorts = {}, {}             # to be told to peers
+        self.loads, self.shorts, self.d = {}, {}, None   # to be told to peers
         self.setups = Fading(SHARE_MS, now)
         self.taken, self.further, self.pending = deque(), deque(), []   # times for the budget, plays to place
         self.waiting, self.seats, self.next_look, self.ask_at = {}, Counter(), now + LOOK_MS, math.inf
-        self.d = None
         self.retold(now, deployment)
         self.chain = ((self.terms, None), (self.holding, None), (self.health, self.health_back),
-                      (self.inquire, None), (self.price, self.price_back), (self.ration, None), (self.send, self.send_back))
+                      (self.inquire, None), (self.price, self.price_back), (self.ration, None),
+                      (self.send, self.send_back))
 
     # What happens, told by the host
 
@@ -209,7 +209,7 @@
         return self.done([])
 
     def retold(self, now, deployment):
-        """Settings at start or switched: plays under way keep their terms, accounts of nodes move into the new shape."""
+        """Settings at start or switched: plays keep their terms, accounts move into the new shape."""
         old, self.d, self.rows = self.d, deployment, deployment.products
         self.demand += [Fading(FORECAST_MS, now) for _ in self.rows[len(self.demand):]]
         self.many = max(0.0, 1 - FEW / deployment.directors)   # how little each knows
@@ -386,11 +386,12 @@
         for n in ply.holders:
             n.room = self.room(now, n)
             n.rank = n.room + (self.many and DOUBT * self.many * (n.links - n.known.now(now)) * self.chance())
-        if self.shares(ply):                         # a common draw: all directors' viewers meet at the same node
+        if self.shares(ply):                         # a common draw: all directors' viewers meet there
             need = self.rate(ply, self.highest(ply))
             for n in ply.holders:
                 n.rank = math.inf if n.room > need else n.room
-            ply.holders.sort(key=lambda n: (self.crossing(n), -n.rank, crc32(b"%d %d" % (n.id, ply.ask.title)) * MIX % 2 ** 32))
+            ply.holders.sort(key=lambda n: (self.crossing(n), -n.rank,
+                                            crc32(b"%d %d" % (n.id, ply.ask.title)) * MIX % 2 ** 32))
         else:
             ply.holders.sort(key=lambda n: (self.crossing(n), -n.rank, n.id))
 
@@ -426,19 +427,18 @@
         return Verdict(ply.id, probe=self.probe(now, asks))
 
     def tell(self):
-        """Our reports and shortages since the last look, to as many drawn peers as a part of a probe's price pays for."""
+        """Our reports and shortages since the last look, to as many peers as part of a probe pays for."""
         cost = max(self.d.peer_price * LINE / 256, 1e-9)
         many = min(int(MAIL_PART * self.d.probe_price / cost), self.d.directors - 1)
         start, size = int(self.chance() * self.d.directors), self.d.directors
         peers = [(start + n) % size for n in range(many + 1) if (start + n) % size != self.d.number][:many]
-        verdict = Verdict(tell=tuple(peers), loads=tuple(self.loads.items()), shares=tuple(self.shorts.items()))
-        self.loads, self.shorts = {}, {}
-        return verdict
+        loads, shorts, self.loads, self.shorts = tuple(self.loads.items()), tuple(self.shorts.items()), {}, {}
+        return Verdict(tell=tuple(peers), loads=loads, shares=shorts)
 
     def look_up(self, now):
-        """Where no note tells of room: nodes of ours to probe, where a step up of our plays would pay for it."""
+        """Where no note tells of room: nodes of ours to probe, where a step up would pay for it."""
         price, nodes = HOPE * self.d.probe_price * LENGTH_MS * max(row.importance for row in self.rows), []
-        for node in {id(p.node): p.node for p in self.plays.values() if p.node and p.started is not None}.values():
+        for node in {p.node.id: p.node for p in self.plays.values() if p.node and not p.out}.values():
             if node.next_up is None:                 # not all at once after a start
                 node.next_up = now + self.chance() * UP_GAP_MS
             if now < max(node.next_up, node.heard + UP_GAP_MS / 2) or node.state == face.GONE:
@@ -469,7 +469,8 @@
     def offer(self, now, ply, node, lk, room, held=None):
         """The highest rung that fits and whose payoff beats its cost at the node's prices, or None."""
         full = node.streams - len(node.plays) - self.other_streams(now, node) < 1
-        if held is None and (full or self.adds(ply, node, ply.product.floor) > self.room(now, node, -LEAST_OVER)):
+        low = self.adds(ply, node, ply.product.floor)
+        if held is None and (full or low > self.room(now, node, -LEAST_OVER)):
             return None
         prices = self.shadow_prices(now, node, lk)
         place, kb = prices[0] / node.streams, prices[1] / self.size(now, node)
@@ -484,7 +485,7 @@
             rate = self.adds(ply, node, rung)
             payoff, cost = ply.product.importance * ply.d.rung_worth[rung] * lk, lk / 2 * (place + rate * kb)
             cost += cross
-            least = held is None and rung == ply.product.floor    # within MARGIN a low play beats a decline
+            least = held is None and rung == ply.product.floor   # a low play beats a decline
             # Each step must pay for what it adds: a top rung can pay as a whole while its last step does not
             if (rate - has <= room or least) and payoff - below[0] > (cost - below[1]) * SURE:
                 chosen, below = rung, (payoff, cost)
@@ -557,7 +558,7 @@
 
     # Room, learned from notes and reports
 
-    def crossing(self, node):                        # what a play there costs for its zone, in parts of its worth
+    def crossing(self, node):                        # what its zone costs a play there, in parts of its worth
         return self.d.cross_price if node.zone != self.d.zone else 0.0
 
     def highest(self, ply):
@@ -582,7 +583,8 @@
         return now - max(node.last_send, node.pace - node.early * gap) >= gap
 
     def other_streams(self, now, node):
-        rates, usual = [self.rate(p) for p in self.plays.values() if p.node], (self.d.ladder[0] * self.d.ladder[-1]) ** 0.5
+        rates = [self.rate(p) for p in self.plays.values() if p.node]
+        usual = (self.d.ladder[0] * self.d.ladder[-1]) ** 0.5
         return node.others(now, self.crowd) * (len(rates) + RATE_PRIOR) / (sum(rates) + RATE_PRIOR * usual)
 
     def load(self, now, part):                       # all that is asked of a link or an uplink
@@ -592,8 +594,9 @@
         return min(size * (1 - (self.margin(now, part) if margin is None else margin)) - self.load(now, part)
                    for part, size in self.sizes(now, node))
 
-    def margin(self, now, part):                     # kept free of new plays; wider for what was not told lately
-        doubt = min((now - part.heard) / AGE_MS, 1 - part.known.now(now) / max(part.links, 1e-9)) if self.blind else 1.0
+    def margin(self, now, part):                     # kept free of new plays; wider for what was not told of
+        told = part.known.now(now) / max(part.links, 1e-9)
+        doubt = min((now - part.heard) / AGE_MS, 1 - told) if self.blind else 1.0
         return MARGIN + WARY * self.many * min(max(doubt, 0.0), 1.0)
 
     def sizes(self, now, node):
@@ -608,7 +611,7 @@
         return ply.product.live and self.d.join < 1
 
     def adds(self, ply, node, rung):
-        """What a viewer adds to a node's link: of a live stream that is there already, only a part of its rate."""
+        """What a viewer adds to a node's link: of a live stream that is there, only a part of its rate."""
         joins = self.shares(ply) and node.shared[ply.ask.product, ply.ask.title, rung]
         return self.rate(ply, rung) * (self.d.join if joins else 1)
 
@@ -652,7 +655,8 @@
             node.rack.heard = now
         if self.blind and asked is not None:         # nothing else tells of room
             out = self.shed(now, node, [node], asked)
-            out = out or self.shed(now, node.rack, node.rack.members.values(), up or 0) or self.step_up(now, node)
+            out = out or self.shed(now, node.rack, node.rack.members.values(), up or 0)
+            out = out or self.step_up(now, node)
         return out
 
     def shed(self, now, short, nodes, asked):
@@ -665,8 +669,8 @@
         able = [p for n in nodes for p in n.plays.values() if p.started is not None]
         while able := [p for p in able if p.rung > p.product.floor]:
             p = min(able, key=lambda p: (self.gain(p, p.rung - 1) / self.frees(p), p.id))
-            part = KEEP if self.pays(now, p) else 1  # what pays at the node's prices goes down later than others'
-            if want * part < self.frees(p) * self.chance():   # the last step by chance: not all directors round up
+            part = KEEP if self.pays(now, p) else 1  # what pays at the node's prices goes down later
+            if want * part < self.frees(p) * self.chance():   # the last by chance: not all round up
                 break
             want -= self.frees(p)
             out[p.id] = self.step(now, p, p.rung - 1)    # several rungs at once cost one change
@@ -675,7 +679,7 @@
     def frees(self, ply):                            # what its last step takes
         return self.rate(ply) - self.rate(ply, ply.rung - 1)
 
-    def pays(self, now, ply):                        # its last step, at its node's prices: the admission's test
+    def pays(self, now, ply):                        # its last step, by the admission's test
         if self.size(now, ply.node) <= 0:            # weighted out
             return False
         lk, (_, link, uplink) = ply.left(now), self.shadow_prices(now, ply.node, ply.left(now))
