--- a/laddergw/cli/rehearsing.py
+++ b/laddergw/cli/rehearsing.py
@@ -1,4 +1,5 @@
 """laddergw rehearse: plays a scripted day through the real director, audits it, prints the table and the plain line."""
+import importlib
 import json
 import logging
 import time
@@ -36,10 +37,8 @@
     usual = lambda: plant.plant(seed, directors or 4, nodes or 24, rate or 24.0, seconds or 60.0)
     if name == "apart" and day is None:
         return apart(seed, usual(), report, memory, keep, log, kills)
-    if name == "limits" and day is None:
-        return limits(seed, usual(), report, memory, keep, log)
-    if name == "move" and day is None:
-        return move(seed, usual(), report, memory, keep, log)
+    if name in ("limits", "move") and day is None:
+        return switching(importlib.import_module(f"laddergw.lab.{name}"), seed, usual(), report, memory, keep, log)
     if name == "stitched" and day is None:
         return stitched(seed, sessions, seconds or 120.0, report, memory, keep, log)
     own: dict = {"bad-day": script.bad_day, "quiet": lambda _: []}
@@ -82,9 +81,9 @@
     conclude(the_plant, the_script, records, stage.conductor.missed, "in memory" if memory else "on loopback", began, seed, said, report, bool(found["timing faults"]))
 
 
-def limits(seed: int, the_plant, report: Path | None, memory: bool, keep: Path | None, log: str) -> None:
-    """The operators' file switched every two seconds while a bad day plays; a dropped play counts as broken."""
-    from laddergw.lab import limits as lab, script
+def switching(lab, seed: int, the_plant, report: Path | None, memory: bool, keep: Path | None, log: str) -> None:
+    """Files of running directors switched while a bad day plays: the operators' (limits) or their own (move); a dropped play counts as broken."""
+    from laddergw.lab import script
     began, the_script = time.monotonic(), script.bad_day(the_plant)
     stage = lab.stage_for(the_plant, the_script, memory, str(keep) if keep else None, log)
     records = played(stage)
@@ -94,18 +93,6 @@
     conclude(the_plant, the_script, records, stage.conductor.missed, "in memory" if memory else "on loopback", began, seed, said, report, bool(found["dropped"]))
 
 
-def move(seed: int, the_plant, report: Path | None, memory: bool, keep: Path | None, log: str) -> None:
-    """Running directors switched to settings of another shape and back while a bad day plays; a dropped play counts as broken."""
-    from laddergw.lab import move as lab, script
-    began, the_script = time.monotonic(), script.bad_day(the_plant)
-    stage = lab.stage_for(the_plant, the_script, memory, str(keep) if keep else None, log)
-    records = played(stage)
-    found = lab.moved(records)
-    said = [f"{stage.turns} rounds of files; " + ", ".join(f"{name} {value}" for name, value in found.items())]
-    typer.echo(said[0])
-    conclude(the_plant, the_script, records, stage.conductor.missed, "in memory" if memory else "on loopback", began, seed, said, report, bool(found["dropped"]))
-
-
 def apart(seed: int, the_plant, report: Path | None, memory: bool, keep: Path | None, log: str, kills: int) -> None:
     """Edges and planners, the planners killed and started again all through a bad day."""
     from laddergw.lab import script
--- a/laddergw/lab/move.py
+++ b/laddergw/lab/move.py
@@ -40,16 +40,16 @@
 class Moving:
     """What both stages share: the turn of files. `put(shape, turn)` gives every director its file."""
     plant: Plant
-    turns = 0
+    numbers = 0
 
     def move(self) -> None:
         if self.over():
             return
-        shape, self.turns = ORDER[self.turns % len(ORDER)], self.turns + 1
+        shape, self.numbers = ORDER[self.numbers % len(ORDER)], self.numbers + 1
         if shape != BROKEN:
             for node in sorted(self.conductor.up):
                 self.fault(node, "untold", True if shape == NEW else None)
-        self.put(shape, self.turns)
+        self.put(shape, self.numbers)
         self.record("files put", self.loop.now, shape=shape)
         self.loop.after(EVERY_MS, self.move)
 
@@ -103,7 +103,7 @@
                 child.send_signal(signal.SIGHUP)
 
 
-def moved(records: list[tuple]) -> dict[str, int]:
+def switched(records: list[tuple]) -> dict[str, int]:
     """What came of the files: switches at directors, probes and mail that followed, plays let go of without a cause of their own."""
     count = lambda name: sum(what == name for _, what, _ in records)
     return {"switches": count("deployment changed"), "probes": count("probed"), "dropped": limits.switched(records)["dropped"]}
