--- a/laddergw/wirehost/__main__.py
+++ b/laddergw/wirehost/__main__.py
@@ -11,7 +11,7 @@
 OUTCOMES = {10: face.SERVED, 20: face.ERROR, 30: face.FULL, 40: face.TIMED_OUT, 50: face.UNREACHABLE,
             60: face.BROKEN, 70: face.CANCELLED, 80: face.NEVER_SENT}
 NOTES = {1: face.DELIVERED, 2: face.RUNG_NOW, 3: face.LINK_ASKED, 4: face.UPLINK_ASKED}
-HINTED, AGAIN = 1, 16   # bits of a request's bitmap: a length hint is given; not the first try
+HINTED = 1          # bit of a request's bitmap: a length hint is given
 FORM_FAILED, FORM_DELTA = 3, 0
 LONGEST_US = 71 * 60 * 1_000_000   # the wire's longest timer
 
@@ -57,7 +57,7 @@
         c = self.controller
         if code == codec.REQUEST:
             return c.asked(now, face.Asked(f[1], f[3], f[4], f[5], f[8], f[7], f[2] / 1000 if f[10] & HINTED else None,
-                                           f[11] / 1000, bool(f[10] & AGAIN)))
+                                           f[11] / 1000))
         if code == codec.INHERITED:
             return c.handed_over(now, face.Asked(f[1], f[2], f[5], f[8], f[9], f[10],
                                                  f[7] / 1000 if f[11] & HINTED else None, f[6] / 1000), f[12])
