--- a/laddergw/control.py
+++ b/laddergw/control.py
@@ -136,6 +136,7 @@
         self.seed, self.draws, self.nodes, self.plays, self.known, self.demand = seed, 0, {}, {}, False, []
         self.crowd, self.notes, self.usual, self.ready = CROWD_START, 1, ANSWER_START_MS, 0.0
         self.loads, self.shorts, self.d = {}, {}, None   # to be told to peers
+        self.rates = self.count = 0                  # of our plays at nodes
         self.setups = Fading(SHARE_MS, now)
         self.taken, self.further, self.pending = deque(), deque(), []   # times for the budget, plays to place
         self.waiting, self.seats, self.next_look, self.ask_at = {}, Counter(), now + LOOK_MS, math.inf
@@ -346,7 +347,8 @@
         return self.done([v for v in out if v.follow or v.probe or v.tell])
 
     def done(self, verdicts):
-        return verdicts, min(self.next_look, self.ask_at, *(ply.until for ply in self.waiting.values()))
+        first = next(iter(self.waiting.values()), None)   # all wait equally long: it came first
+        return verdicts, min(self.next_look, self.ask_at, first.until if first else math.inf)
 
     # The chain: each stage passes a play on (None) or ends it (a verdict)
 
@@ -453,8 +455,7 @@
         return ply.started is not None and ply.rung < self.highest(ply) and now - ply.changed >= UP_GAP_MS
 
     def probe(self, now, nodes):
-        nodes = [n for n in nodes if n.asked is None]
-        for node in nodes:
+        for node in (nodes := [n for n in nodes if n.asked is None]):
             node.asked = now
         return tuple(n.id for n in nodes)
 
@@ -583,9 +584,8 @@
         return now - max(node.last_send, node.pace - node.early * gap) >= gap
 
     def other_streams(self, now, node):
-        rates = [self.rate(p) for p in self.plays.values() if p.node]
-        usual = (self.d.ladder[0] * self.d.ladder[-1]) ** 0.5
-        return node.others(now, self.crowd) * (len(rates) + RATE_PRIOR) / (sum(rates) + RATE_PRIOR * usual)
+        usual = RATE_PRIOR * (self.d.ladder[0] * self.d.ladder[-1]) ** 0.5
+        return node.others(now, self.crowd) * (self.count + RATE_PRIOR) / (max(self.rates, 0.0) + usual)
 
     def load(self, now, part):                       # all that is asked of a link or an uplink
         return part.own + part.others(now, self.crowd)
@@ -617,6 +617,7 @@
 
     def weigh(self, now, ply, sign):
         """Takes a play into what its node carries (1) or out of it (-1)."""
+        self.rates, self.count = self.rates + sign * self.rate(ply), self.count + sign
         key = ply.ask.product, ply.ask.title, ply.rung
         if sign > 0:
             self.carry(now, ply.node, self.adds(ply, ply.node, ply.rung))
