Room of a holder worked out once a moment; streams and mail by the terms in force

Found in review: a viewer that came under other sharing terms left by the new ones (accounts drifted); reports were kept for peers where none are allowed; mail of a director that the file does not name was taken; a list of holders to probe where one is asked.

--- a/laddergw/control.py
+++ b/laddergw/control.py
@@ -45,7 +45,7 @@
 COLD_PART = 0.7            # part of a cold node's allowance that we all use: set-ups differ in work
 ANSWER_START_MS, ANSWER_STEP = 150.0, 0.1   # set-up time before any was seen; weight of one in the usual
 PATIENCE, TIMEOUT_LEAST_MS = 5.0, 300.0   # time-out in usual set-up times: slow ones pass; a handshake fits
-ASK_MOST, FRESH_MS = 1, 1_000.0   # holders probed before the choice; a report is fresh so long
+FRESH_MS = 1_000.0         # a report is fresh so long: under a change or two of a node's plays
 ECHO_WAIT_MS = 200.0       # a play waits so long for probes: a set-up's time, far under first-frame targets
 RETRY_MS = 1_000.0         # longest retry-after; spread over its upper half, against returns in one wave
 SHAPE = "racks", "rack_kb", "cells", "link_unit", "streams"   # accounts are built on these
@@ -67,7 +67,7 @@
         self.limit, self.key_ends, self.changed = now + ask.wait_ms, now + product.key_ms, now
         self.started = self.out = self.node = self.first = None   # out: its allocation
         self.sends, self.tried, self.may_have_run, self.over, self.seen = 0, set(), False, False, False
-        self.until, self.asks = None, ()             # it waits so long for these probes
+        self.until = self.asks = None                # it waits so long for this node's probe
 
     def left(self, now):
         """Expected time still to play."""
@@ -90,7 +90,7 @@
     """What is asked of a link, or of all links of a rack: ours, and what others were told to ask, which fades
     into their usual share. Kept as sums, so that no event needs to visit the fleet."""
     def __init__(self, now):
-        self.links = self.own = 0.0
+        self.links, self.own, self.touched = 0.0, 0.0, 0   # touched: counts changes
         self.known, self.told = Fading(AGE_MS, now), Fading(AGE_MS, now)   # links told of, others' load there
 
     def others(self, now, crowd):
@@ -105,13 +105,14 @@
         self.state, self.rack, self.started, self.shared = face.GONE, None, None, Counter()   # streams
         self.ill, self.rest, self.settle, self.room = 0, 0.0, 0.0, 0.0
         self.pace, self.early, self.cold, self.last_send, self.short = pace, 1.0, *[-math.inf] * 3
-        self.heard, self.asked, self.next_up = -math.inf, None, None   # report, probe out since, next one
+        self.heard, self.asked, self.next_up, self.roomed = -math.inf, *[None] * 3
 
     def hear(self, now, others):
         known, told = self.links - self.known.now(now), others - self.told.now(now)
         for part in (self,) if self.state == face.GONE else (self, self.rack):
             part.known.add(now, known)
             part.told.add(now, told)
+            part.touched += 1
 
 
 class Rack(Account):
@@ -126,7 +127,7 @@
         return self.stated + self.over.now(now)
 
     def learn(self, now, size):
-        low, high = (self.stated * m for m in UPLINK_SPAN)
+        low, high, self.touched = self.stated * UPLINK_SPAN[0], self.stated * UPLINK_SPAN[1], self.touched + 1
         self.over.add(now, UPLINK_STEP * (min(max(size, low), high) - self.size(now)))
 
 
@@ -135,8 +136,7 @@
         self.seed, self.draws, self.nodes, self.plays, self.known, self.demand = seed, 0, {}, {}, False, []
         self.crowd, self.notes, self.usual, self.ready = CROWD_START, 1, ANSWER_START_MS, 0.0
         self.loads, self.shorts, self.d = {}, {}, None   # to be told to peers
-        self.rates = self.count = 0                  # of our plays at nodes
-        self.setups = Fading(SHARE_MS, now)
+        self.setups, self.rates, self.count = Fading(SHARE_MS, now), 0.0, 0   # of our plays at nodes
         self.taken, self.further, self.pending = deque(), deque(), []   # times for the budget, plays to place
         self.waiting, self.seats, self.next_look, self.ask_at = {}, Counter(), now + LOOK_MS, math.inf
         self.retold(now, deployment)
@@ -181,6 +181,7 @@
         if (node.state == face.GONE) != (state == face.GONE):
             sign, rack = (-1 if state == face.GONE else 1), node.rack
             rack.links, rack.own = rack.links + sign * node.links, rack.own + sign * node.own
+            rack.touched += 1
             for total, part in (rack.known, node.known), (rack.told, node.told):
                 total.add(now, sign * part.now(now))
             for index in rack.members, self.cells[node.cell % self.d.cells]:
@@ -219,7 +220,7 @@
             self.ask_at = now
         if old and all(getattr(old, key) == getattr(deployment, key) for key in SHAPE):
             return self.done([])
-        states = [(node, node.state) for node in self.nodes.values()]
+        states, self.shorts = [(node, node.state) for node in self.nodes.values()], {}
         for node, _ in states:
             self.enlist(now, node, face.GONE)
         self.racks = [Rack(n, deployment.rack_kb, now) for n in range(deployment.racks)]
@@ -265,7 +266,7 @@
             out = self.reported(now, node, report)
         elif outcome != face.FULL:                   # too many probes at once tell nothing
             self.fail(now, node)
-        for ply in [p for p in self.waiting.values() if not any(n.asked for n in p.asks)]:
+        for ply in [p for p in self.waiting.values() if p.asks is node]:
             self.pending.append(self.waiting.pop(ply.id))
         return self.done(out)
 
@@ -341,7 +342,7 @@
                     rack.learn(now, full * TRY_MORE)
             if self.blind:
                 out.append(Verdict(probe=self.look_up(now)))
-            if self.d.peers and (self.loads or self.shorts):
+            if self.loads or self.shorts:
                 out.append(self.tell())
         return self.done([v for v in out if v.follow or v.probe or v.tell])
 
@@ -383,23 +384,23 @@
         if ply.may_have_run and ply.product.repeat == "keyed":
             alike = {"zone": attrgetter("zone"), "cell": attrgetter("cell")}.get(ply.product.group, bool)
             ply.holders = [n for n in ply.holders if now < ply.key_ends and alike(n) == alike(ply.first)]
+        shares, need = self.shares(ply), self.rate(ply, self.highest(ply))
         # Where many directors know little, like accounts rank alike: what was not told of a link is drawn
         for n in ply.holders:
-            n.room = self.room(now, n)
-            n.rank = n.room + (self.many and DOUBT * self.many * (n.links - n.known.now(now)) * self.chance())
-        if self.shares(ply):                         # a common draw: all directors' viewers meet there
-            need = self.rate(ply, self.highest(ply))
-            for n in ply.holders:
+            state = now, self.d, self.crowd, n.touched, n.rack.touched
+            if n.roomed != state:                    # once a moment, not once a play in a heap of thousands
+                n.roomed, n.room, n.doubt = state, self.room(now, n), n.links - n.known.now(now)
+                n.over = self.room(now, n, -LEAST_OVER)
+                n.paced = now - n.pace >= self.d.warm_ms or self.turn(now, n)
+            n.rank, n.draw = n.room + (self.many and DOUBT * self.many * n.doubt * self.chance()), n.id
+            if shares:                               # a common draw: all directors' viewers meet there
                 n.rank = math.inf if n.room > need else n.room
-            ply.holders.sort(key=lambda n: (self.crossing(n), -n.rank,
-                                            crc32(b"%d %d" % (n.id, ply.ask.title)) * MIX % 2 ** 32))
-        else:
-            ply.holders.sort(key=lambda n: (self.crossing(n), -n.rank, n.id))
+                n.draw = crc32(b"%d %d" % (n.id, ply.ask.title)) * MIX % 2 ** 32
+        ply.holders.sort(key=lambda n: (self.crossing(n), -n.rank, n.draw))
 
     def health(self, now, ply):
         """Skips nodes that rest after failures, had their share while cold, or (paid plays) failed lately."""
-        ply.holders = [n for n in ply.holders if now >= n.rest
-                       and (now - n.pace >= self.d.warm_ms or self.turn(now, n)) and not (
+        ply.holders = [n for n in ply.holders if now >= n.rest and n.paced and not (
                            n.ill and (ply.product.repeat == "paid" or any(p.out for p in n.plays.values())))]
         return None if ply.holders else self.give_up(ply)
 
@@ -418,21 +419,21 @@
             node.ill = min(node.ill + 1, ILL_MOST)
 
     def inquire(self, now, ply):
-        """Where load is told to probes only: asks the first holders for theirs before one is chosen."""
+        """Where load is told to probes only: asks the first holder for its own before one is chosen."""
         # Guards against stand-stills: what left a probe unanswered comes last
         ply.holders.sort(key=lambda n: n.asked is not None and now - n.asked >= ECHO_WAIT_MS)
-        asks = [n for n in ply.holders[:ASK_MOST] if now - n.heard > FRESH_MS] if self.blind else ()
         # (too near its time limit it is placed on what is known: the answer must be in time)
-        if ply.until is not None or not asks or ply.limit - now <= 2 * ECHO_WAIT_MS:
+        node, late = ply.holders[0], ply.limit - now <= 2 * ECHO_WAIT_MS
+        if not self.blind or ply.until is not None or late or now - node.heard <= FRESH_MS:
             return None
-        ply.until, ply.asks, self.waiting[ply.id] = now + ECHO_WAIT_MS, asks, ply
-        return Verdict(ply.id, probe=self.probe(now, asks))
+        ply.until, ply.asks, self.waiting[ply.id] = now + ECHO_WAIT_MS, node, ply
+        return Verdict(ply.id, probe=self.probe(now, [node]))
 
     def tell(self):
         """Our reports and shortages since the last look, to as many peers as part of a probe pays for."""
         cost = max(self.d.peer_price * LINE / 256, 1e-9)
-        many = min(int(MAIL_PART * self.d.probe_price / cost), self.d.directors - 1)
-        start, size = int(self.chance() * self.d.directors), self.d.directors
+        many = min(int(MAIL_PART * self.d.probe_price / cost), self.d.directors - 1) if self.d.peers else 0
+        start, size = int(self.chance() * self.d.directors) if many else 0, self.d.directors
         peers = [(start + n) % size for n in range(many + 1) if (start + n) % size != self.d.number][:many]
         loads, shorts, self.loads, self.shorts = tuple(self.loads.items()), tuple(self.shorts.items()), {}, {}
         return Verdict(tell=tuple(peers), loads=loads, shares=shorts)
@@ -469,9 +470,8 @@
 
     def offer(self, now, ply, node, lk, room, held=None):
         """The highest rung that fits and whose payoff beats its cost at the node's prices, or None."""
-        full = node.streams - len(node.plays) - self.other_streams(now, node) < 1
-        low = self.adds(ply, node, ply.product.floor)
-        if held is None and (full or low > self.room(now, node, -LEAST_OVER)):
+        if held is None and (self.adds(ply, node, ply.product.floor) > node.over
+                             or node.streams - len(node.plays) - self.other_streams(now, node) < 1):
             return None
         prices = self.shadow_prices(now, node, lk)
         place, kb = prices[0] / node.streams, prices[1] / self.size(now, node)
@@ -484,8 +484,8 @@
                      lk / 2 * (place + has * kb))
         for rung in range(ply.product.floor if held is None else held + 1, self.highest(ply) + 1):
             rate = self.adds(ply, node, rung)
-            payoff, cost = ply.product.importance * ply.d.rung_worth[rung] * lk, lk / 2 * (place + rate * kb)
-            cost += cross
+            payoff = ply.product.importance * ply.d.rung_worth[rung] * lk
+            cost = cross + lk / 2 * (place + rate * kb)
             least = held is None and rung == ply.product.floor   # a low play beats a decline
             # Each step must pay for what it adds: a top rung can pay as a whole while its last step does not
             if (rate - has <= room or least) and payoff - below[0] > (cost - below[1]) * SURE:
@@ -606,30 +606,31 @@
         self.weigh(now, ply, 1)
 
     def shares(self, ply):
-        return ply.product.live and self.d.join < 1
+        return ply.product.live and ply.d.join < 1
 
     def adds(self, ply, node, rung):
         """What a viewer adds to a node's link: of a live stream that is there, only a part of its rate."""
-        joins = self.shares(ply) and node.shared[ply.ask.product, ply.ask.title, rung]
-        return self.rate(ply, rung) * (self.d.join if joins else 1)
+        joins = self.shares(ply) and node.shared[self.stream(ply, rung)]
+        return self.rate(ply, rung) * (ply.d.join if joins else 1)
+
+    def stream(self, ply, rung):                     # whoever was taken on other terms shares nothing with it
+        return ply.ask.product, ply.ask.title, self.rate(ply, rung), ply.d.join
 
     def weigh(self, now, ply, sign):
         """Takes a play into what its node carries (1) or out of it (-1)."""
         self.rates, self.count = self.rates + sign * self.rate(ply), self.count + sign
-        key = ply.ask.product, ply.ask.title, ply.rung
-        if sign > 0:
-            self.carry(now, ply.node, self.adds(ply, ply.node, ply.rung))
-        ply.node.shared[key] += sign
-        if sign < 0:
-            self.carry(now, ply.node, -self.adds(ply, ply.node, ply.rung))
-            if not ply.node.shared[key]:
-                del ply.node.shared[key]
+        node, key = ply.node, self.stream(ply, ply.rung)
+        node.shared[key] -= sign < 0
+        self.carry(now, node, sign * self.adds(ply, node, ply.rung))
+        node.shared[key] += sign > 0
+        if not node.shared[key]:
+            del node.shared[key]
 
     def carry(self, now, node, change):
         change = max(change, -node.own)
-        node.own += change
+        node.own, node.touched = node.own + change, node.touched + 1
         if node.state != face.GONE:
-            node.rack.own += change
+            node.rack.own, node.rack.touched = node.rack.own + change, node.rack.touched + 1
         node.log.append((now, change))
         while node.log[0][0] < now - 2 * self.d.seen_after_ms - REPORT_LAG_MS:
             node.log.popleft()
--- a/laddergw/director/post.py
+++ b/laddergw/director/post.py
@@ -57,6 +57,8 @@
             sender, at = HEAD.unpack_from(data)
         except (ValueError, struct.error) as error:
             raise mail.Malformed(f"mail: not a signed message: {error}") from None
+        if sender not in self.pools:
+            raise mail.Malformed(f"mail of {sender}: no peer in the file")
         if not abs(self.wall() - at) <= STALE_MS:
             raise mail.Malformed(f"mail of {sender}: {self.wall() - at:.0f} ms old")
         return sender, *mail.unpack(data[HEAD.size:])
--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -134,6 +134,23 @@
         self.assertEqual(d.c.plays, {})
 
 
+    def test_shared_streams_go_through_a_switch_and_back(self):
+        """Reviewed: a viewer that came while streams were shared left by terms under which nothing is."""
+        shared = deployment(LIVE, join=0.3, cells=1, racks=1)
+        for leaving in ((1, 2, 3, 4), (4, 3, 2, 1), (3, 1, 4, 2)):
+            d = Drive(nodes=1, products=LIVE, cells=1, racks=1, streams=(60.0,))
+            for play in 1, 2, 3, 4:
+                d.c.retold(d.base, shared if play in (2, 3) else deployment(LIVE, cells=1, racks=1))
+                d.ask(play, play, ceiling=1)
+                d.starts(100 + play, play, 1)
+            for play in leaving:
+                d.end(200 + play, play, 1, face.SERVED, over=True)
+                left = [p.rung for p in d.c.plays.values() if p.d.join == 1]
+                self.assertGreaterEqual(d.c.nodes[1].own + 1e-6, 200.0 * len(left))
+            self.assertAlmostEqual(d.c.nodes[1].own, 0)
+            self.assertAlmostEqual(d.c.rates, 0)
+
+
 class WireSettings(unittest.TestCase):
     BASE = {"Grades.count": "1", "Grades.0.Points": "1", "Grades.0.Repeat": "pure", "Specifics.LadderKb": "100,200", "Specifics.WorthByRung": "0.5,1",
             "Specifics.Positions": "2", "Specifics.LinkUnitKb": "100", "Specifics.RackKb": "300", "Specifics.KindSlots": "9", "Siblings": "4",
--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -110,6 +110,10 @@
         self.post.send((0, 1, 7), mail.pack([(3, 0.5)], [(1, 0.9)]))
         (address, body), = self.sent                 # none to itself, none to whom the file does not name
         self.assertEqual(address, ("d0", 80))
+        with self.assertRaisesRegex(mail.Malformed, "no peer"):
+            self.post.read(body)                     # its own, come back
+        self.post.number = 0                         # as its peer reads it
+        self.post.reach(((1, ("d1", 80)),))
         self.assertEqual(self.post.read(body), (1, [(3, 0.5)], [(1, 0.9)]))
         for at in range(len(body)):
             changed = body[:at] + bytes([body[at] ^ 1]) + body[at + 1:]
