A step up of a shared play counts what it takes now, not its whole rate

Cause, found in review: offer compared a shared play's whole rate with its part at the next rung, so steps up looked free.

--- a/laddergw/control.py
+++ b/laddergw/control.py
@@ -479,7 +479,8 @@
         chosen, below, has = None, (0.0, 0.0), 0.0
         cross = self.crossing(node) * ply.product.importance * lk if held is None else 0.0
         if held is not None:                         # a play under way: what it has, and what a change costs
-            has = self.rate(ply, held)
+            shared = self.shares(ply) and node.shared[self.stream(ply, held)] > 1
+            has = self.rate(ply, held) * (ply.d.join if shared else 1)
             below = (ply.product.importance * (ply.d.rung_worth[held] * lk + self.d.step_cost_ms),
                      lk / 2 * (place + has * kb))
         for rung in range(ply.product.floor if held is None else held + 1, self.highest(ply) + 1):
