--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -1,8 +1,10 @@
 """What the move brought, without the bench: probes, mail, shared streams, zones, settings switched while plays are under way."""
 import math
+import random
 import unittest
 
 from laddergw import interface as face, mail
+from laddergw.control import LEAST_OVER, Controller
 from laddergw.wirehost import settings
 from tests.helpers import Drive, TraceTest, deployment
 
@@ -101,6 +103,51 @@
         self.assertGreater(len(chosen), 1)
 
 
+class Moments(unittest.TestCase):
+    def test_what_is_kept_of_a_holder_for_a_moment_is_never_stale(self):
+        """Room, pace and doubt are worked out once a moment: whatever happens within it must make them new."""
+        looked = []
+
+        class Checked(Controller):
+            crowd = property(lambda self: 0.4, lambda self, value: None)    # a change of it would hide others
+
+            def holding(self, now, ply):
+                super().holding(now, ply)
+                for n in ply.holders:
+                    fresh = (self.room(now, n), self.room(now, n, -LEAST_OVER), now - n.pace >= self.d.warm_ms or self.turn(now, n),
+                             n.links - n.known.now(now))
+                    looked.append((n.room, n.over, n.paced, n.doubt) == fresh)
+        d, chance = Drive(nodes=6, peers=True, peer_price=0.0078, **BLIND), random.Random(5)
+        d.c = Checked(d.c.d, 7, 0.0)
+        d.listed(0, [d.line(n) for n in range(1, 7)], True)
+        shapes = [d.c.d, d.c.d._replace(fall_multiple=5.0, directors=9), d.c.d._replace(racks=3)]
+        for turn in range(4_000):
+            now, node, play = d.base + turn // 12 * 40.0, chance.randrange(1, 7), chance.randrange(turn + 1)
+            ply = d.c.plays.get(play)
+            what = chance.randrange(10)
+            if what < 3:
+                d.c.asked(now, face.Asked(turn, 0, chance.randrange(3), 0, 6, 2, None, 4000.0))
+            elif what == 3 and ply and ply.out:
+                how = chance.choice((face.FULL, face.UNREACHABLE, face.BROKEN, face.TIMED_OUT))
+                d.c.ended(now, play, ply.sends - 1, how, ply.node.id, False, ())
+            elif what == 4 and ply and ply.out:
+                d.c.playing(now, play, ply.sends - 1, 90.0, ply.node.id)
+            elif what == 5:
+                d.c.probed(now, node, face.SERVED, 5.0, (chance.random(), chance.random())[:chance.randrange(1, 3)])
+            elif what == 6:
+                d.c.mail(now, 1, [(node, chance.random())], [(0, chance.random())])
+            elif what == 7 and node > 4:
+                d.c.listed(now, [d.line(node, chance.choice((face.READY, face.GONE)), now if chance.random() < 0.3 else 0.0)], False)
+            elif what == 8:
+                d.c.note(now, play, node, chance.choice((face.DELIVERED, face.UPLINK_ASKED)), 0.5 + chance.random())
+            elif chance.random() < 0.1:
+                d.c.retold(now, chance.choice(shapes))
+            d.c.wake(now)
+            d.c.decide(now)
+        self.assertGreater(len(looked), 1_000)
+        self.assertEqual(looked.count(False), 0)
+
+
 class Zones(unittest.TestCase):
     def test_the_own_zone_comes_first_and_crossing_has_its_price(self):
         d = Drive(nodes=2, cross_price=0.05, zone=1)
