--- a/laddergw/director/director.py
+++ b/laddergw/director/director.py
@@ -4,7 +4,6 @@
 bring at once (a set-up that cannot be sent) is decided again, a few rounds at most. Every try is answered in `finish`
 or `begin_play`, both through Try.settle, so that exactly one answer goes out whatever comes together.
 """
-import logging
 import time
 from typing import Any, Callable
 from zlib import crc32
@@ -22,22 +21,19 @@
 from laddergw.director.post import Post
 from laddergw.director.tries import Try
 from laddergw.director.windows import Budgets
+from laddergw.hosting import Hosting
 from laddergw.http.limits import PeerLimits
 from laddergw.http.server import Exchange, Server
 from laddergw.terms.effect import deployment_with
 from laddergw.terms.generations import Generations, allowed, budget_names, changes
 from laddergw.terms.limits import Limits, usual as usual_terms
 
-ROUNDS = 8                 # of decide in one turn: a play has fewer allocations than that
-
-log = logging.getLogger("laddergw.director")
-
 
 def no_word(what: str, **facts: Any) -> None:
     """The watcher of a director that nobody watches."""
 
 
-class Director(Carrying):
+class Director(Carrying, Hosting):
     """See the module. `wall` is the wall clock in ms, for tokens; `watch(what, **facts)` is told of each decision."""
     controller_class = Controller
 
@@ -59,8 +55,7 @@
         self.on_node: dict[int, dict[str, Try]] = {}
         self.dirty: dict[Link, None] = {}
         self.numbers = self.waiting = self.held = self.draws = 0
-        self.wake_at, self.waker = None, None
-        self.redo = self.stopping = self.broken = False
+        self.stopping = False
         self.observer: Any = None              # of admissions, ends and notes: a planner's edge side
         self.read_again: Callable[[], None] = lambda: None    # what SIGHUP does
         self.fleet = Fleet(loop, house.lists, str(house.number), self.make_link, self.list_changed, self.list_failed, tap)
@@ -113,40 +108,10 @@
         if self.tap is not None:
             self.tap("limits refused", self.loop.now, {"faults": texts})
 
-    # Feeding the module
-
-    def feed(self, call: Callable, *args) -> None:
-        """Tells the module something and carries out what it answers. If the module fails, everyone still gets an answer."""
-        if self.broken:
-            return
-        try:
-            verdicts, wake_at = call(*args)
-        except Exception:
-            log.exception("the module failed: all that is held is answered, the process ends")
-            return self.collapse()
-        for verdict in verdicts:
-            self.carry_out(verdict)
-        self.wake_by(wake_at)
-
-    def wake_by(self, when: float) -> None:
-        if self.waker is not None and self.waker.call is not None and self.wake_at <= when:
-            return
-        if self.waker is not None:
-            self.waker.cancel()
-        if when < float("inf"):
-            self.wake_at, self.waker = when, self.loop.at(when, self.wake)
-
-    def wake(self) -> None:
-        self.feed(self.controller.wake, self.loop.now)
+    # Turns, and the module's failure
 
     def turn_ends(self) -> None:
-        for _ in range(ROUNDS):
-            self.redo = False
-            self.feed(self.controller.decide, self.loop.now)
-            if not self.redo:
-                break
-        else:
-            self.loop.after(0, lambda: None)     # what is left comes in the next turn
+        self.decide()
         dirty, self.dirty = self.dirty, {}
         for link in dirty:
             link.flush()
--- a/laddergw/loop/sockets.py
+++ b/laddergw/loop/sockets.py
@@ -5,13 +5,15 @@
 import selectors
 import signal
 import socket
-import subprocess
 import time
 from collections import deque
-from typing import Callable
+from typing import TYPE_CHECKING, Callable
 
 from laddergw.loop.base import REFUSED, BaseLoop, Owner, wait_ms
 
+if TYPE_CHECKING:
+    import subprocess
+
 READ_BYTES = 65_536        # one read of one stream in a turn: the others get theirs
 ACCEPTS = 128              # connections accepted in one turn by one listener
 BACKLOG = 1024             # connections that wait in the kernel: a burst while a turn runs
@@ -272,8 +274,9 @@
             if number in self.signals:
                 self.signals[number]()
 
-    def spawn(self, command: list[str], ended: Callable[[int], None], **options) -> subprocess.Popen:
+    def spawn(self, command: list[str], ended: Callable[[int], None], **options) -> "subprocess.Popen":
         """Starts a child process; `ended(status)` is called in a turn of the loop when it has gone."""
+        import subprocess      # only programs that have children pay for it
         child = subprocess.Popen(command, **options)
         handle = os.pidfd_open(child.pid)
 
--- /dev/null
+++ b/laddergw/platform/__main__.py
@@ -0,0 +1,62 @@
+"""One real director: reads its configuration, serves until it is told to stop."""
+import gc
+import logging
+import os
+import resource
+import signal
+import sys
+
+from laddergw.loop.sockets import SocketLoop
+from laddergw.platform import assignment as assignments
+from laddergw.platform.director import Director
+
+EXIT_GOOD, EXIT_FAILED, EXIT_FILE = 0, 1, 2
+
+log = logging.getLogger("laddergw.platform")
+
+
+def read_again(path: str, director: Director) -> None:
+    """At SIGHUP. A file that is refused changes nothing."""
+    try:
+        found = assignments.read_file(path)
+    except assignments.Refused as error:
+        log.error("configuration refused, what is in force stays: %s", error)
+        return
+    log.info("configuration read again, change log at %s", found.changelog)
+    director.change(found)
+
+
+def raise_descriptors(most: int) -> None:
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft < most and (hard == resource.RLIM_INFINITY or hard > soft):
+        resource.setrlimit(resource.RLIMIT_NOFILE, (most if hard == resource.RLIM_INFINITY else min(most, hard), hard))
+
+
+def main() -> int:
+    logging.basicConfig(stream=sys.stderr, level=os.environ.get("LADDERGW_LOG", "INFO"), format="%(asctime)s %(levelname)s %(message)s")
+    path = os.environ.get("PROXY_CONFIG", "")
+    try:
+        found = assignments.read_file(path)
+    except assignments.Refused as error:
+        print(error, file=sys.stderr)
+        return EXIT_FILE
+    raise_descriptors(found.sockets)
+    loop = SocketLoop()
+    try:
+        director = Director(loop, found)
+    except OSError as error:
+        print(f"cannot listen at {found.listen}: {error}", file=sys.stderr)
+        return EXIT_FAILED
+    for number in signal.SIGTERM, signal.SIGINT:
+        loop.on_signal(number, director.stop)
+    loop.on_signal(signal.SIGHUP, lambda: read_again(path, director))
+    gc.freeze()                              # what the start has made stays: no pass looks at it again
+    log.info("director %s runs at %s, %d nodes", found.name, found.listen, len(director.nodes.by_id))
+    loop.run()
+    log.info("director %s ends", found.name)
+    loop.close()
+    return EXIT_FAILED if director.broken else EXIT_GOOD
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/laddergw/platform/following.py
@@ -0,0 +1,78 @@
+"""Follows the change log: connects, asks for what came since, begins anew where it breaks off or falls silent."""
+import logging
+from typing import Callable
+
+from laddergw.signalling import changes
+
+SILENT_MS = 2_500.0        # it writes each second: two of its lines are missing
+AGAIN_MS = (50.0, 1_000.0) # first and longest pause before the next connection; doubled while nothing good comes
+DIAL_MS = 500.0            # wait for a connection: what is told counts as told 2 s after a break
+
+log = logging.getLogger("laddergw.platform")
+
+
+class Follower:
+    """`told(event)` is called with each event once, in order."""
+
+    def __init__(self, loop, address: tuple[str, int] | None, last: int, told: Callable[[changes.Event], None]):
+        self.loop, self.address, self.last, self.told = loop, address, last, told
+        self.stream, self.reader, self.pause, self.timer, self.begun = None, changes.Reader(), AGAIN_MS[0], None, 0
+        if address is not None:
+            self.dial()
+
+    def dial(self) -> None:
+        self.reader, self.begun = changes.Reader(), self.begun + 1
+        self.stream = self.loop.dial(self.address, self, DIAL_MS)
+        self.listen_out(DIAL_MS + SILENT_MS)
+
+    def listen_out(self, wait_ms: float) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+        self.timer = self.loop.after(wait_ms, lambda: self.again("silent"))
+
+    def switch(self, address: tuple[str, int] | None) -> None:
+        """Goes over to another address; the numbers go on."""
+        self.address, self.pause = address, AGAIN_MS[0]
+        self.again("another address")
+
+    def again(self, why: str) -> None:
+        """Ends the connection, if there is one, and begins another after a pause."""
+        stream, self.stream = self.stream, None
+        if self.timer is not None:
+            self.timer.cancel()
+        if stream is not None:
+            stream.abort()
+        log.info("change log: %s; again from %d in %.0f ms", why, self.last, self.pause)
+        if self.address is not None:
+            self.timer = self.loop.after(self.pause, self.dial)
+            self.pause = min(2 * self.pause, AGAIN_MS[1])
+
+    def opened(self, stream) -> None:
+        stream.write(changes.since(self.last))
+
+    def emptied(self, stream) -> None:
+        pass
+
+    def got(self, stream, data: bytes) -> None:
+        if stream is not self.stream:
+            return
+        self.listen_out(SILENT_MS)
+        self.reader.feed(data)
+        try:
+            while stream is self.stream and (event := self.reader.next()) is not None:
+                self.take(event)
+        except changes.Malformed as error:
+            self.again(str(error))
+
+    def take(self, event: changes.Event) -> None:
+        if event.number > self.last + (event.members is not None):
+            return self.again(f"{event.number} after {self.last}")
+        self.pause = AGAIN_MS[0]
+        if event.members is not None and event.number == self.last + 1:   # else it is written twice
+            self.last = event.number
+            self.told(event)
+
+    def closed(self, stream, why: str | None) -> None:
+        if stream is self.stream:
+            self.stream = None
+            self.again(why or "closed")
--- /dev/null
+++ b/laddergw/platform/nodes.py
@@ -0,0 +1,188 @@
+"""The nodes' side: connections to media nodes, one open set-up on each, and what their ends prove.
+
+A play that stands belongs to no connection. It is over when its node says so, when the node's port refuses (the
+process has died, and with it all that it held), or when the node's machine answers nothing any more.
+"""
+import logging
+from typing import Any
+
+from laddergw.loop.base import REFUSED
+from laddergw.platform import allocation as life
+from laddergw.signalling import rtsp
+
+IDLE_MOST = 2              # idle connections kept to a node: set-ups follow each other within their time
+LOOK_MS = 500.0            # pace of looking after nodes that hold plays
+TEST_MS = 1_000.0          # a test passes at once: unanswered for so long its connection is dead
+SILENCES = 2               # connections in a row that never come up: the machine is gone; with the test within 4 s of 8
+
+log = logging.getLogger("laddergw.platform")
+
+
+class Line:
+    """One connection to a media node."""
+
+    def __init__(self, node: "Node"):
+        self.node, self.loop, self.reader, self.up, self.test = node, node.fleet.loop, rtsp.Reader(), False, None
+        self.plays: dict[str, Any] = {}      # whose set-ups are open on it
+        self.ends: dict[str, int] = {}       # where in the stream each of their set-ups ends
+        self.stream = self.loop.dial(node.address, self, node.fleet.connect_ms)
+
+    def opened(self, stream) -> None:
+        self.up, self.node.silent = True, 0
+
+    def emptied(self, stream) -> None:
+        pass
+
+    def got(self, stream, data: bytes) -> None:
+        self.node.silent = 0
+        self.reader.feed(data)
+        try:
+            while (message := self.reader.next()) is not None:
+                self.node.said(self, message)
+        except rtsp.Malformed as error:
+            self.node.fleet.count("spoilt")
+            log.info("node %s: %s", self.node.id, error)
+            self.end(life.SPOILT)
+
+    def state(self, session: str) -> str:
+        return life.OUT if self.stream.taken >= self.ends[session] else life.UNSENT
+
+    def set_up(self, ply, data: bytes) -> None:
+        self.plays[ply.session] = ply
+        self.stream.write(data)
+        self.ends[ply.session] = self.stream.asked
+
+    def settle(self, session: str) -> str:
+        """Its set-up is open no more; says whether all of it had left."""
+        state = self.state(session)
+        del self.plays[session], self.ends[session]
+        return state
+
+    def end(self, fact: str) -> None:
+        """Closes at once. What was open on it ends by that."""
+        if self in self.node.lines:
+            self.node.lines.remove(self)
+            plays = [(ply, self.settle(session)) for session, ply in list(self.plays.items())]
+            self.stream.abort()
+            for ply, state in plays:
+                self.node.fleet.ended(ply, state, fact)
+
+    def closed(self, stream, why: str | None) -> None:
+        if self in self.node.lines:
+            log.debug("node %s: connection ends: %s", self.node.id, why)
+            self.end(life.CUT)
+            self.node.line_ended(self, why)
+
+
+class Node:
+    """One media node and our connections to it."""
+
+    def __init__(self, fleet: "Nodes", number: int, member):
+        self.fleet, self.number, self.id, self.address = fleet, number, member.id, (member.host, member.port)
+        self.since, self.gone, self.silent, self.lines = member.since, False, 0, []
+        self.held: dict[str, Any] = {}       # plays that stand there
+        self.open: dict[str, Any] = {}       # plays whose set-up is open there
+
+    def dial(self) -> Line:
+        line = Line(self)
+        self.lines.append(line)
+        return line
+
+    def free_line(self) -> Line:
+        """An idle connection that is up, else a new one; where no more may be opened, the least used."""
+        idle = [line for line in self.lines if not line.plays]
+        up = [line for line in idle if line.up and line.test is None] or [line for line in idle if line.up or self.silent == 0]
+        if up:
+            return up[0]
+        if self.lines and self.fleet.lines() >= self.fleet.most:
+            return min(self.lines, key=lambda line: len(line.plays))
+        return self.dial()
+
+    def said(self, line: Line, message: rtsp.Message) -> None:
+        if message.method:
+            return self.fleet.told(self, line, message)
+        if message.target == "" and line.test == message.session:
+            line.test = None
+        elif message.session in line.plays and message.status >= 200 and message.sequence == "1":
+            self.fleet.answered(self, line, message)
+            idle = [other for other in self.lines if not other.plays]
+            if len(idle) > IDLE_MOST and line in idle:
+                line.end(life.CUT)
+
+    def line_ended(self, line: Line, why: str | None) -> None:
+        """What the end of a connection proves of the plays that stand."""
+        if not line.up:
+            self.silent += why != REFUSED
+            if why == REFUSED or self.silent >= SILENCES:
+                return self.lose(why)
+        if self.held and not self.lines:
+            self.dial() if not self.gone else self.lose("gone from the list")
+
+    def lose(self, why: str | None) -> None:
+        if self.held:
+            log.info("node %s: %d plays lost: %s", self.id, len(self.held), why)
+        for ply in list(self.held.values()):
+            self.fleet.ended(ply, life.HELD, life.LOST)
+
+    def look(self, now: float) -> None:
+        """Whether its machine still answers, while plays stand there."""
+        for line in [line for line in self.lines if line.test is not None and now - line.tested >= TEST_MS]:
+            log.info("node %s: a test was not answered", self.id)
+            line.end(life.CUT)
+            self.line_ended(line, "silent")
+        up = [line for line in self.lines if line.up]
+        if up and up[0].test is None:
+            up[0].test, up[0].tested = self.fleet.test_name(), now
+            up[0].stream.write(rtsp.request("OPTIONS", "ping", up[0].test))
+        elif not self.lines:
+            self.dial() if not self.gone else self.lose("gone from the list")
+
+
+class Nodes:
+    """All nodes of the list. `director` carries out what comes of them."""
+
+    def __init__(self, loop, director, most: int, connect_ms: float):
+        self.loop, self.director, self.most, self.connect_ms = loop, director, most, connect_ms
+        self.by_id: dict[str, Node] = {}
+        self.by_number: dict[int, Node] = {}
+        self.numbers = self.tests = 0
+        self.count, self.ended, self.told, self.answered = director.count, director.ended, director.told, director.answered
+        loop.after(LOOK_MS, self.look)
+
+    def lines(self) -> int:
+        return sum(len(node.lines) for node in self.by_number.values())
+
+    def test_name(self) -> str:
+        self.tests += 1
+        return f"{self.tests:016x}"
+
+    def node_of(self, member) -> Node:
+        """Its node, new where the list names it for the first time."""
+        node = self.by_id.get(member.id)
+        if node is None or (node.address != (member.host, member.port) and member.state != "DELETED"):
+            self.numbers += 1
+            number = self.numbers if node is None else node.number
+            if node is not None:
+                self.close(node)
+            node = self.by_id[member.id] = self.by_number[number] = Node(self, number, member)
+        return node
+
+    def close(self, node: Node) -> None:
+        node.lose("another address")
+        for line in list(node.lines):
+            line.end(life.CUT)
+
+    def forget_gone(self) -> None:
+        for node in [n for n in self.by_number.values() if n.gone and not n.held and not n.open]:
+            for line in list(node.lines):
+                line.end(life.CUT)
+            del self.by_number[node.number]
+            if self.by_id.get(node.id) is node:
+                del self.by_id[node.id]
+
+    def look(self) -> None:
+        self.loop.after(LOOK_MS, self.look)
+        for node in list(self.by_number.values()):
+            if node.held:
+                node.look(self.loop.now)
+        self.forget_gone()
--- /dev/null
+++ b/laddergw/platform/requests.py
@@ -0,0 +1,61 @@
+"""Reads a viewer's set-up into what the module is asked. What makes no sense is refused whole; no choice is made."""
+import re
+from typing import NamedTuple
+
+from laddergw.interface import Asked
+from laddergw.platform.assignment import Assignment
+from laddergw.signalling import binary
+
+FIGURE = re.compile(r"\d{1,9}(\.\d{1,9})?")
+TITLE = re.compile(r"[0-9a-f]{16}")
+PATIENCE_MOST = 2.0        # longest patience over the longest time limit told: a viewer's clock may round up
+HINT_MOST_MS = 1e8         # a day: no play is hinted to last longer
+AHEAD = 1.0                # figures are counts of cells and rungs: one over the last is still within
+
+
+class Unusable(Exception):
+    """A set-up that is refused; the text says why."""
+
+
+class Request(NamedTuple):
+    ask: Asked
+    product: str
+    title: str
+    at: str                  # the node where it plays already, or empty
+    description: bytes
+
+
+def text_of(message: binary.Message, code: int, least: int = 1) -> str:
+    value = message.parameters.get(code, b"")
+    if not least <= len(value) <= 1024 or not value.isascii():
+        raise Unusable(f"parameter {code}: {value[:40]!r}")
+    return value.decode("ascii")
+
+
+def figure(text: str, name: str, low: float, high: float) -> float:
+    if not FIGURE.fullmatch(text) or not low <= float(text) <= high:
+        raise Unusable(f"{name}: {text[:40]!r}")
+    return float(text)
+
+
+def read(message: binary.Message, assignment: Assignment) -> Request:
+    if message.parameters is None:
+        raise Unusable("parameters that do not fit")
+    deployment, figures = assignment.deployment, {}
+    for part in text_of(message, binary.FIGURES).split(";"):
+        name, mark, value = part.partition(":")
+        if not mark or name in figures:
+            raise Unusable(f"figures: {part[:40]!r}")
+        figures[name] = value
+    product, title = text_of(message, binary.PRODUCT), text_of(message, binary.TITLE)
+    description = message.parameters.get(binary.DESCRIPTION, b"")
+    if product not in assignment.products or not TITLE.fullmatch(title) or message.session == "0" * 16 or not description:
+        raise Unusable(f"{product[:40]!r}, {title[:40]!r}, {message.session}, description of {len(description)}")
+    hint, cells = text_of(message, binary.HINT, 0), deployment.cells
+    ask = Asked(int(message.session, 16), assignment.products[product], int(title, 16),
+                figure(figures.get("home", ""), "home", 0, cells), figure(figures.get("copies", ""), "copies", 0, cells + AHEAD),
+                figure(figures.get("top", ""), "top", 0, len(deployment.ladder) + AHEAD),
+                figure(hint, "hint", 0, HINT_MOST_MS) or None if hint else None,
+                figure(text_of(message, binary.PATIENCE), "patience", 0, PATIENCE_MOST * assignment.longest_ms),
+                figures.get("again") == "1")
+    return Request(ask, product, title, figures.get("at", ""), description)
--- /dev/null
+++ b/laddergw/platform/viewers.py
@@ -0,0 +1,114 @@
+"""The viewers' side: connections, their messages, and bounds against those who say nothing or too much."""
+import logging
+from typing import Any
+
+from laddergw.signalling import binary
+
+SPEAK_MS = 2_000.0         # an unproven connection with nothing open, or half a message, is closed after this: 3 s are allowed
+LOOK_MS = 250.0            # pace of looking for such connections
+OPEN_MOST = 64             # open set-ups of one connection: a front's pool holds a few, a flood hundreds
+UNSENT_MOST = 256 * 1024   # bytes that wait for a peer that does not read
+REFUSED_HERE = 95          # cause for what cannot be used: trying it again helps nobody
+GONE_MS = 8_000.0          # a release that found no connection for so long is given up
+
+log = logging.getLogger("laddergw.platform")
+
+
+class Viewer:
+    """One connection from viewers. `proven`: a play was begun or a test passed on it."""
+
+    def __init__(self, door: "Door"):
+        self.door, self.reader, self.plays, self.proven = door, binary.Reader(), {}, False
+        self.since = self.used = door.loop.now
+        self.half = None                     # since when a message has begun and not ended
+
+    def opened(self, stream) -> None:
+        self.stream = stream
+        self.door.come(self)
+
+    def emptied(self, stream) -> None:
+        pass
+
+    def got(self, stream, data: bytes) -> None:
+        self.reader.feed(data)
+        self.half = self.door.loop.now if self.half is None else self.half
+        try:
+            while self.stream is not None and (message := self.reader.next()) is not None:
+                self.half = self.used = self.door.loop.now
+                self.door.director.heard(self, message)
+        except binary.Malformed as error:
+            return self.close(str(error))
+        if not self.reader.buffer:
+            self.half = None
+
+    def write(self, kind: int, session: str, *parameters: tuple[int, bytes]) -> None:
+        if self.stream is None:
+            return
+        self.stream.write(binary.encode(kind, session, *parameters))
+        self.used = self.door.loop.now
+        if self.stream is not None and self.stream.queued > UNSENT_MOST:
+            self.close("it does not read")
+
+    def refuse(self, session: str, cause: int = REFUSED_HERE, *more: tuple[int, bytes]) -> None:
+        self.write(binary.RELEASE, session, (binary.CAUSE, bytes([cause])), *more)
+
+    def close(self, why: str) -> None:
+        if self.stream is not None:
+            self.door.director.count("closed: " + why[:24])
+            self.stream.close()
+
+    def closed(self, stream, why: str | None) -> None:
+        self.stream = None
+        self.door.leave(self)
+        for ply in list(self.plays.values()):
+            self.door.director.given_up(ply)
+
+
+class Door:
+    """All viewers' connections."""
+
+    def __init__(self, loop, director, address: tuple[str, int], most: int):
+        self.loop, self.director, self.most = loop, director, most
+        self.viewers: dict[Viewer, None] = {}        # oldest first
+        self.parked: list[tuple[float, bytes]] = []  # releases that no connection was there for, and until when
+        self.listener = loop.listen(address, lambda stream: Viewer(self))
+        loop.after(LOOK_MS, self.look)
+
+    def come(self, viewer: Viewer) -> None:
+        self.viewers[viewer] = None
+        if len(self.viewers) > self.most:            # who has said nothing goes first, then who was idle longest
+            idle = [v for v in self.viewers if not v.plays and v is not viewer] or [viewer]
+            min(idle, key=lambda v: (v.proven, v.used)).close("too many")
+
+    def leave(self, viewer: Viewer) -> None:
+        self.viewers.pop(viewer, None)
+
+    def look(self) -> None:
+        self.loop.after(LOOK_MS, self.look)
+        now = self.loop.now
+        for viewer in list(self.viewers):
+            if viewer.half is not None and now - viewer.half >= SPEAK_MS:
+                viewer.close("half a message")
+            elif not viewer.proven and not viewer.plays and now - viewer.since >= SPEAK_MS:
+                viewer.close("nothing of use")
+        self.parked = [entry for entry in self.parked if now < entry[0]]
+
+    def way_to(self, first: Viewer | None) -> Viewer | None:
+        """A connection for what ends a play: the one it came on, else that which was used last by proven viewers."""
+        if first is not None and first.stream is not None:
+            return first
+        proven = [v for v in self.viewers if v.proven and v.stream is not None]
+        return max(proven, key=lambda v: v.used, default=None)
+
+    def send(self, first: Viewer | None, kind: int, session: str, *parameters: tuple[int, bytes]) -> None:
+        viewer = self.way_to(first)
+        if viewer is not None:
+            viewer.write(kind, session, *parameters)
+        else:
+            self.parked.append((self.loop.now + GONE_MS, binary.encode(kind, session, *parameters)))
+
+    def prove(self, viewer: Viewer) -> None:
+        viewer.proven = True
+        parked, self.parked = self.parked, []
+        for _, data in parked:
+            viewer.stream.write(data)
--- a/laddergw/wirehost/settings.py
+++ b/laddergw/settings.py
@@ -1,4 +1,4 @@
-"""Decodes the start settings of the bench's wire into a Deployment. Decodes only."""
+"""Decodes start settings, told as path=value lines or as nested JSON, into a Deployment. Decodes only."""
 import math
 
 from laddergw.interface import Deployment, Product
@@ -18,6 +18,30 @@
     return dict(line.split("=", 1) for line in text.splitlines() if "=" in line)
 
 
+def flatten(tree):
+    """Nested JSON as the same dotted keys: plain lists joined by commas, lists of objects counted and numbered."""
+    found = {}
+
+    def walk(path, value):
+        if isinstance(value, dict):
+            for key, part in value.items():
+                walk(f"{path}.{key}" if path else key, part)
+        elif isinstance(value, list) and any(isinstance(part, (dict, list)) for part in value):
+            found[f"{path}.count"] = str(len(value))
+            for index, part in enumerate(value):
+                walk(f"{path}.{index}", part)
+        else:
+            found[path] = ",".join(map(plain, value)) if isinstance(value, list) else plain(value)
+    walk("", tree)
+    return found
+
+
+def plain(value):
+    if isinstance(value, bool):
+        return "true" if value else "false"
+    return "" if value is None else str(value).replace(" ", "_").replace(",", "_")
+
+
 class Reader:
     def __init__(self, values):
         self.values = values
@@ -82,8 +106,8 @@
                    int(floor), int(top), scale, int(seats), live)
 
 
-def decode(text):
-    read = Reader(parse(text))
+def decode(values):
+    read = Reader(values)
     grades = int(read.number("Grades.count", low=1))
     ladder = read.many("Specifics.LadderKb", low=1e-9)
     if not ladder:
--- /dev/null
+++ b/laddergw/signalling/rtsp.py
@@ -0,0 +1,103 @@
+"""RTSP as the platform's media nodes speak it: requests and answers with Content-Length, matched by Session."""
+import re
+from typing import NamedTuple
+
+LONGEST = 16 * 1024        # bytes of one message, by the protocol
+MOST_HEADERS = 64          # lines of one message: ours have six
+FIRST_LINE = re.compile(rb"RTSP/1\.0 ([1-5]\d\d)(?: [\x20-\x7e]*)?|([A-Z_]{3,20}) (rtsp://media/[\x21-\x7e]*|\*) RTSP/1\.0")
+HEADER = re.compile(rb"([A-Za-z0-9-]{1,40}): ?([\x20-\x7e]*)")
+SESSION = re.compile(r"[0-9a-f]{16}")
+PREFIX = b"RTSP/1.0 "
+METHODS = (b"SETUP ", b"TEARDOWN ", b"OPTIONS ", b"ANNOUNCE ", b"REDIRECT ", b"SET_PARAMETER ")
+SEQUENCE = {"SETUP": 1, "TEARDOWN": 2, "OPTIONS": 3}   # else it is free
+OTHER_SEQUENCE = 4
+
+
+class Malformed(Exception):
+    """Bytes that are no message of this protocol; the connection serves no further use."""
+
+
+class Message(NamedTuple):
+    """`status` is 0 in a request, `method` empty in an answer. Names of headers are in lower case."""
+    status: int
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def session(self) -> str:
+        return self.headers["session"]
+
+    @property
+    def sequence(self) -> str:
+        return self.headers.get("cseq", "")
+
+
+def request(method: str, target: str, session: str, headers: tuple[tuple[str, str], ...] = (), body: bytes = b"") -> bytes:
+    lines = [f"{method} rtsp://media/{target} RTSP/1.0", f"CSeq: {SEQUENCE.get(method, OTHER_SEQUENCE)}", f"Session: {session}"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    return "\r\n".join([*lines, f"Content-Length: {len(body)}", "", ""]).encode("ascii") + body
+
+
+def answer(status: int, reason: str, sequence: str, session: str) -> bytes:
+    return f"RTSP/1.0 {status} {reason}\r\nCSeq: {sequence}\r\nSession: {session}\r\nContent-Length: 0\r\n\r\n".encode("ascii")
+
+
+def head_of(head: bytes) -> tuple:
+    """The parts of a message's first lines."""
+    first, *lines = head.split(b"\r\n")
+    match = FIRST_LINE.fullmatch(first)
+    if match is None or len(lines) > MOST_HEADERS:
+        raise Malformed(f"first line {first[:60]!r}")
+    headers = {}
+    for line in lines:
+        parts = HEADER.fullmatch(line)
+        if parts is None:
+            raise Malformed(f"header {line[:60]!r}")
+        name = parts[1].decode().lower()
+        if name in headers:
+            raise Malformed(f"two headers {name}")
+        headers[name] = parts[2].decode().strip()
+    length = headers.get("content-length", "")
+    if not length.isdigit() or len(length) > 6 or int(length) > LONGEST:
+        raise Malformed(f"a length of {length[:20]!r}")
+    if not SESSION.fullmatch(headers.get("session", "")):
+        raise Malformed(f"session {headers.get('session', '')[:20]!r}")
+    status, method, target = match.groups()
+    return int(status or 0), (method or b"").decode(), (target or b"").decode(), headers, int(length)
+
+
+class Reader:
+    """Takes bytes as they come and hands out whole messages."""
+
+    def __init__(self) -> None:
+        self.buffer = bytearray()
+        self.head: tuple | None = None
+
+    def feed(self, data: bytes) -> None:
+        self.buffer += data
+
+    def next(self) -> Message | None:
+        """The next whole message, or None while it is not all here."""
+        if self.head is None:
+            end = self.buffer.find(b"\r\n\r\n", 0, LONGEST)
+            if end < 0:
+                return self.starts_well()
+            self.head = head_of(bytes(self.buffer[:end]))
+            del self.buffer[:end + 4]
+        *parts, length = self.head
+        if len(self.buffer) < length:
+            return None
+        body, self.head = bytes(self.buffer[:length]), None
+        del self.buffer[:length]
+        self.starts_well()                           # what follows a message shows whether its length was right
+        return Message(*parts, body)
+
+    def starts_well(self) -> None:
+        """Refuses what can become no message, before it has come to an end or grown without one."""
+        start = bytes(self.buffer[:16])
+        if start and not any(start.startswith(word[:len(start)]) for word in (PREFIX, *METHODS)):
+            raise Malformed(f"a message that starts with {start!r}")
+        if len(self.buffer) >= LONGEST:
+            raise Malformed("lines without an end")
--- a/laddergw/wirehost/__main__.py
+++ b/laddergw/wirehost/__main__.py
@@ -3,9 +3,9 @@
 import sys
 import traceback
 
-from laddergw import interface as face, mail
+from laddergw import interface as face, mail, settings
 from laddergw.control import Controller
-from laddergw.wirehost import codec, settings
+from laddergw.wirehost import codec
 
 STATES = {0: face.GONE, 1: face.READY, 2: face.DRAINING}
 OUTCOMES = {10: face.SERVED, 20: face.ERROR, 30: face.FULL, 40: face.TIMED_OUT, 50: face.UNREACHABLE,
@@ -25,7 +25,7 @@
 
     def __init__(self, number, seed, text, now):
         self.number, self.wake = number, None
-        self.controller = Controller(settings.decode(text), seed, now)
+        self.controller = Controller(settings.decode(settings.parse(text)), seed, now)
 
     def encode(self, now, result, out):
         verdicts, wake = result
--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -5,7 +5,7 @@
 
 from laddergw import interface as face, mail
 from laddergw.control import LEAST_OVER, Controller
-from laddergw.wirehost import settings
+from laddergw import settings
 from tests.helpers import Drive, TraceTest, deployment
 
 BLIND = dict(streams=(60.0,), probes=True, told_by="probe", probe_price=0.01, directors=200)
@@ -204,7 +204,7 @@
             "Permissions.MaxAttempts": "3"}
 
     def read(self, **values):
-        return settings.decode("\n".join(f"{k}={v}" for k, v in (self.BASE | {k.replace("_", "."): v for k, v in values.items()}).items()))
+        return settings.decode(self.BASE | {k.replace("_", "."): v for k, v in values.items()})
 
     def test_what_is_missing_takes_its_default_and_nonsense_is_refused_by_key(self):
         usual = self.read()
