--- a/laddergw/platform/director.py
+++ b/laddergw/platform/director.py
@@ -26,6 +26,7 @@
 STOP_LEAST_MS = 1_000.0    # viewers come for 0.7 s after the order to stop
 STOP_AFTER_MS = 500.0      # past the longest time limit the process ends; it is killed 0.7 s past it
 TELL_MS = 10_000.0         # pace of the line of counts in the log
+TOLD_MOST = 40             # unusable set-ups told in the log: a flood must not fill it
 
 log = logging.getLogger("laddergw.platform")
 
@@ -165,7 +166,8 @@
             request = requests.read(message, self.assignment)
         except requests.Unusable as error:
             self.count("unusable")
-            log.debug("unusable: %s", error)
+            if self.counts["unusable"] <= TOLD_MOST:
+                log.info("unusable: %s", error)
             return viewer.refuse(session)
         if request.at:
             return self.handed_over(viewer, session, request)
--- a/laddergw/platform/requests.py
+++ b/laddergw/platform/requests.py
@@ -1,4 +1,5 @@
 """Reads a viewer's set-up into what the module is asked. What makes no sense is refused whole; no choice is made."""
+import math
 import re
 from typing import NamedTuple
 
@@ -49,13 +50,13 @@
         figures[name] = value
     product, title = text_of(message, binary.PRODUCT), text_of(message, binary.TITLE)
     description = message.parameters.get(binary.DESCRIPTION, b"")
-    if product not in assignment.products or not TITLE.fullmatch(title) or message.session == "0" * 16 or not description:
+    if product not in assignment.products or not TITLE.fullmatch(title) or message.session == "0" * 16 or not (description or "at" in figures):
         raise Unusable(f"{product[:40]!r}, {title[:40]!r}, {message.session}, description of {len(description)}")
-    hint, cells = text_of(message, binary.HINT, 0), deployment.cells
+    hint, cells, at = text_of(message, binary.HINT, 0), deployment.cells, figures.get("at", "")
+    # Nobody waits for a play that is handed over; its patience says nothing
+    wait = math.inf if at else figure(text_of(message, binary.PATIENCE), "patience", 0, PATIENCE_MOST * assignment.longest_ms)
     ask = Asked(int(message.session, 16), assignment.products[product], int(title, 16),
                 figure(figures.get("home", ""), "home", 0, cells), figure(figures.get("copies", ""), "copies", 0, cells + AHEAD),
                 figure(figures.get("top", ""), "top", 0, len(deployment.ladder) + AHEAD),
-                figure(hint, "hint", 0, HINT_MOST_MS) or None if hint else None,
-                figure(text_of(message, binary.PATIENCE), "patience", 0, PATIENCE_MOST * assignment.longest_ms),
-                figures.get("again") == "1")
-    return Request(ask, product, title, figures.get("at", ""), description)
+                figure(hint, "hint", 0, HINT_MOST_MS) or None if hint else None, wait, figures.get("again") == "1")
+    return Request(ask, product, title, at, description)
