Load told of a node's others counts up to its link: a stand-still fills no uplink

Checked: each decline printed with its holders. Two nodes stood still and told 8 times their link; times the link's size that is 496,000 kB/s in their racks' accounts of 118,456, so every holder of both racks had no room though x1 told 0.58 to 0.70. Ruled out: health (6 of 209 declines), spoilt answers (1), notes coming late (all 290 set-up notes came in the turn of the answer; believed less told 0.02, spread 0.14). Lines at fault: Node.hear put all that was told into the rack. Also guards against sagging links; could harm where links tell less than they carry.

--- a/laddergw/control.py
+++ b/laddergw/control.py
@@ -107,8 +107,8 @@
         self.pace, self.early, self.cold, self.last_send, self.short = pace, 1.0, *[-math.inf] * 3
         self.heard, self.asked, self.next_up, self.roomed = -math.inf, *[None] * 3
 
-    def hear(self, now, others):
-        known, told = self.links - self.known.now(now), others - self.told.now(now)
+    def hear(self, now, others):     # told more than it carries it sags or stands still: no more goes on
+        known, told = self.links - self.known.now(now), min(others, self.links) - self.told.now(now)
         for part in (self,) if self.state == face.GONE else (self, self.rack):
             part.known.add(now, known)
             part.told.add(now, told)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -217,6 +217,17 @@
         d.note(5102, 0, 1, face.LINK_ASKED, 1e30)
         self.same("rack", d)
 
+    def test_a_stand_still_fills_no_uplink(self):
+        """Seen on sockets: 8 times its link told of a node that stood still closed its whole rack for 20 s."""
+        for told in 0.5, 9.0:
+            d = Drive(nodes=4, racks=2, rack_kb=24_000.0, streams=(200.0,))
+            for _ in range(9):                           # nodes 1 and 3 share a rack
+                d.note(0, 0, 2, face.LINK_ASKED, 0.3)
+            d.note(0, 0, 1, face.LINK_ASKED, told)
+            d.c.asked(d.base, face.Asked(1, 0, 5, 2, 1, 2, None, 4000.0))
+            verdict, = d.c.decide(d.base)[0]
+            self.assertEqual((verdict.node, verdict.rung), (3, 2), told)
+
     def test_a_storm_of_further_tries_prices_nobody_out(self):
         """Rehearsed: after five seconds in which nothing could be had, viewers who came again at once were counted as demand, and service stayed at nothing for good."""
         d = Drive(nodes=2, products=({}, {"importance": 3.0}))
