Releases are told until heard; what we close is dialled again while plays stand

Left are two ways for a release to die unread, both by ends of connections: ours to a viewer (Door.send wrote it once), and a node's to us on a connection that we close (Line.end, drop_set_up); by the protocol the node says it again on the next that opens. Both are mended; which of the two it was is not proven.

--- a/laddergw/platform/director.py
+++ b/laddergw/platform/director.py
@@ -23,6 +23,7 @@
 DECLINED, FAILED, ENDED, BROKEN = 42, 41, 16, 41     # causes: of refusals, and of releases of what stood
 VIEWERS_PART, NODES_PART = 0.5, 0.35   # of the descriptors: viewers hold a third by the protocol; some are ours
 EARLY_MS = 20.0            # answers are due so long before the viewer's time limit: its clock began before ours
+GUARD_MS = 10.0            # past the module's own time-out at the limit, which it answers by the play's terms
 STOP_LEAST_MS = 1_000.0    # viewers come for 0.7 s after the order to stop
 STOP_AFTER_MS = 500.0      # past the longest time limit the process ends; it is killed 0.7 s past it
 TELL_MS = 10_000.0         # pace of the line of counts in the log
@@ -155,7 +156,9 @@
             viewer.write(binary.TESTED, message.session, (binary.CAUSE, bytes([self.stopping is None])))
             if message.parameters is not None:
                 viewer.proven = True
-        elif message.kind not in (binary.PROGRESS, binary.HEARD):
+        elif message.kind == binary.HEARD:
+            self.door.heard(message.session)
+        elif message.kind != binary.PROGRESS:
             viewer.close("a director's message")
 
     def asked(self, viewer: Viewer, message: binary.Message) -> None:
@@ -177,7 +180,7 @@
         self.count("asked")
         ply = self.open[session] = viewer.plays[session] = Play(request, session, viewer)
         wait = max(0.0, request.ask.wait_ms - self.loop.stalled - EARLY_MS)
-        ply.guard = self.loop.after(wait, lambda: self.overdue(ply))
+        ply.guard = self.loop.after(wait + GUARD_MS, lambda: self.overdue(ply))
         return self.feed(self.controller.asked, self.loop.now, request.ask._replace(wait_ms=wait))
 
     def takes_over(self, message: binary.Message) -> bool:
@@ -304,7 +307,8 @@
         ply = line.plays[message.session]
         fact = life.answer(message.status)
         if fact == life.THERE and not message.body:
-            return line.end(life.SPOILT)             # an answer without its description cannot be passed on
+            line.end(life.SPOILT)                    # an answer without its description cannot be passed on
+            return node.renew()
         state = line.settle(ply.session)
         ply.line = None
         node.open.pop(ply.session, None)
@@ -350,6 +354,7 @@
         if not line.plays and line in line.node.lines:
             line.node.lines.remove(line)
             line.stream.close()
+            line.node.renew()
         self.ended(ply, state, fact)
 
     def ended(self, ply: Play, state: str, fact: str, report: tuple = ()) -> None:
--- a/laddergw/platform/nodes.py
+++ b/laddergw/platform/nodes.py
@@ -10,7 +10,6 @@
 from laddergw.platform import allocation as life
 from laddergw.signalling import rtsp
 
-IDLE_MOST = 2              # idle connections kept to a node: set-ups follow each other within their time
 LOOK_MS = 500.0            # pace of looking after nodes that hold plays
 TEST_MS = 1_000.0          # a test passes at once: unanswered for so long its connection is dead
 SILENCES = 2               # connections in a row that never come up: the machine is gone; with the test within 4 s of 8
@@ -43,6 +42,7 @@
             self.node.fleet.count("spoilt")
             log.info("node %s: %s", self.node.id, error)
             self.end(life.SPOILT)
+            self.node.renew()
 
     def state(self, session: str) -> str:
         return life.OUT if self.stream.taken >= self.ends[session] else life.UNSENT
@@ -105,9 +105,6 @@
             line.test = None
         elif message.session in line.plays and message.status >= 200 and message.sequence == "1":
             self.fleet.answered(self, line, message)
-            idle = [other for other in self.lines if not other.plays]
-            if len(idle) > IDLE_MOST and line in idle:
-                line.end(life.CUT)
 
     def line_ended(self, line: Line, why: str | None) -> None:
         """What the end of a connection proves of the plays that stand."""
@@ -118,6 +115,11 @@
         if self.held and not self.lines:
             self.dial() if not self.gone else self.lose("gone from the list")
 
+    def renew(self) -> None:
+        """After we have closed a connection: a release that the node wrote on it meanwhile comes again on the next that opens."""
+        if self.held and not self.gone and self.fleet.lines() < self.fleet.most:
+            self.dial()
+
     def lose(self, why: str | None) -> None:
         if self.held:
             log.info("node %s: %d plays lost: %s", self.id, len(self.held), why)
@@ -129,7 +131,7 @@
         for line in [line for line in self.lines if line.test is not None and now - line.tested >= TEST_MS]:
             log.info("node %s: a test was not answered", self.id)
             line.end(life.CUT)
-            self.line_ended(line, "silent")
+            self.renew()
         up = [line for line in self.lines if line.up]
         if up and up[0].test is None:
             up[0].test, up[0].tested = self.fleet.test_name(), now
--- a/laddergw/platform/viewers.py
+++ b/laddergw/platform/viewers.py
@@ -9,7 +9,7 @@
 OPEN_MOST = 64             # open set-ups of one connection: a front's pool holds a few, a flood hundreds
 UNSENT_MOST = 256 * 1024   # bytes that wait for a peer that does not read
 REFUSED_HERE = 95          # cause for what cannot be used: trying it again helps nobody
-GONE_MS = 8_000.0          # a release that found no connection for so long is given up
+GONE_MS = 8_000.0          # a release that nobody has heard for so long is given up
 
 log = logging.getLogger("laddergw.platform")
 
@@ -54,7 +54,7 @@
 
     def close(self, why: str) -> None:
         if self.stream is not None:
-            self.door.director.count("closed: " + why[:24])
+            self.door.director.count("closed: " + why.partition(" of ")[0])
             self.stream.close()
 
     def closed(self, stream, why: str | None) -> None:
@@ -70,7 +70,7 @@
     def __init__(self, loop, director, address: tuple[str, int], most: int):
         self.loop, self.director, self.most = loop, director, most
         self.viewers: dict[Viewer, None] = {}        # oldest first
-        self.parked: list[tuple[float, bytes]] = []  # releases that no connection was there for, and until when
+        self.unheard: dict[str, tuple[Viewer | None, bytes, float]] = {}   # releases: where they went, until when to keep them
         self.listener = loop.listen(address, lambda stream: Viewer(self))
         loop.after(LOOK_MS, self.look)
 
@@ -82,6 +82,7 @@
 
     def leave(self, viewer: Viewer) -> None:
         self.viewers.pop(viewer, None)
+        self.again(viewer)
 
     def look(self) -> None:
         self.loop.after(LOOK_MS, self.look)
@@ -91,7 +92,8 @@
                 viewer.close("half a message")
             elif not viewer.proven and not viewer.plays and now - viewer.since >= SPEAK_MS:
                 viewer.close("nothing of use")
-        self.parked = [entry for entry in self.parked if now < entry[0]]
+        for session in [session for session, (_, _, until) in self.unheard.items() if now >= until]:
+            del self.unheard[session]
 
     def way_to(self, first: Viewer | None) -> Viewer | None:
         """A connection for what ends a play: the one it came on, else that which was used last by proven viewers."""
@@ -101,14 +103,26 @@
         return max(proven, key=lambda v: v.used, default=None)
 
     def send(self, first: Viewer | None, kind: int, session: str, *parameters: tuple[int, bytes]) -> None:
+        """What ends a play, until its viewer has said that it heard it: a connection may end with it unread."""
+        self.pass_on(first, session, binary.encode(kind, session, *parameters), self.loop.now + GONE_MS)
+
+    def pass_on(self, first: Viewer | None, session: str, data: bytes, until: float) -> None:
         viewer = self.way_to(first)
+        self.unheard[session] = viewer, data, until
         if viewer is not None:
-            viewer.write(kind, session, *parameters)
-        else:
-            self.parked.append((self.loop.now + GONE_MS, binary.encode(kind, session, *parameters)))
+            viewer.used = self.loop.now
+            viewer.stream.write(data)
+
+    def heard(self, session: str) -> None:
+        self.unheard.pop(session, None)
+
+    def again(self, gone: Viewer | None, first: Viewer | None = None) -> None:
+        """What went out on a connection that has ended, or found none, goes on another."""
+        for session, (viewer, data, until) in [entry for entry in self.unheard.items() if entry[1][0] is gone]:
+            self.director.count("told again")
+            self.pass_on(first, session, data, until)
 
     def prove(self, viewer: Viewer) -> None:
         viewer.proven = True
-        parked, self.parked = self.parked, []
-        for _, data in parked:
-            viewer.stream.write(data)
+        if viewer.stream is not None:
+            self.again(None, viewer)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -228,6 +228,36 @@
         town.run(2500)
         self.same("platform_bad_viewers", town)
 
+    def test_a_release_is_told_until_it_is_heard(self):
+        """Seen on sockets: a release went on a connection that ended with it unread, and its viewer never knew."""
+        town = Town()
+        first = town.viewer("first")
+        first.stream.write(set_up(1) + set_up(2) + set_up(3))
+        town.run(50)
+        town.viewer("second").stream.write(set_up(4))
+        town.run(50)
+        town.lines.append("# both go on the first; one is heard; then it ends: the other goes again, on a proven one")
+        side = next(iter(town.sides[name] for name in ("node a", "node b") if name in town.sides))
+        for session in 1, 2:
+            town.sides[f"node {town.director.standing[f'{session:016x}'].node.id}"].stream.write(release(session, 16))
+        town.run(10)
+        first.stream.write(binary.encode(binary.HEARD, f"{2:016x}"))
+        town.run(10)
+        first.stream.abort()
+        town.run(10)
+        town.lines.append("# no connection is left: it waits for the next that brings a play, not for one that says nothing")
+        town.sides["second"].stream.abort()
+        town.run(10)
+        side.stream.write(release(3, 16))
+        town.run(10)
+        town.viewer("silent")
+        town.run(100)
+        town.viewer("third").stream.write(set_up(5))
+        town.run(50)
+        self.same("platform_heard", town)
+        town.run(8500)
+        self.assertEqual(len(town.director.door.unheard), 0)
+
     def test_floods(self):
         """Hundreds of silent connections, and hundreds of set-ups on one: bounded, and others are served."""
         town = Town()
@@ -299,6 +329,24 @@
         town.run(300)
         self.same("platform_log", town)
 
+    def test_what_we_close_is_opened_again_while_plays_stand(self):
+        """A node's release may be on its way on a connection that we close: it comes again on the next one that opens."""
+        town = Town(nodes=("a",))
+        viewer = town.viewer()
+        viewer.stream.write(set_up(1))
+        town.run(50)
+        town.answers = {"a": 0}
+        viewer.stream.write(set_up(2, product="paid", patience="300"))
+        before = town.sides["node a"]
+        town.run(290)
+        town.sides["node a"].stream.write(release(1, 16))       # crosses the close at the time-out, or comes on the new one
+        town.run(100)
+        self.assertIsNot(town.sides["node a"], before)
+        self.assertFalse(before.open)
+        town.sides["node a"].stream.write(release(1, 16))
+        town.run(50)
+        self.assertEqual(sum("viewer gets 12 1 cause 16" in line for line in town.lines), 1)
+
     def test_drain_takes_back_what_has_not_left(self):
         """A set-up that waits for its connection when its node drains goes elsewhere: not a byte of it reaches the node."""
         town = Town()
