Plays to come are planned as long as the hints tell, not 40 s

Ruled out: cold pace (in 31 beside others), rests, notes (told 0.57, believed 0.53; uplinks 0.70 and 0.70). Now the usual length follows the hints; without hints it is 40 s as the design page says.

--- a/laddergw/control.py
+++ b/laddergw/control.py
@@ -14,7 +14,7 @@
 from laddergw import interface as face
 from laddergw.interface import Verdict
 
-LENGTH_MS = 40_000.0       # length of a play without a hint, from the design page
+LENGTH_MS, LENGTH_STEP = 40_000.0, 0.02   # usual length of a play, before hints (design page); weight of one
 TAIL = 0.25                # share of its length that an overdue play is still expected to last
 MARGIN = 0.06              # share of a link or uplink kept free: true rates stray by more than reports show
 LEAST_OVER = 0.05          # so far over a link or uplink a low play beats a decline: dear steps go
@@ -44,7 +44,7 @@
 ILL_MS, ILL_MOST = 400.0, 5   # first rest of a node that failed; doublings at most: to 13 s, about a restart
 COLD_PART = 0.7            # part of a cold node's allowance that we all use: set-ups differ in work
 ANSWER_START_MS, ANSWER_STEP = 150.0, 0.1   # set-up time before any was seen; weight of one in the usual
-PATIENCE, TIMEOUT_LEAST_MS = 5.0, 300.0   # time-out in usual set-up times: slow ones pass; a handshake fits
+PATIENCE, TIMEOUT_MIN_MS = 5.0, 300.0   # time-out in usual set-up times: slow ones pass; a handshake fits
 FRESH_MS = 1_000.0         # a report is fresh so long: under a change or two of a node's plays
 ECHO_WAIT_MS = 200.0       # a play waits so long for probes: a set-up's time, far under first-frame targets
 RETRY_MS = 1_000.0         # longest retry-after; spread over its upper half, against returns in one wave
@@ -135,7 +135,7 @@
     def __init__(self, deployment, seed, now):
         self.seed, self.draws, self.nodes, self.plays, self.known, self.demand = seed, 0, {}, {}, False, []
         self.crowd, self.notes, self.usual, self.ready = CROWD_START, 1, ANSWER_START_MS, 0.0
-        self.loads, self.shorts, self.d = {}, {}, None   # to be told to peers
+        self.loads, self.shorts, self.d, self.length, self.hints = {}, {}, None, LENGTH_MS, 1   # for peers
         self.setups, self.rates, self.count = Fading(SHARE_MS, now), 0.0, 0   # of our plays at nodes
         self.taken, self.further, self.pending = deque(), deque(), []   # times for the budget, plays to place
         self.waiting, self.seats, self.next_look, self.ask_at = {}, Counter(), now + LOOK_MS, math.inf
@@ -194,6 +194,8 @@
         return self.done([])
 
     def asked(self, now, ask):
+        self.hints += bool(ask.length_ms)            # what will be asked for lasts as what is asked for
+        self.length += max(LENGTH_STEP, 1 / self.hints) * ((ask.length_ms or self.length) - self.length)
         ply = self.plays[ask.play] = Play(ask, self.d, now)
         self.taken.append(now)
         self.pending.append(ply)
@@ -327,8 +329,7 @@
         return self.done([])
 
     def wake(self, now):
-        out = [Verdict(follow=True)] if now >= self.ask_at else []
-        self.ask_at = math.inf if out else self.ask_at
+        out, self.ask_at = ([Verdict(follow=True)], math.inf) if now >= self.ask_at else ([], self.ask_at)
         for ply in [p for p in self.waiting.values() if now >= p.until]:
             self.pending.append(self.waiting.pop(ply.id))
         if now >= self.next_look:
@@ -440,7 +441,7 @@
 
     def look_up(self, now):
         """Where no note tells of room: nodes of ours to probe, where a step up would pay for it."""
-        price, nodes = HOPE * self.d.probe_price * LENGTH_MS * max(row.importance for row in self.rows), []
+        price, nodes = HOPE * self.d.probe_price * self.length * max(row.importance for row in self.rows), []
         for node in {p.node.id: p.node for p in self.plays.values() if p.node and not p.out}.values():
             if node.next_up is None:                 # not all at once after a start
                 node.next_up = now + self.chance() * UP_GAP_MS
@@ -509,16 +510,15 @@
             self.further.append(now)
 
     def send(self, now, ply):
-        node, left = ply.holders[0], ply.limit - now
+        node, due = ply.holders[0], ply.limit - now
         last = ply.product.repeat == "paid" or ply.sends + 1 >= self.d.max_allocations
-        ply.out, ply.sends, node.last_send = Allocation(ply.sends), ply.sends + 1, now
+        ply.first, node.last_send = ply.first or node, now
+        ply.out, ply.sends = Allocation(ply.sends), ply.sends + 1
         ply.tried.add(node.id)
-        node.setups.add(now, 1)
-        self.setups.add(now, 1)
+        for setups in node.setups, self.setups:
+            setups.add(now, 1)
         self.put(now, ply, node)
-        timeout = left if last else min(left, max(PATIENCE * self.usual, TIMEOUT_LEAST_MS))
-        ply.first = ply.first or node
-        return Verdict(ply.id, node.id, ply.rung, timeout)
+        return Verdict(ply.id, node.id, ply.rung, min(due, max(PATIENCE * self.usual, TIMEOUT_MIN_MS, last * due)))
 
     def send_back(self, now, ply, node, outcome):
         ply.until = None
@@ -536,7 +536,7 @@
         beside = (sum(n.setups.now(now) for n in rack.members.values()) + prior * rack.links) / total
         # Others' plays are planned anew, as they step too, of the products that we see asked for
         streams = self.other_streams(now, node)
-        held = min(LENGTH_MS, lk) * (1 - min(LENGTH_MS, lk) / (2 * lk))   # it may start at any time in lk (q)
+        held = min(self.length, lk) * (1 - min(self.length, lk) / (2 * lk))   # may start any time in lk (q)
         again = streams / held / max(sum(demand.now(now) for demand in self.demand), 1e-12)
         caps = [lk, lk * (1 - self.margin(now, node)), lk * (1 - self.margin(now, rack))]
         for n in rack.members.values():
@@ -549,7 +549,7 @@
         groups = []
         for row, demand in zip(self.rows, self.demand):
             # the rack's uplink also carries what our set-ups at its other nodes will ask
-            choices = [(row.importance * self.d.rung_worth[r] * LENGTH_MS,
+            choices = [(row.importance * self.d.rung_worth[r] * self.length,
                         (held / node.streams, held * self.d.ladder[r] * row.scale / size,
                          held * self.d.ladder[r] * row.scale / up * beside / max(here, 1e-9)))
                        for r in range(row.floor, min(row.top, len(self.d.ladder) - 1) + 1)]
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -228,6 +228,18 @@
             verdict, = d.c.decide(d.base)[0]
             self.assertEqual((verdict.node, verdict.rung), (3, 2), told)
 
+    def test_plays_to_come_last_as_long_as_hints_tell(self):
+        """Seen on sockets: plays of 10 s were declined at 0.8 of a link, since those to come were planned to earn 40 s each."""
+        d = Drive(nodes=1, products=({}, {"importance": 2.0}), racks=1, link_unit=4000.0, streams=(200.0,))
+        for n in range(200):                             # dear plays of 10 s take half of the link, and come as fast as they end
+            d.c.asked(d.base + 20 * n, face.Asked(n, 1, 5, 0, 4, 0, 10_000.0, 4000.0))
+            d.c.decide(d.base + 20 * n)
+            d.c.ended(d.base + 20 * n, n, 0, face.CANCELLED, 1, True, ())
+        self.assertAlmostEqual(d.c.length, 10_000.0, delta=1500.0)
+        without = d.c.shadow_prices(d.base + 4000, d.c.nodes[1], 10_000.0)
+        d.c.length = 40_000.0
+        self.assertLess(2 * without[1], d.c.shadow_prices(d.base + 4000, d.c.nodes[1], 10_000.0)[1])
+
     def test_a_storm_of_further_tries_prices_nobody_out(self):
         """Rehearsed: after five seconds in which nothing could be had, viewers who came again at once were counted as demand, and service stayed at nothing for good."""
         d = Drive(nodes=2, products=({}, {"importance": 3.0}))
