--- a/laddergw/control.py
+++ b/laddergw/control.py
@@ -40,11 +40,11 @@
 UP_ROOM, UP_SHARED = 0.25, 0.2   # share of a link left free by a step up; less of it where many share room
 MAIL_PART, LINE = 0.12, 5.0  # what telling a report may cost over its probe; bytes of a line of mail
 UP_PART, HOPE = 0.3, 3.0   # part of probed room that one director takes; gain over a probe's price
-UP_GAP_MS = 8_000.0        # time from a change of a play's rung to a step up: a shortage is over by then
+GAP = 0.2                  # time from a change of a play's rung to a step up, in usual lengths: steps cost
 ILL_MS, ILL_MOST = 400.0, 5   # first rest of a node that failed; doublings at most: to 13 s, about a restart
 COLD_PART = 0.7            # part of a cold node's allowance that we all use: set-ups differ in work
 ANSWER_START_MS, ANSWER_STEP = 150.0, 0.1   # set-up time before any was seen; weight of one in the usual
-PATIENCE, TIMEOUT_MIN_MS = 5.0, 300.0   # time-out in usual set-up times: slow ones pass; a handshake fits
+PATIENCE, WAIT_MIN_MS = 5.0, 300.0   # time-out in usual set-up times: slow ones pass; a handshake fits
 FRESH_MS = 1_000.0         # a report is fresh so long: under a change or two of a node's plays
 ECHO_WAIT_MS = 200.0       # a play waits so long for probes: a set-up's time, far under first-frame targets
 RETRY_MS = 1_000.0         # longest retry-after; spread over its upper half, against returns in one wave
@@ -444,17 +444,18 @@
         price, nodes = HOPE * self.d.probe_price * self.length * max(row.importance for row in self.rows), []
         for node in {p.node.id: p.node for p in self.plays.values() if p.node and not p.out}.values():
             if node.next_up is None:                 # not all at once after a start
-                node.next_up = now + self.chance() * UP_GAP_MS
-            if now < max(node.next_up, node.heard + UP_GAP_MS / 2) or node.state == face.GONE:
+                node.next_up = now + self.chance() * GAP * self.length
+            if now < max(node.next_up, node.heard + GAP * self.length / 2) or node.state == face.GONE:
                 continue
             able = [p for p in node.plays.values() if self.may_rise(now, p)]
             if sum(self.gain(p, p.rung) * p.left(now) for p in able) > price:
-                node.next_up = now + UP_GAP_MS
+                node.next_up = now + GAP * self.length
                 nodes.append(node)
         return self.probe(now, nodes)
 
     def may_rise(self, now, ply):
-        return ply.started is not None and ply.rung < self.highest(ply) and now - ply.changed >= UP_GAP_MS
+        settled = now - ply.changed >= GAP * self.length
+        return settled and ply.started is not None and ply.rung < self.highest(ply)
 
     def probe(self, now, nodes):
         for node in (nodes := [n for n in nodes if n.asked is None]):
@@ -511,14 +512,14 @@
 
     def send(self, now, ply):
         node, due = ply.holders[0], ply.limit - now
-        last = ply.product.repeat == "paid" or ply.sends + 1 >= self.d.max_allocations
+        least = max(WAIT_MIN_MS, due * (ply.product.repeat == "paid" or ply.sends + 1 >= self.d.max_allocations))
         ply.first, node.last_send = ply.first or node, now
         ply.out, ply.sends = Allocation(ply.sends), ply.sends + 1
         ply.tried.add(node.id)
-        for setups in node.setups, self.setups:
-            setups.add(now, 1)
+        node.setups.add(now, 1)
+        self.setups.add(now, 1)
         self.put(now, ply, node)
-        return Verdict(ply.id, node.id, ply.rung, min(due, max(PATIENCE * self.usual, TIMEOUT_MIN_MS, last * due)))
+        return Verdict(ply.id, node.id, ply.rung, min(due, max(PATIENCE * self.usual, least)))
 
     def send_back(self, now, ply, node, outcome):
         ply.until = None
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -240,6 +240,13 @@
         d.c.length = 40_000.0
         self.assertLess(2 * without[1], d.c.shadow_prices(d.base + 4000, d.c.nodes[1], 10_000.0)[1])
 
+    def test_steps_up_wait_by_the_usual_length(self):
+        d = Drive(nodes=1)
+        ply = type("Held", (), dict(started=0.0, rung=0, changed=d.base, product=d.c.rows[0], ask=face.Asked(1, 0, 5, 0, 4, 2, None, 0.0), d=d.c.d))
+        for length, wait in (40_000.0, 8000), (10_000.0, 2000):
+            d.c.length = length
+            self.assertEqual([d.c.may_rise(d.base + wait + late, ply) for late in (-1, 0)], [False, True])
+
     def test_a_storm_of_further_tries_prices_nobody_out(self):
         """Rehearsed: after five seconds in which nothing could be had, viewers who came again at once were counted as demand, and service stayed at nothing for good."""
         d = Drive(nodes=2, products=({}, {"importance": 3.0}))
