A new viewers' connection is not closed for others before it can have spoken

Seen: churn on sockets, 'the node that took request ended its client's connection with no whole answer'. Ruled out: releases (4,338 told, all heard, none twice), nodes' releases for unknown sessions (none). Fault: Door.come closed the unproven before the idle; of two that came in one turn the first went, its set-up unread.

--- a/laddergw/platform/viewers.py
+++ b/laddergw/platform/viewers.py
@@ -6,6 +6,7 @@
 
 SPEAK_MS = 2_000.0         # an unproven connection with nothing open, or half a message, is closed after this: 3 s are allowed
 LOOK_MS = 250.0            # pace of looking for such connections
+FRESH_MS = 500.0           # a new connection is not closed for others before it can have spoken
 OPEN_MOST = 64             # open set-ups of one connection: a front's pool holds a few, a flood hundreds
 UNSENT_MOST = 256 * 1024   # bytes that wait for a peer that does not read
 REFUSED_HERE = 95          # cause for what cannot be used: trying it again helps nobody
@@ -78,7 +79,8 @@
         self.viewers[viewer] = None
         if len(self.viewers) > self.most:            # who has said nothing goes first, then who was idle longest
             idle = [v for v in self.viewers if not v.plays and v is not viewer] or [viewer]
-            min(idle, key=lambda v: (v.proven, v.used)).close("too many")
+            # What a new one has to say may lie unread: closed then, its set-up would be lost
+            min(idle, key=lambda v: (v.proven or self.loop.now - v.since < FRESH_MS, v.used)).close("too many")
 
     def leave(self, viewer: Viewer) -> None:
         self.viewers.pop(viewer, None)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -277,6 +277,21 @@
         self.assertTrue(any("good gets 9 5" in line for line in town.lines) or any("good gets 12 5 cause 42" in line for line in town.lines), town.lines)
         self.assertLessEqual(len(town.director.door.viewers), 2)
 
+    def test_a_new_connection_is_not_closed_for_others(self):
+        """Seen on sockets: of two that came together the first was closed for the second, its set-up unread."""
+        town = Town()
+        for n in range(32):
+            viewer = town.viewer(f"stayed {n}")
+            viewer.stream.write(set_up(100 + n))
+            town.run(60)
+        town.lines.clear()
+        ones = [town.side(name, binary.Reader()) for name in ("one", "two", "three")]
+        for number, side in enumerate(ones):
+            town.hosts["viewers"].dial(LISTEN, side, 1000).write(set_up(200 + number))
+        town.run(60)
+        self.assertEqual([line.split()[1] for line in town.lines if "closed" in line], ["stayed"] * 3)
+        self.assertEqual(sorted(line.split()[1] for line in town.lines if "gets 9" in line), ["one", "three", "two"])
+
     def test_bad_nodes(self):
         """Spoilt answers end their allocation and their connection; a paid play then fails, another goes on elsewhere."""
         spoilt = {"noise": lambda s, m: s.stream.write(b"\x00\xffnoise"), "3 GB": lambda s, m: s.stream.write(answer(m.session).replace(b"Length: 5", b"Length: 3000000000") + b"x" * 9000),
