A viewer that gave up as its answer left is released too

What ends without a release there: plays that the node calls cancelled, and a viewer's give-up of what stands already. Lines: Director.viewer_ends. A guess by exclusion, not seen happening; a second release to a viewer is answered 16 and changes nothing.

--- a/laddergw/platform/director.py
+++ b/laddergw/platform/director.py
@@ -205,8 +205,9 @@
         return binary.AWAY, b"%d" % (ms or 0)
 
     def viewer_ends(self, viewer: Viewer, session: str) -> None:
-        if ply := self.standing.get(session):
+        if ply := self.standing.get(session):        # it gave up as our answer left: what stood is released to it too
             self.release(ply)
+            self.door.send(viewer, binary.RELEASE, session, (binary.CAUSE, bytes([ENDED])))
             self.feed(self.controller.left, self.loop.now, ply.id)
             self.ended(ply, life.HELD, life.GIVEN_UP)
         elif (ply := self.open.get(session)) and ply.viewer is viewer:
