Releases go only to viewers that had a play, and are heard before the process ends

Replayed with each release traced: 123 releases went to other connections than their own and were not heard, on connections that came every 256 ms, passed a test and left: the front's. 500 and more at each end of the process: told at 8.89, no one heard, the process closed its sockets at once with viewers' words unread; a reset takes what is on its way. Lines at fault: Director.heard let a test prove a connection; end_all stopped the loop in the same turn. Also the end came half a second past limits over 3 s, where it is killed. Ruled out: nodes' releases for unknown sessions, plays that outlive nodes (none in the trace). New connections are kept for others' sake 50 ms, not 500: a flood closed usual ones.

--- a/laddergw/platform/director.py
+++ b/laddergw/platform/director.py
@@ -25,7 +25,9 @@
 EARLY_MS = 20.0            # answers are due so long before the viewer's time limit: its clock began before ours
 GUARD_MS = 10.0            # past the module's own time-out at the limit, which it answers by the play's terms
 STOP_LEAST_MS = 1_000.0    # viewers come for 0.7 s after the order to stop
-STOP_AFTER_MS = 500.0      # past the longest time limit the process ends; it is killed 0.7 s past it
+STOP_AFTER_MS = 350.0      # past the longest time limit all is released; the process is killed 0.7 s past it,
+STOP_LIMIT_MS = 3_000.0    # a longer limit counting as this
+HEAR_MS, HEAR_LOOK_MS = 250.0, 10.0   # its end waits so long for viewers to hear their releases; pace of looking
 TELL_MS = 10_000.0         # pace of the line of counts in the log
 TOLD_MOST = 40             # unusable set-ups told in the log: a flood must not fill it
 
@@ -126,7 +128,7 @@
             self.stopping = self.loop.now
             log.info("stopping: open %d, standing %d", len(self.open), len(self.standing))
             self.loop.after(STOP_LEAST_MS, lambda: None)
-            self.loop.after(self.assignment.longest_ms + STOP_AFTER_MS, self.end_all)
+            self.loop.after(min(self.assignment.longest_ms, STOP_LIMIT_MS) + STOP_AFTER_MS, self.end_all)
 
     def end_all(self) -> None:
         for ply in list(self.open.values()):
@@ -135,14 +137,21 @@
             self.release(ply)
             self.settle_standing(ply)
             self.door.send(ply.viewer, binary.RELEASE, ply.session, (binary.CAUSE, bytes([BROKEN])))
-        self.loop.after(0, self.loop.stop)
+        self.leave(self.loop.now + HEAR_MS)
+
+    def leave(self, latest: float) -> None:
+        """Ends the process once its releases are heard: a connection that ends with something unread takes them along."""
+        if not self.door.unheard or self.loop.now >= latest:
+            self.loop.stop()
+        else:
+            self.loop.after(HEAR_LOOK_MS, lambda: self.leave(latest))
 
     def collapse(self) -> None:
         self.end_all()
 
     def turn_ends(self) -> None:
         self.decide()
-        if self.stopping is not None and not self.open and not self.standing and self.loop.now - self.stopping >= STOP_LEAST_MS:
+        if self.stopping is not None and not (self.open or self.standing or self.door.unheard) and self.loop.now - self.stopping >= STOP_LEAST_MS:
             self.loop.stop()
 
     # Viewers
@@ -154,8 +163,6 @@
             self.viewer_ends(viewer, message.session)
         elif message.kind == binary.TEST:
             viewer.write(binary.TESTED, message.session, (binary.CAUSE, bytes([self.stopping is None])))
-            if message.parameters is not None:
-                viewer.proven = True
         elif message.kind == binary.HEARD:
             self.door.heard(message.session)
         elif message.kind != binary.PROGRESS:
--- a/laddergw/platform/viewers.py
+++ b/laddergw/platform/viewers.py
@@ -6,7 +6,7 @@
 
 SPEAK_MS = 2_000.0         # an unproven connection with nothing open, or half a message, is closed after this: 3 s are allowed
 LOOK_MS = 250.0            # pace of looking for such connections
-FRESH_MS = 500.0           # a new connection is not closed for others before it can have spoken
+FRESH_MS = 50.0            # a new connection is not closed for others before it can have spoken
 OPEN_MOST = 64             # open set-ups of one connection: a front's pool holds a few, a flood hundreds
 UNSENT_MOST = 256 * 1024   # bytes that wait for a peer that does not read
 REFUSED_HERE = 95          # cause for what cannot be used: trying it again helps nobody
@@ -16,7 +16,7 @@
 
 
 class Viewer:
-    """One connection from viewers. `proven`: a play was begun or a test passed on it."""
+    """One connection from viewers. `proven`: a play was begun on it. A test proves nothing: fronts leave after theirs, and anyone can ask."""
 
     def __init__(self, door: "Door"):
         self.door, self.reader, self.plays, self.proven = door, binary.Reader(), {}, False
