--- a/laddergw/control.py
+++ b/laddergw/control.py
@@ -23,7 +23,7 @@
 CROWD_START, CROWD_STEP = 0.4, 0.1   # others' share of a link before a note: fair use; a note's weight in it
 RATE_PRIOR = 4.0           # plays' worth of the ladder's middle in what a play of others is taken to ask
 AGE_MS = 15_000.0          # what was told of a node's others fades into their usual share over this
-ABSURD = 10.0              # a load or rung told at or over this is no word at all: links are never asked that
+ABSURD, MOST = 10.0, 1.5   # told so much is no word at all; so much of a link is asked for on a bad day
 FEW = 4                    # directors: so many hear of most nodes
 DOUBT, WARY = 1.0, 0.26    # with more: share of an unheard link drawn; share left free beyond MARGIN
 REPORT_LAG_MS = 300.0      # load reports: usual age
@@ -44,7 +44,7 @@
 ILL_MS, ILL_MOST = 400.0, 5   # first rest of a node that failed; doublings at most: to 13 s, about a restart
 COLD_PART = 0.7            # part of a cold node's allowance that we all use: set-ups differ in work
 ANSWER_START_MS, ANSWER_STEP = 150.0, 0.1   # set-up time before any was seen; weight of one in the usual
-PATIENCE, WAIT_MIN_MS = 5.0, 300.0   # time-out in usual set-up times: slow ones pass; a handshake fits
+PATIENCE, WAIT_MS = 5.0, 300.0   # time-out in usual set-up times: slow ones pass; a handshake fits
 FRESH_MS = 1_000.0         # a report is fresh so long: under a change or two of a node's plays
 ECHO_WAIT_MS = 200.0       # a play waits so long for probes: a set-up's time, far under first-frame targets
 RETRY_MS = 1_000.0         # longest retry-after; spread over its upper half, against returns in one wave
@@ -107,8 +107,8 @@
         self.pace, self.early, self.cold, self.last_send, self.short = pace, 1.0, *[-math.inf] * 3
         self.heard, self.asked, self.next_up, self.roomed = -math.inf, *[None] * 3
 
-    def hear(self, now, others):     # told more than it carries it sags or stands still: no more goes on
-        known, told = self.links - self.known.now(now), min(others, self.links) - self.told.now(now)
+    def hear(self, now, others):     # told of more than is ever asked, it gives less: a sag, a stand-still
+        known, told = self.links - self.known.now(now), min(others, MOST * self.links) - self.told.now(now)
         for part in (self,) if self.state == face.GONE else (self, self.rack):
             part.known.add(now, known)
             part.told.add(now, told)
@@ -512,7 +512,7 @@
 
     def send(self, now, ply):
         node, due = ply.holders[0], ply.limit - now
-        least = max(WAIT_MIN_MS, due * (ply.product.repeat == "paid" or ply.sends + 1 >= self.d.max_allocations))
+        least = max(WAIT_MS, due * (ply.product.repeat == "paid" or ply.sends + 1 >= self.d.max_allocations))
         ply.first, node.last_send = ply.first or node, now
         ply.out, ply.sends = Allocation(ply.sends), ply.sends + 1
         ply.tried.add(node.id)
