--- a/laddergw/control.py
+++ b/laddergw/control.py
@@ -40,7 +40,7 @@
 UP_ROOM, UP_SHARED = 0.25, 0.2   # share of a link left free by a step up; less of it where many share room
 MAIL_PART, LINE = 0.12, 5.0  # what telling a report may cost over its probe; bytes of a line of mail
 UP_PART, HOPE = 0.3, 3.0   # part of probed room that one director takes; gain over a probe's price
-GAP = 0.2                  # time from a change of a play's rung to a step up, in usual lengths: steps cost
+GAP, ECHO_GAP_MS = 0.2, 8_000.0   # from a change of rung to a step up, in usual lengths; of probes for it
 ILL_MS, ILL_MOST = 400.0, 5   # first rest of a node that failed; doublings at most: to 13 s, about a restart
 COLD_PART = 0.7            # part of a cold node's allowance that we all use: set-ups differ in work
 ANSWER_START_MS, ANSWER_STEP = 150.0, 0.1   # set-up time before any was seen; weight of one in the usual
@@ -444,12 +444,12 @@
         price, nodes = HOPE * self.d.probe_price * self.length * max(row.importance for row in self.rows), []
         for node in {p.node.id: p.node for p in self.plays.values() if p.node and not p.out}.values():
             if node.next_up is None:                 # not all at once after a start
-                node.next_up = now + self.chance() * GAP * self.length
-            if now < max(node.next_up, node.heard + GAP * self.length / 2) or node.state == face.GONE:
+                node.next_up = now + self.chance() * ECHO_GAP_MS
+            if now < max(node.next_up, node.heard + ECHO_GAP_MS / 2) or node.state == face.GONE:
                 continue
             able = [p for p in node.plays.values() if self.may_rise(now, p)]
             if sum(self.gain(p, p.rung) * p.left(now) for p in able) > price:
-                node.next_up = now + GAP * self.length
+                node.next_up = now + ECHO_GAP_MS
                 nodes.append(node)
         return self.probe(now, nodes)
 
