--- a/laddergw/platform/director.py
+++ b/laddergw/platform/director.py
@@ -41,7 +41,7 @@
         self.request, self.session, self.id, self.viewer = request, session, request.ask.play, viewer
         self.node: Node | None = None            # where its allocation is
         self.line: Line | None = None            # where its set-up is open
-        self.number, self.sent_at, self.rung = -1, 0.0, 0    # of its allocation
+        self.number, self.sent_at = -1, 0.0      # of its allocation
         self.timer = self.guard = None
         self.stands = False
 
@@ -280,12 +280,11 @@
             self.door.send(ply.viewer, binary.MOVE, ply.session)
             self.ended(ply, life.HELD, life.GIVEN_UP)
         elif verdict.rung is not None and ply.stands:
-            ply.rung = verdict.rung
             self.count("steps")
             self.say(ply.node, rtsp.request("SET_PARAMETER", ply.request.title, ply.session, (("Rate-Step", str(verdict.rung)),)))
 
     def allocate(self, ply: Play, verdict: face.Verdict) -> None:
-        ply.number, ply.sent_at, ply.rung = ply.number + 1, self.loop.now, verdict.rung
+        ply.number, ply.sent_at = ply.number + 1, self.loop.now
         node = ply.node = self.nodes.by_number.get(verdict.node)
         if node is None or node.gone or verdict.timeout_ms <= 0:
             self.loop.soon(lambda: self.tell_end(ply, face.NEVER_SENT))
--- a/laddergw/platform/following.py
+++ b/laddergw/platform/following.py
@@ -16,12 +16,12 @@
 
     def __init__(self, loop, address: tuple[str, int] | None, last: int, told: Callable[[changes.Event], None]):
         self.loop, self.address, self.last, self.told = loop, address, last, told
-        self.stream, self.reader, self.pause, self.timer, self.begun = None, changes.Reader(), AGAIN_MS[0], None, 0
+        self.stream, self.reader, self.pause, self.timer = None, changes.Reader(), AGAIN_MS[0], None
         if address is not None:
             self.dial()
 
     def dial(self) -> None:
-        self.reader, self.begun = changes.Reader(), self.begun + 1
+        self.reader = changes.Reader()
         self.stream = self.loop.dial(self.address, self, DIAL_MS)
         self.listen_out(DIAL_MS + SILENT_MS)
 
--- a/laddergw/platform/nodes.py
+++ b/laddergw/platform/nodes.py
@@ -144,7 +144,7 @@
     """All nodes of the list. `director` carries out what comes of them."""
 
     def __init__(self, loop, director, most: int, connect_ms: float):
-        self.loop, self.director, self.most, self.connect_ms = loop, director, most, connect_ms
+        self.loop, self.most, self.connect_ms = loop, most, connect_ms
         self.by_id: dict[str, Node] = {}
         self.by_number: dict[int, Node] = {}
         self.numbers = self.tests = 0
