What is told as never sent never leaves: taken out of the queue, or the connection cut

Cause: Director.drop_set_up closed by Stream.close, which ends only after what is queued: a connection that is coming up comes up and writes the set-up out, told to the module as never sent. The loop in memory dropped what was queued at such a close, so no test could show it: it now writes out as real streams do.

Change: Line.give_up takes a set-up that has not begun to leave out of the queue whole (what waits behind it stays); one of which a part has left is cut off with its connection. An answer to a set-up that has not left is malformed: believed, the rest would have left after its end was told. Set-ups, their drops and ends are told at debug level, a line each.

The tests fail without it.

--- a/laddergw/loop/base.py
+++ b/laddergw/loop/base.py
@@ -21,6 +21,20 @@
     def closed(self, stream, why: str | None) -> None: ...
 
 
+class Outgoing:
+    """What the streams of every loop share: writes wait in `out` until they leave, one entry each."""
+    __slots__ = ()
+
+    def take_back(self, data: bytes) -> bool:
+        """Takes a write out of the queue, whole. False where a byte of it has left: then only `abort` holds back the rest."""
+        if data not in self.out:
+            return False
+        self.out.remove(data)
+        self.queued -= len(data)
+        self.asked -= len(data)
+        return True
+
+
 class BaseLoop:
     """Timers and turns. `now` is one reading a turn, ms; `stalled`, mostly 0: so long may what is read now have waited."""
 
--- a/laddergw/loop/memory.py
+++ b/laddergw/loop/memory.py
@@ -10,7 +10,7 @@
 from typing import Callable
 from zlib import crc32
 
-from laddergw.loop.base import REFUSED, BaseLoop, Owner
+from laddergw.loop.base import REFUSED, BaseLoop, Outgoing, Owner
 
 WINDOW = 65_536            # bytes that one direction of a stream takes before its reader has read: a socket buffer
 DELAY_MS = 0.2             # one way between hosts: a building's network
@@ -215,7 +215,7 @@
         self.waiting.clear()
 
 
-class Stream:
+class Stream(Outgoing):
     """One end of a connection in memory; the same calls and counts as a real one."""
 
     def __init__(self, host: Host, owner: Owner | None, peer, number: int, delay: float):
@@ -323,10 +323,8 @@
     def close(self) -> None:
         if self.alive and not self.ending:
             self.ending = True
-            if not self.out and self.open:
+            if not self.out:
                 self.finish()
-            elif not self.open:
-                self.lose(None)
 
     def abort(self) -> None:
         if self.alive:
--- a/laddergw/loop/sockets.py
+++ b/laddergw/loop/sockets.py
@@ -9,7 +9,7 @@
 from collections import deque
 from typing import TYPE_CHECKING, Callable
 
-from laddergw.loop.base import REFUSED, BaseLoop, Owner, wait_ms
+from laddergw.loop.base import REFUSED, BaseLoop, Outgoing, Owner, wait_ms
 
 if TYPE_CHECKING:
     import subprocess
@@ -24,7 +24,7 @@
     return time.monotonic_ns() / 1e6
 
 
-class Stream:
+class Stream(Outgoing):
     """A connected socket. `taken` counts the bytes that the kernel took, `asked` those that we were given to write."""
     __slots__ = ("loop", "sock", "owner", "peer", "out", "queued", "asked", "taken", "reading", "ending", "open", "mask",
                  "limit", "fd")
--- a/laddergw/platform/director.py
+++ b/laddergw/platform/director.py
@@ -294,6 +294,7 @@
         ply.line = node.free_line()
         ply.line.set_up(ply, rtsp.request("SETUP", r.title, ply.session, (
             ("Subject", r.product), ("X-Patience", str(max(1, int(verdict.timeout_ms)))), ("Rate-Step", str(verdict.rung))), r.description))
+        log.debug("%s.%d %s: to node %s on %s, time-out %.0f ms", ply.session, ply.number, r.product, node.id, ply.line, verdict.timeout_ms)
         ply.timer = self.loop.after(verdict.timeout_ms, lambda: self.late(ply))
 
     def say(self, node: Node, data: bytes) -> None:
@@ -355,7 +356,8 @@
     def drop_set_up(self, ply: Play, fact: str) -> None:
         """Gives a set-up up. Its connection ends too: what may still come on it belongs to nobody."""
         line = ply.line
-        state = line.settle(ply.session)
+        log.debug("%s.%d: %s on %s, set-up ends at byte %d", ply.session, ply.number, fact, line, line.ends[ply.session])
+        state = line.give_up(ply.session)
         if state == life.OUT:
             line.stream.write(rtsp.request("TEARDOWN", ply.request.title, ply.session))
         if not line.plays and line in line.node.lines:
@@ -388,6 +390,7 @@
         if ply.timer is not None:
             ply.timer.cancel()
             ply.timer = None
+        log.debug("%s.%d: ends, %s", ply.session, ply.number, outcome)
         self.count(("stood: " if ply.stands else "set-up: ") + outcome)
         over = ply.stands or ply.session not in self.open
         self.feed(self.controller.ended, self.loop.now, ply.id, ply.number, outcome, ply.node.number if ply.node else 0, over, report)
--- a/laddergw/platform/nodes.py
+++ b/laddergw/platform/nodes.py
@@ -24,8 +24,13 @@
         self.node, self.loop, self.reader, self.up, self.test = node, node.fleet.loop, rtsp.Reader(), False, None
         self.plays: dict[str, Any] = {}      # whose set-ups are open on it
         self.ends: dict[str, int] = {}       # where in the stream each of their set-ups ends
+        self.set_ups: dict[str, bytes] = {}
         self.stream = self.loop.dial(node.address, self, node.fleet.connect_ms)
 
+    def __str__(self) -> str:
+        stream = self.stream
+        return f"connection {id(self):x} ({'up' if self.up else 'coming up'}, {stream.taken} of {stream.asked} bytes gone, {len(self.plays)} set-ups)"
+
     def opened(self, stream) -> None:
         self.up, self.node.silent = True, 0
 
@@ -48,14 +53,25 @@
         return life.OUT if self.stream.taken >= self.ends[session] else life.UNSENT
 
     def set_up(self, ply, data: bytes) -> None:
-        self.plays[ply.session] = ply
+        self.plays[ply.session], self.set_ups[ply.session] = ply, data
         self.stream.write(data)
         self.ends[ply.session] = self.stream.asked
 
     def settle(self, session: str) -> str:
         """Its set-up is open no more; says whether all of it had left."""
         state = self.state(session)
-        del self.plays[session], self.ends[session]
+        del self.plays[session], self.ends[session], self.set_ups[session]
+        return state
+
+    def give_up(self, session: str) -> str:
+        """Settles a set-up, and of one that is told as never sent no byte leaves any more: `close` would still write it out."""
+        data, end = self.set_ups[session], self.ends[session]
+        state = self.settle(session)
+        if state == life.UNSENT and self.stream.take_back(data):
+            self.ends = {other: at - len(data) * (at > end) for other, at in self.ends.items()}
+        elif state == life.UNSENT:           # a part of it has left: what is open beside it ends too
+            self.end(life.CUT)
+            self.node.renew()
         return state
 
     def end(self, fact: str) -> None:
@@ -69,7 +85,7 @@
 
     def closed(self, stream, why: str | None) -> None:
         if self in self.node.lines:
-            log.debug("node %s: connection ends: %s", self.node.id, why)
+            log.debug("node %s: %s ends: %s", self.node.id, self, why)
             self.end(life.CUT)
             self.node.line_ended(self, why)
 
@@ -99,6 +115,8 @@
         return self.dial()
 
     def said(self, line: Line, message: rtsp.Message) -> None:
+        if message.session in line.plays and line.state(message.session) == life.UNSENT:
+            raise rtsp.Malformed("an answer to what has not left yet")   # believed, the rest would leave all the same
         if message.method:
             return self.fleet.told(self, line, message)
         if message.target == "" and line.test == message.session:
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -170,6 +170,22 @@
         self.until(lambda: refused.ends)
         self.assertEqual(refused.ends, ["Connection refused"])
 
+    def test_what_is_closed_while_it_comes_up_is_written_out_unless_taken_back(self):
+        """The loop in memory once dropped it, and so hid that real streams wrote out what had been given up."""
+        world, held = Memory(seed=3), []
+        here, there = world.host("here"), world.host("there")
+        for loop, run in (self.loop, lambda done: self.until(done)), (here, lambda done: world.run(world.now + 50)):
+            with self.subTest(type(loop).__name__):
+                held.clear()
+                listener = (loop if loop is self.loop else there).listen(("127.0.0.1", 0), lambda stream: held.append(Peer()) or held[-1])
+                stream = loop.dial(listener.address, peer := Peer(), 1_000)
+                for data in b"first", b"second", b"third":
+                    stream.write(data)
+                self.assertEqual((stream.take_back(b"second"), stream.take_back(b"none"), stream.queued, stream.asked), (True, False, 10, 10))
+                stream.close()
+                run(lambda: held and held[0].ends and peer.ends)
+                self.assertEqual((bytes(held[0].data), held[0].ends, peer.ends), (b"firstthird", [None], [None]))
+
     def test_writing_to_a_reset_stream_is_told_once(self):
         held, peer = [], Peer()
         listener = self.loop.listen(("127.0.0.1", 0), lambda stream: held.append(Peer()) or held[-1])
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -5,10 +5,10 @@
 import unittest
 
 from laddergw import interface as face, settings
-from laddergw.loop.memory import Memory
+from laddergw.loop.memory import WINDOW, Memory
 from laddergw.platform import allocation as life, assignment as assignments, requests
 from laddergw.platform.director import Director
-from laddergw.signalling import binary, rtsp
+from laddergw.signalling import binary, changes, rtsp
 from tests.helpers import TraceTest
 
 LISTEN, LOG = ("director", 5060), ("log", 4222)
@@ -103,6 +103,10 @@
         self.run(2)
         return side
 
+    def director_side(self):
+        """The director's end of the connection that came last."""
+        return next(reversed(self.director.door.viewers))
+
     def node_got(self, side, m):
         if m.method == "OPTIONS":
             side.stream.write(rtsp.answer(200, "OK", "3", m.session))
@@ -137,6 +141,12 @@
         pass
 
 
+def message(data):
+    reader = binary.Reader()
+    reader.feed(data)
+    return reader.next()
+
+
 def answer(session, status=200, body=b"v=0\r\n", more=""):
     return f"RTSP/1.0 {status} X\r\nCSeq: 1\r\nSession: {session}\r\n{more}Content-Length: {len(body)}\r\n\r\n".encode() + body
 
@@ -379,6 +389,69 @@
         self.assertTrue(any(f"node {other} gets SETUP 1" in line for line in town.lines), town.lines)
         self.assertFalse(any(f"node {first} gets" in line for line in town.lines))
 
+    def test_what_is_told_as_never_sent_never_leaves(self):
+        """Seen on sockets: a set-up was taken back while its connection came up, then written out on it, and the play went elsewhere too."""
+        def drain(town):
+            town.director.listed(changes.event_of(event(2, member("a", 1, "DRAINING"))))
+
+        def late(town):
+            town.director.late(town.director.open[f"{1:016x}"])
+
+        def leave(town):
+            town.director.viewer_ends(town.director_side(), f"{1:016x}")
+
+        def stop(town):
+            town.director.end_all()
+        for act in drain, late, leave, stop:
+            for shared in False, True:
+                with self.subTest(act.__name__, shared=shared):
+                    town = Town()
+                    town.director.nodes.most = 0 if shared else 22
+                    town.director.controller.nodes[2].rest = 1e12      # node b: all go to a
+                    town.viewer()
+                    town.director.heard(town.director_side(), message(set_up(1, product="paid")))
+                    if shared:
+                        town.director.heard(town.director_side(), message(set_up(2, product="paid")))
+                    town.director.decide()
+                    line, = town.director.nodes.by_id["a"].lines
+                    self.assertEqual((line.up, len(line.plays)), (False, 1 + shared))
+                    town.director.controller.nodes[2].rest = 0.0
+                    town.hosts["director"].soon(lambda: act(town))
+                    town.run(50)
+                    got = [part for part in town.lines if "node a gets SETUP" in part]
+                    self.assertFalse([part for part in got if " SETUP 1 " in part], town.lines)
+                    self.assertEqual(len(got), shared and act in (late, leave), town.lines)
+                    self.assertEqual(any("node b gets SETUP 1" in part for part in town.lines), act in (drain, late), town.lines)
+                    self.assertLessEqual(sum("viewer gets" in part and part.split()[4] == "1" for part in town.lines), 1)
+
+    def test_what_has_left_in_part_is_cut_off(self):
+        town = Town(nodes=("a",))
+        viewer = town.viewer()
+        viewer.stream.write(set_up(1))
+        town.run(50)
+        line, = town.director.nodes.by_id["a"].lines
+        town.sides["node a"].stream.pause()
+        line.stream.write(b"x" * (WINDOW - 100))
+        viewer.stream.write(set_up(2, product="paid"))
+        town.run(20)
+        self.assertEqual((line.state(f"{2:016x}"), line.stream.queued > 0, line.stream.taken), (life.UNSENT, True, line.stream.asked - line.stream.queued))
+        viewer.stream.write(binary.encode(binary.RELEASE, f"{2:016x}", (222, b"\x10")))
+        town.run(20)
+        self.assertEqual((line.stream.alive, len(town.director.nodes.by_id["a"].lines)), (False, 1))
+        self.assertEqual(len(town.director.standing), 1)
+
+    def test_an_answer_to_what_has_not_left(self):
+        """It is no answer: taken as one, the rest of the set-up would leave after its end was told."""
+        for said in answer(f"{1:016x}", 453), release(1, 41):
+            town = Town(nodes=("a",))
+            town.hosts["a"].silent = True
+            town.viewer().stream.write(set_up(1, product="paid"))
+            town.run(20)
+            line, = town.director.nodes.by_id["a"].lines
+            line.got(line.stream, said)
+            self.assertFalse(line.stream.alive)
+            self.assertEqual(town.director.counts["spoilt"], 1)
+
     def test_new_node_at_an_old_address(self):
         """Connections belong to ids: nothing of the one that has gone goes to its successor."""
         town = Town()
