Connections that asked for a play are not closed as of no use; releases find a way on them

Cause: Door.look closed what is not proven after SPEAK_MS, and only Director.stand proved: not a play handed over, not a set-up that was declined. Ruled out: eviction (4 viewers of 272), half messages, a session that is there (no such count in any log).

Change: who asked for a play that could be read is not closed for saying nothing of use; a play handed over proves as one begun does. A release goes to the last used proven connection, else to one that asked, and again to the next proven one. Bounds stay: unproven connections still go first where there are too many.

--- a/laddergw/platform/director.py
+++ b/laddergw/platform/director.py
@@ -179,6 +179,7 @@
             if self.counts["unusable"] <= TOLD_MOST:
                 log.info("unusable: %s", error)
             return viewer.refuse(session)
+        viewer.spoke = True
         if request.at:
             return self.handed_over(viewer, session, request)
         if self.broken or self.stopping is not None or len(viewer.plays) >= OPEN_MOST:
@@ -199,6 +200,7 @@
         if node is None or node.gone:
             self.count("handed over from nowhere")
             return viewer.refuse(session)
+        self.door.prove(viewer)
         if session not in self.standing:
             self.count("handed over")
             ply = self.standing[session] = node.held[session] = Play(request, session, viewer)
--- a/laddergw/platform/viewers.py
+++ b/laddergw/platform/viewers.py
@@ -1,6 +1,6 @@
 """The viewers' side: connections, their messages, and bounds against those who say nothing or too much."""
 import logging
-from typing import Any
+from typing import Any, Callable
 
 from laddergw.signalling import binary
 
@@ -16,10 +16,11 @@
 
 
 class Viewer:
-    """One connection from viewers. `proven`: a play was begun on it. A test proves nothing: fronts leave after theirs, and anyone can ask."""
+    """One connection from viewers. `spoke`: it asked for a play. `proven`: one stands by it, begun on it or handed over on it.
+    A test proves nothing: fronts leave after theirs, and anyone can ask."""
 
     def __init__(self, door: "Door"):
-        self.door, self.reader, self.plays, self.proven = door, binary.Reader(), {}, False
+        self.door, self.reader, self.plays, self.spoke, self.proven = door, binary.Reader(), {}, False, False
         self.since = self.used = door.loop.now
         self.half = None                     # since when a message has begun and not ended
 
@@ -56,6 +57,7 @@
     def close(self, why: str) -> None:
         if self.stream is not None:
             self.door.director.count("closed: " + why.partition(" of ")[0])
+            log.debug("viewers' connection closed: %s; %.0f ms old, idle %.0f", why, self.door.loop.now - self.since, self.door.loop.now - self.used)
             self.stream.close()
 
     def closed(self, stream, why: str | None) -> None:
@@ -84,7 +86,7 @@
 
     def leave(self, viewer: Viewer) -> None:
         self.viewers.pop(viewer, None)
-        self.again(viewer)
+        self.again(lambda carrier: carrier is viewer)
 
     def look(self) -> None:
         self.loop.after(LOOK_MS, self.look)
@@ -92,17 +94,17 @@
         for viewer in list(self.viewers):
             if viewer.half is not None and now - viewer.half >= SPEAK_MS:
                 viewer.close("half a message")
-            elif not viewer.proven and not viewer.plays and now - viewer.since >= SPEAK_MS:
+            elif not viewer.spoke and now - viewer.since >= SPEAK_MS:    # who spoke has its answers, and may be speaking again
                 viewer.close("nothing of use")
         for session in [session for session, (_, _, until) in self.unheard.items() if now >= until]:
             del self.unheard[session]
 
     def way_to(self, first: Viewer | None) -> Viewer | None:
-        """A connection for what ends a play: the one it came on, else that which was used last by proven viewers."""
+        """A connection for what ends a play: the one it came on, else the last used that is proven, else that spoke."""
         if first is not None and first.stream is not None:
             return first
-        proven = [v for v in self.viewers if v.proven and v.stream is not None]
-        return max(proven, key=lambda v: v.used, default=None)
+        spoke = [v for v in self.viewers if v.spoke and v.stream is not None]
+        return max(spoke, key=lambda v: (v.proven, v.used), default=None)
 
     def send(self, first: Viewer | None, kind: int, session: str, *parameters: tuple[int, bytes]) -> None:
         """What ends a play, until its viewer has said that it heard it: a connection may end with it unread."""
@@ -118,13 +120,13 @@
     def heard(self, session: str) -> None:
         self.unheard.pop(session, None)
 
-    def again(self, gone: Viewer | None, first: Viewer | None = None) -> None:
-        """What went out on a connection that has ended, or found none, goes on another."""
-        for session, (viewer, data, until) in [entry for entry in self.unheard.items() if entry[1][0] is gone]:
+    def again(self, lost: Callable[[Viewer | None], bool], first: Viewer | None = None) -> None:
+        """What went out on a connection that has ended, or found none that is proven, goes on another."""
+        for session, (_, data, until) in [entry for entry in self.unheard.items() if lost(entry[1][0])]:
             self.director.count("told again")
             self.pass_on(first, session, data, until)
 
     def prove(self, viewer: Viewer) -> None:
-        viewer.proven = True
+        viewer.spoke = viewer.proven = True
         if viewer.stream is not None:
-            self.again(None, viewer)
+            self.again(lambda carrier: carrier is None or not carrier.proven, viewer)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -533,6 +533,32 @@
         town.run(20)
         self.assertEqual([line.split()[1] for line in town.lines if "gets 12 1" in line], ["second"])
 
+    def test_who_asked_is_not_closed_as_of_no_use(self):
+        """Seen on sockets: connections that had handed plays over were closed 2 s later, all at once; a set-up that came just then
+        was lost, and so was a release at a director that was left without a connection."""
+        town = Town()
+        front, other = town.viewer("front"), town.viewer("other")
+        front.stream.write(set_up(1, figures="home:0;copies:3;top:2;at:a") + set_up(2, figures="home:0;copies:3;top:2;at:a"))
+        town.run(20)
+        for controlled in town.director.controller.nodes.values():
+            controlled.rest = 1e12
+        other.stream.write(set_up(3))
+        town.run(2600)
+        self.assertTrue(any("other gets 12 3 cause 42" in line for line in town.lines), town.lines)
+        self.assertFalse(any("closed" in line for line in town.lines), town.lines)
+        side = town.sides["node a"]
+        side.stream.write(release(1, 16))
+        town.run(20)
+        front.stream.abort()
+        town.run(20)
+        town.sides["node a"].stream.write(release(2, 16))
+        town.run(20)
+        self.assertEqual([line.split(maxsplit=1)[1] for line in town.lines if " 12 1 " in line or " 12 2 " in line],
+                         ["front gets 12 1 cause 16", "other gets 12 1 cause 16", "other gets 12 2 cause 16"])
+        town.viewer("third").stream.write(set_up(4, figures="home:0;copies:3;top:2;at:a"))
+        town.run(20)
+        self.assertEqual(sum("third gets 12" in line for line in town.lines), 2, town.lines)
+
     def test_module_fails(self):
         """All that is open is answered, and all that stands is released."""
         town = Town()
