Nodes are tested only after 1.5 s of silence; connections are bounded and take turns; no dial raises

Cause: Node.look wrote OPTIONS each 500 ms to every node that holds a play; where tests are priced and cost the node work, all directors together take most of the fleet with them. Change: what a node says proves that it lives; it is tested QUIET_MS after its last word. 1.5 s: with the looks, the test's second and two connections of 250 ms a machine's end is seen within 4 s of the 8 that the protocol gives, and before one that is away for 5 s is back.

SocketLoop.dial raised where none was left, out of whatever call dialled: other verdicts of that turn were lost; Node.look, handed_over and free_line dialled past the bound.

--- a/laddergw/loop/base.py
+++ b/laddergw/loop/base.py
@@ -8,6 +8,7 @@
 
 MOST_TIMERS = 2_000        # calls of timers in one turn: past that the sockets get their turn first
 REFUSED = "Connection refused"   # why of a dial that found no process: it proves that nothing is held there
+SHORT = "no descriptor"    # why of a dial for which this process had none left: it tells nothing of the peer
 STALL_MS = 100.0           # a turn that comes so much later than it should counts as a stand-still of the process
 
 log = logging.getLogger("laddergw.loop")
--- a/laddergw/loop/memory.py
+++ b/laddergw/loop/memory.py
@@ -238,9 +238,9 @@
         self.flush()
 
     def write(self, data: bytes) -> None:
+        self.asked += len(data)
         if not self.alive or self.ending or not data:
             return
-        self.asked += len(data)
         self.queued += len(data)
         self.out.append(bytes(data))
         if self.open:
--- a/laddergw/loop/sockets.py
+++ b/laddergw/loop/sockets.py
@@ -9,7 +9,7 @@
 from collections import deque
 from typing import TYPE_CHECKING, Callable
 
-from laddergw.loop.base import REFUSED, BaseLoop, Outgoing, Owner, wait_ms
+from laddergw.loop.base import REFUSED, SHORT, BaseLoop, Outgoing, Owner, wait_ms
 
 if TYPE_CHECKING:
     import subprocess
@@ -30,16 +30,16 @@
                  "limit", "fd")
 
     def __init__(self, loop: "SocketLoop", sock: socket.socket, owner: Owner, peer):
-        self.loop, self.sock, self.owner, self.peer, self.fd = loop, sock, owner, peer, sock.fileno()
+        self.loop, self.sock, self.owner, self.peer, self.fd = loop, sock, owner, peer, sock.fileno() if sock else -1
         self.out: deque = deque()
         self.queued = self.asked = self.taken = self.mask = 0
         self.reading, self.ending, self.open, self.limit = True, False, False, None
 
     def write(self, data: bytes) -> None:
         """Writes what the kernel takes now and keeps the rest. Nothing is written once the stream has closed."""
+        self.asked += len(data)
         if self.sock is None or self.ending or not data:
             return
-        self.asked += len(data)
         if self.open and not self.out:
             data = data[self.push(data):]
         if data and self.sock is not None:
@@ -242,7 +242,12 @@
 
     def dial(self, address: tuple[str, int], owner: Owner, limit_ms: float) -> Stream:
         """Connects; the owner is told `opened`, or `closed` with the reason, never within this call."""
-        sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
+        except OSError as error:               # this connection does not come up, nothing else is harmed
+            self.last_error, stream = str(error), Stream(self, None, owner, address)
+            self.soon(lambda: owner.closed(stream, SHORT))
+            return stream
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         stream = Stream(self, sock, owner, address)
--- a/laddergw/platform/director.py
+++ b/laddergw/platform/director.py
@@ -206,7 +206,7 @@
             ply = self.standing[session] = node.held[session] = Play(request, session, viewer)
             ply.node, ply.number, ply.stands = node, 0, True
             self.feed(self.controller.handed_over, self.loop.now, request.ask, node.number)
-            if not node.lines:
+            if not node.lines and self.nodes.room(of_held=False):
                 node.dial()                          # what the node tells of it comes on any connection
         return None
 
@@ -288,13 +288,13 @@
     def allocate(self, ply: Play, verdict: face.Verdict) -> None:
         ply.number, ply.sent_at = ply.number + 1, self.loop.now
         node = ply.node = self.nodes.by_number.get(verdict.node)
-        if node is None or node.gone or verdict.timeout_ms <= 0:
+        line = None if node is None or node.gone or verdict.timeout_ms <= 0 else node.free_line()
+        if line is None:
             self.loop.soon(lambda: self.tell_end(ply, face.NEVER_SENT))
             return
         r = ply.request
-        node.open[ply.session] = ply
-        ply.line = node.free_line()
-        ply.line.set_up(ply, rtsp.request("SETUP", r.title, ply.session, (
+        node.open[ply.session], ply.line = ply, line
+        line.set_up(ply, rtsp.request("SETUP", r.title, ply.session, (
             ("Subject", r.product), ("X-Patience", str(max(1, int(verdict.timeout_ms)))), ("Rate-Step", str(verdict.rung))), r.description))
         log.debug("%s.%d %s: to node %s on %s, time-out %.0f ms", ply.session, ply.number, r.product, node.id, ply.line, verdict.timeout_ms)
         ply.timer = self.loop.after(verdict.timeout_ms, lambda: self.late(ply))
@@ -305,6 +305,7 @@
         if line is None:
             if node.gone:
                 return
+            self.nodes.room(of_held=True)            # past the bound all the same: what ends a play must leave
             line = node.dial()
         line.stream.write(data)
 
--- a/laddergw/platform/nodes.py
+++ b/laddergw/platform/nodes.py
@@ -6,13 +6,14 @@
 import logging
 from typing import Any
 
-from laddergw.loop.base import REFUSED
+from laddergw.loop.base import REFUSED, SHORT
 from laddergw.platform import allocation as life
 from laddergw.signalling import rtsp
 
 LOOK_MS = 500.0            # pace of looking after nodes that hold plays
-TEST_MS = 1_000.0          # a test passes at once: unanswered for so long its connection is dead
-SILENCES = 2               # connections in a row that never come up: the machine is gone; with the test within 4 s of 8
+QUIET_MS = 1_500.0         # what a node says proves that it lives; so long after its last word it is tested. With a look (each LOOK_MS), the
+TEST_MS = 1_000.0          # test (it passes at once: unanswered for so long its connection is dead), another look
+SILENCES = 2               # and so many connections in a row that never come up, a machine is found gone within some 4 s, half of the 8
 
 log = logging.getLogger("laddergw.platform")
 
@@ -22,6 +23,7 @@
 
     def __init__(self, node: "Node"):
         self.node, self.loop, self.reader, self.up, self.test = node, node.fleet.loop, rtsp.Reader(), False, None
+        self.since = self.loop.now
         self.plays: dict[str, Any] = {}      # whose set-ups are open on it
         self.ends: dict[str, int] = {}       # where in the stream each of their set-ups ends
         self.set_ups: dict[str, bytes] = {}
@@ -32,13 +34,17 @@
         return f"connection {id(self):x} ({'up' if self.up else 'coming up'}, {stream.taken} of {stream.asked} bytes gone, {len(self.plays)} set-ups)"
 
     def opened(self, stream) -> None:
-        self.up, self.node.silent = True, 0
+        self.up = True
+        self.speaks()
 
     def emptied(self, stream) -> None:
         pass
 
+    def speaks(self) -> None:
+        self.node.silent, self.node.heard = 0, self.loop.now
+
     def got(self, stream, data: bytes) -> None:
-        self.node.silent = 0
+        self.speaks()
         self.reader.feed(data)
         try:
             while (message := self.reader.next()) is not None:
@@ -96,6 +102,7 @@
     def __init__(self, fleet: "Nodes", number: int, member):
         self.fleet, self.number, self.id, self.address = fleet, number, member.id, (member.host, member.port)
         self.since, self.gone, self.silent, self.lines = member.since, False, 0, []
+        self.heard = fleet.loop.now
         self.held: dict[str, Any] = {}       # plays that stand there
         self.open: dict[str, Any] = {}       # plays whose set-up is open there
 
@@ -104,15 +111,15 @@
         self.lines.append(line)
         return line
 
-    def free_line(self) -> Line:
-        """An idle connection that is up, else a new one; where no more may be opened, the least used."""
+    def free_line(self) -> Line | None:
+        """An idle connection that is up, else a new one; where no more may be opened, the least used here, if there is one."""
         idle = [line for line in self.lines if not line.plays]
         up = [line for line in idle if line.up and line.test is None] or [line for line in idle if line.up or self.silent == 0]
         if up:
             return up[0]
-        if self.lines and self.fleet.lines() >= self.fleet.most:
-            return min(self.lines, key=lambda line: len(line.plays))
-        return self.dial()
+        if self.fleet.room(of_held=not self.lines):
+            return self.dial()
+        return min(self.lines, key=lambda line: len(line.plays), default=None)
 
     def said(self, line: Line, message: rtsp.Message) -> None:
         if message.session in line.plays and line.state(message.session) == life.UNSENT:
@@ -126,6 +133,8 @@
 
     def line_ended(self, line: Line, why: str | None) -> None:
         """What the end of a connection proves of the plays that stand."""
+        if why == SHORT:                     # the next look dials again, when there may be room
+            return
         if not line.up:
             self.silent += why != REFUSED
             if why == REFUSED or self.silent >= SILENCES:
@@ -151,11 +160,13 @@
             line.end(life.CUT)
             self.renew()
         up = [line for line in self.lines if line.up]
-        if up and up[0].test is None:
+        if up and up[0].test is None and now - self.heard >= QUIET_MS:
             up[0].test, up[0].tested = self.fleet.test_name(), now
             up[0].stream.write(rtsp.request("OPTIONS", "ping", up[0].test))
-        elif not self.lines:
-            self.dial() if not self.gone else self.lose("gone from the list")
+        elif not self.lines and self.gone:
+            self.lose("gone from the list")
+        elif not self.lines and self.fleet.room(of_held=True):
+            self.dial()
 
 
 class Nodes:
@@ -172,6 +183,21 @@
     def lines(self) -> int:
         return sum(len(node.lines) for node in self.by_number.values())
 
+    def room(self, of_held: bool) -> bool:
+        """Whether one more may be opened. Over the bound the oldest idle one makes room, first where nothing stands. `of_held`: also
+        where plays stand: what their node has to tell comes on the next connection, and each of them has its turn."""
+        if self.lines() < self.most:
+            return True
+        idle = [line for node in self.by_number.values() if of_held or not node.held for line in node.lines
+                if line.up and not line.plays and line.test is None and self.loop.now - line.since >= LOOK_MS]
+        if not idle:
+            return False
+        oldest = min(idle, key=lambda line: (bool(line.node.held), line.since))
+        self.count("closed for room")
+        oldest.node.lines.remove(oldest)
+        oldest.stream.close()
+        return True
+
     def test_name(self) -> str:
         self.tests += 1
         return f"{self.tests:016x}"
@@ -202,7 +228,6 @@
 
     def look(self) -> None:
         self.loop.after(LOOK_MS, self.look)
-        for node in list(self.by_number.values()):
-            if node.held:
-                node.look(self.loop.now)
+        for node in sorted((n for n in self.by_number.values() if n.held), key=lambda n: n.heard):   # who had no turn for longest first
+            node.look(self.loop.now)
         self.forget_gone()
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -1,12 +1,14 @@
 """Timers, streams in memory and on sockets: the same calls, the same order, bounded buffers, whatever fails."""
 import os
 import random
+import resource
 import signal
 import sys
 import unittest
 
 from hypothesis import given, settings, strategies as st
 
+from laddergw.loop.base import SHORT
 from laddergw.loop.memory import WINDOW, Memory
 from laddergw.loop.sockets import SocketLoop
 from laddergw.loop.timers import HeapTimers, WheelTimers
@@ -186,6 +188,23 @@
                 run(lambda: held and held[0].ends and peer.ends)
                 self.assertEqual((bytes(held[0].data), held[0].ends, peer.ends), (b"firstthird", [None], [None]))
 
+    def test_no_descriptor_left(self):
+        """A connection that finds none does not come up; nothing raises, and what was written to it has not left."""
+        peer, (soft, hard) = Peer(), resource.getrlimit(resource.RLIMIT_NOFILE)
+        least = os.dup(0)
+        os.close(least)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (least, hard))
+        try:
+            stream = self.loop.dial(("127.0.0.1", 9), peer, 1_000)
+        finally:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+        stream.write(b"some")
+        self.assertEqual((peer.ends, stream.taken, stream.asked), ([], 0, 4))
+        self.until(lambda: peer.ends)
+        self.assertEqual((peer.ends, self.loop.open_streams), ([SHORT], 0))
+        stream.close()
+        stream.abort()
+
     def test_writing_to_a_reset_stream_is_told_once(self):
         held, peer = [], Peer()
         listener = self.loop.listen(("127.0.0.1", 0), lambda stream: held.append(Peer()) or held[-1])
