A play that its node calls left as it begins is over for its viewer too: released

Checked: a request's number is the low half of its session. Ruled out: connections closed by us (none in the logs), a time-out, a give-up, an overdue answer, the module (each set-up had one outcome). Cause: the node's answer and its cause 31 come in one read. The viewer gets the answer to a play that is over by then, and Director.ended sent no release for what has left: nothing more comes, and its wait has no end. Change: every play that ends at its node is released to its viewer, the left ones with cause 16.

The test fails without it.

--- a/laddergw/platform/director.py
+++ b/laddergw/platform/director.py
@@ -215,6 +215,7 @@
 
     def viewer_ends(self, viewer: Viewer, session: str) -> None:
         if ply := self.standing.get(session):        # it gave up as our answer left: what stood is released to it too
+            log.debug("%s.%d: ended by its viewer", ply.session, ply.number)
             self.release(ply)
             self.door.send(viewer, binary.RELEASE, session, (binary.CAUSE, bytes([ENDED])))
             self.feed(self.controller.left, self.loop.now, ply.id)
@@ -227,6 +228,7 @@
         """The viewer waits no more: no answer is owed, and its allocation ends."""
         if self.open.pop(ply.session, None) is None:
             return
+        log.debug("%s: given up by its viewer", ply.session)
         self.count("given up")
         ply.viewer.plays.pop(ply.session, None)
         ply.stop_timers()
@@ -249,6 +251,7 @@
             return
         ply.viewer.plays.pop(ply.session, None)
         ply.stop_timers()
+        log.debug("%s: answered with cause %d", ply.session, cause)
         self.count("declined" if cause == DECLINED else "failed")
         ply.viewer.refuse(ply.session, cause, *more)
         if ply.line is not None:
@@ -263,6 +266,7 @@
         self.standing[ply.session] = ply.node.held[ply.session] = ply
         ply.viewer.write(binary.ANSWER, ply.session, (binary.DESCRIPTION, description))
         self.door.prove(ply.viewer)
+        log.debug("%s.%d: plays", ply.session, ply.number)
         self.count("playing")
         self.feed(self.controller.playing, self.loop.now, ply.id, ply.number, self.loop.now - ply.sent_at, ply.node.number)
 
@@ -344,6 +348,7 @@
             line.stream.write(rtsp.answer(200, "OK", message.sequence or "2", message.session))
             if ply is not None:
                 cause = message.headers.get("reason", "").removeprefix("cause=")
+                log.debug("%s.%d: released by its node, cause %s", ply.session, ply.number, cause[:8])
                 state = life.HELD if ply.stands else line.state(ply.session)
                 self.ended(ply, state, life.end(int(cause) if cause.isdigit() else 0), self.report(message))
         elif message.method == "ANNOUNCE" and ply is not None and ply.stands:
@@ -376,8 +381,8 @@
             return
         if ply.stands:
             self.settle_standing(ply)
-            if fact not in (life.LEFT, life.GIVEN_UP):       # who left or was moved is owed no release
-                self.door.send(ply.viewer, binary.RELEASE, ply.session, (binary.CAUSE, bytes([ENDED if fact == life.ENDED else BROKEN])))
+            if fact != life.GIVEN_UP:        # also who left: our answer may still be on its way to it, and be all that it gets
+                self.door.send(ply.viewer, binary.RELEASE, ply.session, (binary.CAUSE, bytes([BROKEN if fact in (life.BROKEN_OFF, life.LOST) else ENDED])))
         elif ply.line is not None:
             if ply.session in ply.line.plays:
                 ply.line.settle(ply.session)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -179,7 +179,7 @@
             town.run(100)
         viewer.stream.write(binary.encode(binary.RELEASE, f"{1:016x}", (222, b"\x10")))
         town.run(50)
-        town, viewer = scene("its end as cancelled is the viewer's own doing: no release", set_up(1))
+        town, viewer = scene("its end as left by its viewer is told to it all the same: our answer may still be on its way", set_up(1))
         town.sides["node a"].stream.write(release(1, 31))
         town.run(50)
         scene("no answer: given up at the module's time-out, then elsewhere", set_up(1, patience="3000"), wait=1200, a=0)
@@ -334,6 +334,16 @@
         town.run(500)
         self.assertEqual(sum("viewer gets 9 1" in line for line in town.lines), 1)
 
+    def test_a_play_that_is_left_as_it_begins_is_over_for_its_viewer(self):
+        """Seen on sockets: the node's answer and its release came together; the viewer got the answer to a play that was over, and no end."""
+        town = Town(nodes=("a",))
+        town.answers["a"] = lambda s, m: s.stream.write(answer(m.session) + release(int(m.session, 16), 31))
+        town.viewer().stream.write(set_up(1))
+        town.run(50)
+        self.assertEqual([line.split(maxsplit=1)[1] for line in town.lines if "viewer gets" in line],
+                         ["viewer gets 9 1 description 'v=0\\r\\n'", "viewer gets 12 1 cause 16"])
+        self.assertEqual(len(town.director.standing), 0)
+
     def test_change_log(self):
         town = Town(nodes=("a", "b", "c"))
         town.run(20)
