The loop waits whatever comes: bounded turns, a rest after 500 without a wait

Cause looked for: a start that "did not wait for anything in 20 s". Checked by reading and by probes: a listener out of descriptors (Listener.ready) came back at once for as long as none was free, deferred calls that ask for themselves never ended their turn (BaseLoop.run_calls), a timer at no time (NaN) was due for good and never called; any descriptor that nobody empties kept select from waiting. None of them can be shown to be the one start that was seen; each is made impossible. Change: 10,000 deferred calls a turn, a listener without descriptors rests 50 ms, NaN times raise, after 500 turns in a row without a wait the loop sleeps 1 ms; a turn over 1 s is logged with its longest calls. Result: 12 drawn worlds of 1,500 turns on a clock that only work moves: at most 500 turns in a row without a wait.

--- a/laddergw/loop/base.py
+++ b/laddergw/loop/base.py
@@ -7,9 +7,12 @@
 from laddergw.loop.timers import HeapTimers, Timer
 
 MOST_TIMERS = 2_000        # calls of timers in one turn: past that the sockets get their turn first
+MOST_CALLS = 10_000        # deferred calls in one turn: one that asks for itself again ends no turn otherwise
 REFUSED = "Connection refused"   # why of a dial that found no process: it proves that nothing is held there
 SHORT = "no descriptor"    # why of a dial for which this process had none left: it tells nothing of the peer
 STALL_MS = 100.0           # a turn that comes so much later than it should counts as a stand-still of the process
+SLOW_TURN_MS = 1_000.0     # a turn that runs so long is logged: its viewers' limits are of this size
+SLOW_CALL_MS, SLOW_CALLS = 20.0, 8   # what is told of it: calls that took so long, and so many of them
 
 log = logging.getLogger("laddergw.loop")
 
@@ -44,16 +47,20 @@
         self.ends: list[Callable[[], None]] = []
         self.stalled = self.worst_lag = 0.0
         self.running = True
+        self.may_call, self.mark, self.slow = MOST_CALLS, now, []   # of this turn: calls left, when the last ended, long ones
 
     def reading(self) -> float:
         """The clock itself, for measuring work within a turn; all decisions use `now`."""
         return self.now
 
     def at(self, when: float, call: Callable[[], None]) -> Timer:
+        """Raises ValueError for a time that is none: it would be due for good and never called."""
+        if when != when:
+            raise ValueError("a timer at no time")
         return self.timers.add(when, call)
 
     def after(self, ms: float, call: Callable[[], None]) -> Timer:
-        return self.timers.add(self.now + ms, call)
+        return self.at(self.now + ms, call)
 
     def soon(self, call: Callable[[], None]) -> None:
         """Calls it later in this turn, before the ends of the turn."""
@@ -63,15 +70,24 @@
         """Calls it at the end of every turn, when all that came in this turn is told."""
         self.ends.append(call)
 
-    def guarded(self, call: Callable[[], None]) -> None:
+    def guarded(self, call: Callable, *args) -> None:
         """An error in one call must not end the program: it is logged with its trace and the loop goes on."""
         try:
-            call()
+            call(*args)
         except Exception:
             log.exception("call failed")
+        before, self.mark = self.mark, self.reading()
+        took = self.mark - before
+        if took >= SLOW_CALL_MS:
+            self.slow = sorted([*self.slow, (took, name_of(call))], reverse=True)[:SLOW_CALLS]
+
+    def begin_turn(self) -> None:
+        self.may_call, self.mark, self.slow = MOST_CALLS, self.now, []
 
     def run_calls(self) -> None:
-        while self.calls:
+        """What is left past the bound comes in the next turn, which waits for nothing."""
+        while self.calls and self.may_call > 0:
+            self.may_call -= 1
             self.guarded(self.calls.popleft())
 
     def run_timers(self) -> None:
@@ -85,6 +101,9 @@
         for call in self.ends:
             self.guarded(call)
             self.run_calls()
+        if self.mark - self.now >= SLOW_TURN_MS:
+            log.warning("a turn of %.0f ms, %d deferred calls; the longest: %s", self.mark - self.now, MOST_CALLS - self.may_call,
+                        ", ".join(f"{name} {ms:.0f} ms" for ms, name in self.slow) or "none long by itself")
 
     def lagged(self, lag: float, gap: float) -> None:
         """A turn came `lag` late, `gap` after the one before: what is read now may have waited all of the gap."""
@@ -98,3 +117,10 @@
 def wait_ms(now: float, due: float, most: float = math.inf) -> float:
     """How long a loop may wait from `now`, not below nothing."""
     return max(0.0, min(due - now, most))
+
+
+def name_of(call: Callable) -> str:
+    """What a call is, for the log: its function and line, and of a method whose it is."""
+    whose, code = getattr(call, "__self__", None), getattr(call, "__code__", None)
+    owner = type(getattr(whose, "owner", None) or whose).__name__ if whose is not None else ""
+    return f"{owner and owner + '/'}{getattr(call, '__qualname__', type(call).__name__)}{f' line {code.co_firstlineno}' if code else ''}"
--- a/laddergw/loop/memory.py
+++ b/laddergw/loop/memory.py
@@ -10,9 +10,9 @@
 from typing import Callable
 from zlib import crc32
 
-from laddergw.loop.base import REFUSED, BaseLoop, Outgoing, Owner
+from laddergw.loop.base import REFUSED, BaseLoop, Owner
+from laddergw.loop.memory_streams import Listener, Stream
 
-WINDOW = 65_536            # bytes that one direction of a stream takes before its reader has read: a socket buffer
 DELAY_MS = 0.2             # one way between hosts: a building's network
 JITTER_MS = 0.1            # drawn on top for each stream, so that streams do not march in step
 BACKLOG = 1024             # connections that wait at a frozen host's listener
@@ -78,7 +78,7 @@
         super().soon(call)
         self.plan(self.world.now)
 
-    def listen(self, address: tuple[str, int], accept: Callable) -> "Listener":
+    def listen(self, address: tuple[str, int], accept: Callable) -> Listener:
         host, port = address
         if not port:
             self.world.next_port += 1
@@ -89,7 +89,7 @@
         self.listeners.append(listener)
         return listener
 
-    def dial(self, address: tuple[str, int], owner: Owner, limit_ms: float) -> "Stream":
+    def dial(self, address: tuple[str, int], owner: Owner, limit_ms: float) -> Stream:
         world = self.world
         world.streams += 1
         number = world.streams
@@ -99,7 +99,7 @@
         world.put(world.now + delay, lambda: self.reach(tuple(address), stream))
         return stream
 
-    def reach(self, address: tuple, stream: "Stream") -> None:
+    def reach(self, address: tuple, stream: Stream) -> None:
         """The connect arrives: refused, accepted by the kernel (a frozen host too), or lost."""
         listener, back = self.world.ports.get(address), self.world.now + stream.delay
         if listener is not None and (listener.host.silent or len(listener.waiting) >= BACKLOG):
@@ -173,6 +173,7 @@
         self.frozen_until = -math.inf
         self.lagged(gap, gap)
         self.now = self.world.now
+        self.begin_turn()
         while self.inbox:
             self.guarded(self.inbox.popleft())
             self.run_calls()
@@ -189,161 +190,3 @@
             self.plan(self.world.now)
         elif due < math.inf:
             self.plan(max(due, self.world.now))
-
-
-class Listener:
-    """A bound address in memory."""
-
-    def __init__(self, host: Host, address: tuple, accept: Callable):
-        self.host, self.address, self.accept, self.waiting = host, address, accept, deque()
-
-    def ready(self) -> None:
-        while self.waiting:
-            stream = self.waiting.popleft()
-            if stream.gone is not None or not stream.alive:
-                continue
-            stream.owner = self.accept(stream)
-            stream.owner.opened(stream)
-            for call in stream.early:
-                call()
-            stream.early.clear()
-
-    def close(self) -> None:
-        self.host.world.ports.pop(self.address, None)
-        for stream in self.waiting:
-            stream.cut("Connection reset by peer")
-        self.waiting.clear()
-
-
-class Stream(Outgoing):
-    """One end of a connection in memory; the same calls and counts as a real one."""
-
-    def __init__(self, host: Host, owner: Owner | None, peer, number: int, delay: float):
-        self.loop, self.owner, self.peer, self.number, self.delay = host, owner, peer, number, delay
-        self.other: Stream | None = None
-        self.open, self.alive, self.reading, self.ending = False, True, True, False
-        self.asked = self.taken = self.queued = self.unread = 0
-        self.out, self.stash, self.early = deque(), deque(), []
-        self.limit, self.gone = None, None
-        host.streams[number] = self
-        host.open_streams += 1
-
-    def connected(self) -> None:
-        if not self.alive:
-            return
-        if self.limit is not None:
-            self.limit.cancel()
-        self.open = True
-        self.owner.opened(self)
-        self.flush()
-
-    def write(self, data: bytes) -> None:
-        self.asked += len(data)
-        if not self.alive or self.ending or not data:
-            return
-        self.queued += len(data)
-        self.out.append(bytes(data))
-        if self.open:
-            self.flush(quiet=True)
-
-    def flush(self, quiet: bool = False) -> None:
-        """Hands over what the window takes; the reader opens it again by reading."""
-        while self.out and self.alive and self.other is not None:
-            room = WINDOW - self.other.unread
-            if room <= 0:
-                return
-            data = self.out.popleft()
-            if len(data) > room:
-                self.out.appendleft(data[room:])
-                data = data[:room]
-            self.taken += len(data)
-            self.queued -= len(data)
-            self.other.unread += len(data)
-            self.send(lambda other, data=data: other.arrived(data))
-        if self.alive and not self.out and self.open:
-            if self.ending:
-                self.finish()
-            elif not quiet:
-                self.owner.emptied(self)
-
-    def send(self, what: Callable[["Stream"], None]) -> None:
-        other, host = self.other, self.other.loop
-        if not self.loop.silent:
-            host.tell(self.loop.world.now + self.delay, lambda: other.take(lambda: what(other)))
-
-    def take(self, call: Callable[[], None]) -> None:
-        """In this end's turn; kept while the listener has not accepted yet."""
-        if self.owner is None:
-            self.early.append(call)
-        elif self.alive:
-            call()
-
-    def arrived(self, data: bytes) -> None:
-        if self.reading and not self.stash:
-            self.read(data)
-        else:
-            self.stash.append(data)
-
-    def read(self, data: bytes) -> None:
-        self.unread -= len(data)
-        other = self.other
-        if other is not None and other.out and other.alive:
-            other.loop.tell(self.loop.world.now + self.delay, lambda: other.alive and other.flush())
-        if not self.ending:
-            self.owner.got(self, data)
-
-    def pause(self) -> None:
-        self.reading = False
-
-    def resume(self) -> None:
-        self.reading = True
-        if self.stash:
-            self.loop.soon(self.unstash)
-
-    def unstash(self) -> None:
-        while self.stash and self.reading and self.alive:
-            data = self.stash.popleft()
-            if data is None:
-                return self.lose(self.gone)
-            self.read(data)
-
-    def ended(self, why: str | None) -> None:
-        """The peer's end arrives, behind its data; a reset overtakes what was not read."""
-        if self.stash and why is None:
-            self.gone = why
-            self.stash.append(None)
-        else:
-            self.lose(why)
-
-    def finish(self) -> None:
-        if self.other is not None and self.other.alive:
-            self.send(lambda other: other.ended(None))
-        self.lose(None)
-
-    def close(self) -> None:
-        if self.alive and not self.ending:
-            self.ending = True
-            if not self.out:
-                self.finish()
-
-    def abort(self) -> None:
-        if self.alive:
-            self.cut("Connection reset by peer")
-            self.lose("aborted")
-
-    def cut(self, why: str) -> None:
-        """Tells the peer of a reset."""
-        if self.other is not None and self.other.alive:
-            self.send(lambda other: other.ended(why))
-
-    def lose(self, why: str | None) -> None:
-        if not self.alive:
-            return
-        self.alive = False
-        if self.limit is not None:
-            self.limit.cancel()
-        self.loop.streams.pop(self.number, None)
-        self.loop.open_streams -= 1
-        self.out.clear()
-        if self.owner is not None:
-            self.owner.closed(self, why)
--- a/laddergw/loop/sockets.py
+++ b/laddergw/loop/sockets.py
@@ -6,166 +6,34 @@
 import signal
 import socket
 import time
-from collections import deque
 from typing import TYPE_CHECKING, Callable
 
-from laddergw.loop.base import REFUSED, SHORT, BaseLoop, Outgoing, Owner, wait_ms
+from laddergw.loop import held
+from laddergw.loop.base import REFUSED, SHORT, BaseLoop, Owner, wait_ms
+from laddergw.loop.streams import Stream
 
 if TYPE_CHECKING:
     import subprocess
 
-READ_BYTES = 65_536        # one read of one stream in a turn: the others get theirs
 ACCEPTS = 128              # connections accepted in one turn by one listener
 BACKLOG = 1024             # connections that wait in the kernel: a burst while a turn runs
 LONGEST_WAIT_MS = 100.0    # wait of one turn: a stand-still of the process is seen to within this
+WAITED_MS = 0.2            # a look at the sockets that took so long has waited; one that finds something at once takes some us
+TURNS_MOST, REST_MS = 500, 1.0   # after so many turns in a row without a wait the loop rests so long: whatever keeps it
+                           # busy, others on its core get theirs. At 0.1 ms a turn, the shortest with work in it, 2% of its time
+ACCEPT_REST_MS = 50.0      # a listener that finds no descriptor rests so long: its socket would stay readable all the while
+NO_ROOM = errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM
 
 
 def clock() -> float:
     return time.monotonic_ns() / 1e6
 
 
-class Stream(Outgoing):
-    """A connected socket. `taken` counts the bytes that the kernel took, `asked` those that we were given to write."""
-    __slots__ = ("loop", "sock", "owner", "peer", "out", "queued", "asked", "taken", "reading", "ending", "open", "mask",
-                 "limit", "fd")
-
-    def __init__(self, loop: "SocketLoop", sock: socket.socket, owner: Owner, peer):
-        self.loop, self.sock, self.owner, self.peer, self.fd = loop, sock, owner, peer, sock.fileno() if sock else -1
-        self.out: deque = deque()
-        self.queued = self.asked = self.taken = self.mask = 0
-        self.reading, self.ending, self.open, self.limit = True, False, False, None
-
-    def write(self, data: bytes) -> None:
-        """Writes what the kernel takes now and keeps the rest. Nothing is written once the stream has closed."""
-        self.asked += len(data)
-        if self.sock is None or self.ending or not data:
-            return
-        if self.open and not self.out:
-            data = data[self.push(data):]
-        if data and self.sock is not None:
-            self.out.append(data)
-            self.queued += len(data)
-            self.watch()
-
-    def push(self, data) -> int:
-        try:
-            count = self.sock.send(data)
-        except (BlockingIOError, InterruptedError):
-            return 0
-        except OSError as error:
-            why = str(error.strerror or error)
-            self.loop.soon(lambda: self.lose(why))
-            return 0
-        self.taken += count
-        return count
-
-    def flush(self) -> None:
-        while self.out and self.sock is not None:
-            data = self.out[0]
-            count = self.push(data)
-            self.queued -= count
-            if count < len(data):
-                if count:
-                    self.out[0] = data[count:]
-                return
-            self.out.popleft()
-        if self.sock is None:
-            return
-        if self.ending:
-            self.lose(None)
-        else:
-            self.owner.emptied(self)
-
-    def watch(self) -> None:
-        if self.sock is None:
-            return
-        mask = (selectors.EVENT_READ if self.reading and self.open else 0) | (
-            selectors.EVENT_WRITE if self.out or not self.open else 0)
-        if mask != self.mask:
-            selector = self.loop.selector
-            if not self.mask:
-                selector.register(self.sock, mask, self)
-            elif mask:
-                selector.modify(self.sock, mask, self)
-            else:
-                selector.unregister(self.sock)
-            self.mask = mask
-
-    def ready(self, events: int) -> None:
-        if self.sock is None:                # closed by an event told earlier in this turn
-            return
-        if not self.open:
-            return self.connected()
-        if events & selectors.EVENT_WRITE:
-            self.flush()
-            self.watch()
-        if events & selectors.EVENT_READ and self.sock is not None and self.reading:
-            try:
-                data = self.sock.recv(READ_BYTES)
-            except (BlockingIOError, InterruptedError):
-                return
-            except OSError as error:
-                return self.lose(str(error.strerror or error))
-            if data:
-                self.owner.got(self, data)
-            else:
-                self.lose(None)
-
-    def connected(self) -> None:
-        if self.limit is not None:
-            self.limit.cancel()
-        error = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        if error:
-            return self.lose(REFUSED if error == errno.ECONNREFUSED else os.strerror(error))
-        self.open = True
-        self.owner.opened(self)
-        if self.sock is not None and self.out:
-            self.flush()
-        self.watch()
-
-    def pause(self) -> None:
-        self.reading = False
-        self.watch()
-
-    def resume(self) -> None:
-        self.reading = True
-        self.watch()
-
-    def close(self) -> None:
-        """Ends after what is queued; nothing more is read."""
-        if self.sock is None or self.ending:
-            return
-        self.ending = True
-        if not self.out:
-            self.lose(None)
-        else:
-            self.pause()
-
-    def abort(self) -> None:
-        """Ends at once with a reset; what is queued is dropped."""
-        if self.sock is not None:
-            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
-            self.lose("aborted")
-
-    def lose(self, why: str | None) -> None:
-        if self.sock is None:
-            return
-        if self.limit is not None:
-            self.limit.cancel()
-        if self.mask:
-            self.loop.selector.unregister(self.sock)
-        sock, self.sock, self.mask = self.sock, None, 0
-        sock.close()
-        self.out.clear()
-        self.loop.open_streams -= 1
-        self.owner.closed(self, why)
-
-
 class Listener:
     """A bound socket; `accept(stream)` returns the stream's owner."""
 
     def __init__(self, loop: "SocketLoop", sock: socket.socket, accept: Callable[[Stream], Owner]):
-        self.loop, self.sock, self.accept = loop, sock, accept
+        self.loop, self.sock, self.accept, self.resting = loop, sock, accept, None
         self.address = sock.getsockname()[:2]
         loop.selector.register(sock, selectors.EVENT_READ, self)
 
@@ -180,12 +48,25 @@
             except OSError as error:           # out of descriptors: the others in the backlog wait a little
                 self.loop.failed_accepts += 1
                 self.loop.last_error = str(error)
+                if error.errno in NO_ROOM:
+                    self.rest()
                 return
             self.loop.adopt(sock, peer, self.accept)
 
+    def rest(self) -> None:
+        self.loop.selector.unregister(self.sock)
+        self.resting = self.loop.after(ACCEPT_REST_MS, self.go_on)
+
+    def go_on(self) -> None:
+        self.resting = None
+        self.loop.selector.register(self.sock, selectors.EVENT_READ, self)
+
     def close(self) -> None:
         if self.sock is not None:
-            self.loop.selector.unregister(self.sock)
+            if self.resting is not None:
+                self.resting.cancel()
+            else:
+                self.loop.selector.unregister(self.sock)
             self.sock.close()
             self.sock = None
 
@@ -210,10 +91,10 @@
 class SocketLoop(BaseLoop):
     """The loop that programs run on. Work in one turn is bounded: one read a stream, so many accepts and timers."""
 
-    def __init__(self, clock: Callable[[], float] = clock):
+    def __init__(self, clock: Callable[[], float] = clock, selector=None, sleep: Callable[[float], None] = time.sleep):
         super().__init__(clock())
-        self.clock, self.selector = clock, selectors.DefaultSelector()
-        self.open_streams = self.failed_accepts = 0
+        self.clock, self.selector, self.sleep = clock, selector or selectors.DefaultSelector(), sleep
+        self.open_streams = self.failed_accepts = self.unwaited = 0   # unwaited: turns in a row
         self.last_error, self.signals, self.wakeup = None, {}, None
 
     def reading(self) -> float:
@@ -273,9 +154,11 @@
             self.wakeup = Watch(self, ours, self.woken), theirs
         self.signals[number] = call
         signal.signal(number, lambda *_: None)
+        held.let_come(number)
 
     def woken(self) -> None:
-        for number in self.wakeup[0].fd.recv(4096):
+        """Each kind once a turn, in the order in which they came first."""
+        for number in dict.fromkeys(self.wakeup[0].fd.recv(4096)):
             if number in self.signals:
                 self.signals[number]()
 
@@ -296,16 +179,22 @@
         """Waits for what comes, then tells sockets before timers: what came in time is in time."""
         due = self.timers.next()
         wait = 0.0 if self.calls else wait_ms(self.now, due, LONGEST_WAIT_MS)
+        before, looked = self.now, self.clock()
         events = self.selector.select(math.ceil(wait) / 1000)
-        before, self.now = self.now, self.clock()
+        self.now = self.clock()
         self.lagged(max(0.0, self.now - before - wait - 1.0), self.now - before)
+        self.begin_turn()
         for key, mask in events:
             if key.data is not None:
-                self.guarded(lambda: key.data.ready(mask))
+                self.guarded(key.data.ready, mask)
                 self.run_calls()
         self.run_calls()
         self.run_timers()
         self.end_turn()
+        self.unwaited = 0 if self.now - looked >= WAITED_MS else self.unwaited + 1
+        if self.unwaited >= TURNS_MOST:
+            self.unwaited = 0
+            self.sleep(REST_MS / 1000)
 
     def run(self) -> None:
         while self.running:
--- /dev/null
+++ b/laddergw/loop/streams.py
@@ -0,0 +1,151 @@
+"""A connected socket on the loop: what is written waits until the kernel takes it, what comes is handed to the stream's owner."""
+import errno
+import os
+import selectors
+import socket
+from collections import deque
+from typing import TYPE_CHECKING
+
+from laddergw.loop.base import REFUSED, Outgoing, Owner
+
+if TYPE_CHECKING:
+    from laddergw.loop.sockets import SocketLoop
+
+READ_BYTES = 65_536        # one read of one stream in a turn: the others get theirs
+
+
+class Stream(Outgoing):
+    """A connected socket. `taken` counts the bytes that the kernel took, `asked` those that we were given to write."""
+    __slots__ = ("loop", "sock", "owner", "peer", "out", "queued", "asked", "taken", "reading", "ending", "open", "mask",
+                 "limit", "fd")
+
+    def __init__(self, loop: "SocketLoop", sock: socket.socket, owner: Owner, peer):
+        self.loop, self.sock, self.owner, self.peer, self.fd = loop, sock, owner, peer, sock.fileno() if sock else -1
+        self.out: deque = deque()
+        self.queued = self.asked = self.taken = self.mask = 0
+        self.reading, self.ending, self.open, self.limit = True, False, False, None
+
+    def write(self, data: bytes) -> None:
+        """Writes what the kernel takes now and keeps the rest. Nothing is written once the stream has closed."""
+        self.asked += len(data)
+        if self.sock is None or self.ending or not data:
+            return
+        if self.open and not self.out:
+            data = data[self.push(data):]
+        if data and self.sock is not None:
+            self.out.append(data)
+            self.queued += len(data)
+            self.watch()
+
+    def push(self, data) -> int:
+        try:
+            count = self.sock.send(data)
+        except (BlockingIOError, InterruptedError):
+            return 0
+        except OSError as error:
+            why = str(error.strerror or error)
+            self.loop.soon(lambda: self.lose(why))
+            return 0
+        self.taken += count
+        return count
+
+    def flush(self) -> None:
+        while self.out and self.sock is not None:
+            data = self.out[0]
+            count = self.push(data)
+            self.queued -= count
+            if count < len(data):
+                if count:
+                    self.out[0] = data[count:]
+                return
+            self.out.popleft()
+        if self.sock is None:
+            return
+        if self.ending:
+            self.lose(None)
+        else:
+            self.owner.emptied(self)
+
+    def watch(self) -> None:
+        if self.sock is None:
+            return
+        mask = (selectors.EVENT_READ if self.reading and self.open else 0) | (
+            selectors.EVENT_WRITE if self.out or not self.open else 0)
+        if mask != self.mask:
+            selector = self.loop.selector
+            if not self.mask:
+                selector.register(self.sock, mask, self)
+            elif mask:
+                selector.modify(self.sock, mask, self)
+            else:
+                selector.unregister(self.sock)
+            self.mask = mask
+
+    def ready(self, events: int) -> None:
+        if self.sock is None:                # closed by an event told earlier in this turn
+            return
+        if not self.open:
+            return self.connected()
+        if events & selectors.EVENT_WRITE:
+            self.flush()
+            self.watch()
+        if events & selectors.EVENT_READ and self.sock is not None and self.reading:
+            try:
+                data = self.sock.recv(READ_BYTES)
+            except (BlockingIOError, InterruptedError):
+                return
+            except OSError as error:
+                return self.lose(str(error.strerror or error))
+            if data:
+                self.owner.got(self, data)
+            else:
+                self.lose(None)
+
+    def connected(self) -> None:
+        if self.limit is not None:
+            self.limit.cancel()
+        error = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if error:
+            return self.lose(REFUSED if error == errno.ECONNREFUSED else os.strerror(error))
+        self.open = True
+        self.owner.opened(self)
+        if self.sock is not None and self.out:
+            self.flush()
+        self.watch()
+
+    def pause(self) -> None:
+        self.reading = False
+        self.watch()
+
+    def resume(self) -> None:
+        self.reading = True
+        self.watch()
+
+    def close(self) -> None:
+        """Ends after what is queued; nothing more is read."""
+        if self.sock is None or self.ending:
+            return
+        self.ending = True
+        if not self.out:
+            self.lose(None)
+        else:
+            self.pause()
+
+    def abort(self) -> None:
+        """Ends at once with a reset; what is queued is dropped."""
+        if self.sock is not None:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+            self.lose("aborted")
+
+    def lose(self, why: str | None) -> None:
+        if self.sock is None:
+            return
+        if self.limit is not None:
+            self.limit.cancel()
+        if self.mask:
+            self.loop.selector.unregister(self.sock)
+        sock, self.sock, self.mask = self.sock, None, 0
+        sock.close()
+        self.out.clear()
+        self.loop.open_streams -= 1
+        self.owner.closed(self, why)
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -9,7 +9,8 @@
 from hypothesis import given, settings, strategies as st
 
 from laddergw.loop.base import SHORT
-from laddergw.loop.memory import WINDOW, Memory
+from laddergw.loop.memory import Memory
+from laddergw.loop.memory_streams import WINDOW
 from laddergw.loop.sockets import SocketLoop
 from laddergw.loop.timers import HeapTimers, WheelTimers
 
@@ -227,14 +228,11 @@
         self.assertEqual(seen, ["signal", 7])
 
     def test_the_clock_can_be_handed_in(self):
-        times = iter([0.0, 10.0, 11.0, 5_000.0, 5_001.0])
-        loop = SocketLoop(clock=lambda: next(times))
+        clock = [0.0]
+        loop = SocketLoop(clock=lambda: clock[0])
         self.addCleanup(loop.close)
-        loop.soon(lambda: None)
-        loop.turn()
-        self.assertEqual((loop.now, loop.stalled), (10.0, 0.0))
-        loop.soon(lambda: None)
-        loop.turn()
-        loop.soon(lambda: None)
-        loop.turn()
-        self.assertEqual(loop.stalled, 4_989.0)
+        for now, stalled in (10.0, 0.0), (11.0, 0.0), (5_000.0, 4_989.0), (5_001.0, 0.0):
+            clock[0] = now
+            loop.soon(lambda: None)
+            loop.turn()
+            self.assertEqual((loop.now, loop.stalled), (now, stalled))
--- /dev/null
+++ b/tests/test_loop_waits.py
@@ -0,0 +1,166 @@
+"""The loop waits, whatever comes: turns in a row that do not are bounded, so is the work of one, and a long one is told with what it ran."""
+import errno
+import random
+import selectors
+import unittest
+from types import SimpleNamespace
+
+from laddergw.loop.base import MOST_CALLS, SLOW_TURN_MS
+from laddergw.loop.sockets import ACCEPT_REST_MS, TURNS_MOST, Listener, SocketLoop, Watch
+
+WORK_MS = 0.002            # of a call, by the virtual clock: under that of any real one, so that the most turns fit in a time
+TURNS = 1_500              # of one drawn world: three times the bound
+READY, LATER = 0.0, 40.0   # ms until a drawn descriptor is ready again: at once, or after a wait
+
+
+class World:
+    """A clock that only work and waits move, and descriptors that are ready as drawn."""
+
+    def __init__(self, seed):
+        self.now, self.draw, self.ready, self.waits = 0.0, random.Random(seed), {}, 0
+        self.loop = SocketLoop(self.clock, self, self.sleep)
+
+    def clock(self):
+        self.now += WORK_MS
+        return self.now
+
+    def sleep(self, seconds):
+        self.now, self.waits = self.now + seconds * 1000, self.waits + 1
+
+    # As the selector
+
+    def register(self, fd, events, data):
+        if fd in self.ready:
+            raise KeyError(f"{fd!r} is registered")
+        self.ready[fd] = [SimpleNamespace(data=data), self.now]
+
+    def unregister(self, fd):
+        del self.ready[fd]
+
+    def get_map(self):
+        return {}
+
+    def close(self):
+        pass
+
+    def select(self, timeout):
+        due = min((at for _, at in self.ready.values()), default=self.now + 1e9)
+        wait = min(timeout * 1000, max(0.0, due - self.now))
+        if wait > 0:
+            self.sleep(wait / 1000)
+        return [(key, selectors.EVENT_READ) for key, at in list(self.ready.values()) if at <= self.now]
+
+
+class Full:
+    """A listening socket of a process that has no descriptor left."""
+
+    def __init__(self):
+        self.asked = 0
+
+    def getsockname(self):
+        return "127.0.0.1", 1
+
+    def accept(self):
+        self.asked += 1
+        raise OSError(errno.EMFILE, "Too many open files")
+
+    def close(self):
+        pass
+
+
+def annoy(world, left):
+    """One thing that asks for the loop again, drawn: a descriptor, a call or a timer, at once or a little later, or one that fails."""
+    loop, kind = world.loop, world.draw.randrange(5 if world.loop.ends else 6)   # (what a turn's end calls stays for good)
+
+    def again():
+        if left[0] > 0:
+            left[0] -= 1
+            annoy(world, left)
+        if kind == 5:
+            raise RuntimeError("drawn")
+    if kind == 0:
+        loop.soon(again)
+    elif kind == 1:
+        loop.after(0, again)
+    elif kind == 2:
+        loop.at(loop.now - world.draw.random() * 100, again)
+    elif kind == 3:
+        loop.after(world.draw.random() * LATER, again)
+    elif kind == 4:
+        watch = Watch(loop, object(), lambda: None)        # a descriptor that nobody empties
+        world.ready[watch.fd][1] += world.draw.choice((READY, READY, LATER))
+        loop.after(world.draw.random() * LATER, lambda: (watch.close(), again()))
+    else:
+        loop.at_turn_end(again)
+
+
+class Waits(unittest.TestCase):
+    def test_no_sequence_of_events_keeps_it_from_waiting(self):
+        for seed in range(12):
+            world, since, worst = World(seed), 0, 0
+            for _ in range(1 + seed % 5):
+                annoy(world, [40])
+            with self.subTest(seed=seed), self.assertLogs("laddergw.loop") as logs:
+                world.loop.guarded(lambda: 1 / 0)          # (assertLogs wants one line at least)
+                for _ in range(TURNS):
+                    waits = world.waits
+                    world.loop.turn()
+                    since = 0 if world.waits > waits else since + 1
+                    worst = max(worst, since)
+                self.assertLess(worst, TURNS_MOST + 1)
+                self.assertGreater(len(logs.output), 0)
+
+    def test_a_descriptor_that_stays_ready(self):
+        world, calls = World(1), []
+        Watch(world.loop, object(), lambda: calls.append(1))
+        for _ in range(3 * TURNS_MOST):
+            world.loop.turn()
+        self.assertEqual((world.waits, len(calls)), (3, 3 * TURNS_MOST))
+
+    def test_a_call_that_asks_for_itself_ends_its_turn(self):
+        """Bounded in one turn, and the timers and the ends of turns have theirs."""
+        world, calls, ends = World(2), [], []
+
+        def again():
+            calls.append(1)
+            world.loop.soon(again)
+        world.loop.soon(again)
+        world.loop.after(0, lambda: ends.append("timer"))
+        world.loop.at_turn_end(lambda: ends.append("end"))
+        for _ in range(2):
+            world.loop.turn()
+        self.assertEqual((len(calls), ends), (2 * MOST_CALLS, ["timer", "end", "end"]))
+
+    def test_a_listener_without_descriptors_rests(self):
+        world, sock = World(3), Full()
+        listener = Listener(world.loop, sock, None)
+        while world.now < 20.5 * ACCEPT_REST_MS:
+            world.loop.turn()
+        self.assertIn(sock.asked, (20, 21))
+        self.assertEqual(world.loop.failed_accepts, sock.asked)
+        listener.close()
+        world.loop.turn()
+        self.assertNotIn(sock, world.ready)
+
+    def test_a_timer_at_no_time_is_refused(self):
+        loop = World(4).loop
+        for add in loop.at, loop.after:
+            self.assertRaises(ValueError, add, float("nan"), print)
+
+    def test_a_long_turn_is_told_with_what_it_ran(self):
+        world = World(5)
+
+        def dawdle():
+            world.now += SLOW_TURN_MS
+        world.loop.soon(dawdle)
+        for _ in range(3):
+            world.loop.after(0, lambda: world.sleep(0.030))
+        with self.assertLogs("laddergw.loop", "WARNING") as logs:
+            world.loop.turn()
+            world.loop.turn()
+        line, = logs.output
+        self.assertRegex(line, r"a turn of 1090 ms, .* the longest: .*dawdle line \d+ 1000 ms, .*lambda.* 30 ms")
+
+
+if __name__ == "__main__":
+    unittest.main()
