The decision module in rooms: accounts, plays, holders, prices, rungs, controller

Cause: one file of 756 lines held every decision; a reader who looked for a rule had to know its line. Change: laddergw/control/ with a file a job, each with its state; the Controller strings their stages together.

--- a/laddergw/terms/proof.py
+++ b/laddergw/terms/proof.py
@@ -7,7 +7,7 @@
 from typing import Iterable, NamedTuple
 
 from laddergw import interface as face
-from laddergw.control import COLD_PART
+from laddergw.control.holders import COLD_PART
 from laddergw.director.house import House
 from laddergw.director.life import PlayTerms
 from laddergw.terms import search
--- a/tests/broken.py
+++ b/tests/broken.py
@@ -1,6 +1,9 @@
 """Directors broken on purpose, one for each rule: what the audit must catch."""
+from functools import partial
+
 from laddergw import interface as face
 from laddergw.control import Controller
+from laddergw.control.plays import give_up
 from laddergw.director.director import Director
 
 
@@ -45,17 +48,41 @@
         super().list_changed([line._replace(state=face.READY) for line in lines], False, [])
 
 
+class Replaced(Controller):
+    """A module with stages of the chain replaced by what `stages` names, each called with (controller, now, play)."""
+    stages = {}
+
+    def __init__(self, *given):
+        super().__init__(*given)
+        self.chain = tuple((partial(self.stages[stage.__name__], self) if stage.__name__ in self.stages else stage, back)
+                           for stage, back in self.chain)
+
+
+def any_health(c, now, ply):
+    """Takes no notice of rests and of the cold pace."""
+    return None if ply.holders else give_up(c.fleet, ply)
+
+
+def coldest(c, now, ply):
+    cold = [node for node in ply.holders if node.started and now - node.started < c.fleet.d.warm_ms]
+    ply.holders = cold or ply.holders
+    return any_health(c, now, ply)
+
+
+def first_holder(c, now, ply):
+    ply.rung, ply.holders = ply.product.floor, ply.holders[:1]
+
+
+def no_seats(c, now, ply):
+    ply.product = ply.product._replace(seats=0)
+    return c.allocations.terms(now, ply)
+
+
 class Eager(Director):
     """Rule 4: sends to the node that started last, at any pace."""
 
-    class controller_class(Controller):
-        def health(self, now, ply):
-            cold = [node for node in ply.holders if node.started and now - node.started < self.d.warm_ms]
-            ply.holders = cold or ply.holders
-            return None if ply.holders else self.give_up(ply)
-
-        def offer(self, now, ply, node, lk, room, held=None):
-            return ply.product.floor
+    class controller_class(Replaced):
+        stages = {"health": coldest, "price": first_holder}
 
 
 class Lowest(Director):
@@ -68,18 +95,12 @@
 class Seatless(Director):
     """Rule 5: does not count seats."""
 
-    class controller_class(Controller):
-        def terms(self, now, ply):
-            ply.product = ply.product._replace(seats=0)
-            return super().terms(now, ply)
+    class controller_class(Replaced):
+        stages = {"terms": no_seats}
 
 
 class Spendthrift(Director):
     """Rule 6: further allocations without a budget."""
 
-    class controller_class(Controller):
-        def ration(self, now, ply):
-            return None
-
-        def health(self, now, ply):
-            return None if ply.holders else self.give_up(ply)
+    class controller_class(Replaced):
+        stages = {"ration": lambda c, now, ply: None, "health": any_health}
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -2,7 +2,8 @@
 import unittest
 
 from laddergw import interface as face
-from laddergw.control import duals
+from laddergw.control.plays import Play
+from laddergw.control.prices import duals
 from tests.helpers import Drive, TraceTest
 
 
@@ -29,7 +30,7 @@
         d.ask(10, 1)
         d.end(20, 1, 1, face.CANCELLED, over=True)
         d.say("dearer plays come often: the same play is declined, a dear one is taken")
-        d.c.demand[1].add(d.base, 0.00005)
+        d.c.prices.demand[1].add(d.base, 0.00005)
         d.note(30, 0, 1, face.LINK_ASKED, 0.5)
         d.ask(40, 2)
         d.ask(50, 3, product=1)
@@ -235,17 +236,18 @@
             d.c.asked(d.base + 20 * n, face.Asked(n, 1, 5, 0, 4, 0, 10_000.0, 4000.0))
             d.c.decide(d.base + 20 * n)
             d.c.ended(d.base + 20 * n, n, 0, face.CANCELLED, 1, True, ())
-        self.assertAlmostEqual(d.c.length, 10_000.0, delta=1500.0)
-        without = d.c.shadow_prices(d.base + 4000, d.c.nodes[1], 10_000.0)
-        d.c.length = 40_000.0
-        self.assertLess(2 * without[1], d.c.shadow_prices(d.base + 4000, d.c.nodes[1], 10_000.0)[1])
+        self.assertAlmostEqual(d.c.prices.length, 10_000.0, delta=1500.0)
+        without = d.c.prices.shadow_prices(d.base + 4000, d.c.fleet.nodes[1], 10_000.0)
+        d.c.prices.length = 40_000.0
+        self.assertLess(2 * without[1], d.c.prices.shadow_prices(d.base + 4000, d.c.fleet.nodes[1], 10_000.0)[1])
 
     def test_steps_up_wait_by_the_usual_length(self):
         d = Drive(nodes=1)
-        ply = type("Held", (), dict(started=0.0, rung=0, changed=d.base, product=d.c.rows[0], ask=face.Asked(1, 0, 5, 0, 4, 2, None, 0.0), d=d.c.d))
+        ply = Play(face.Asked(1, 0, 5, 0, 4, 2, None, 0.0), d.c.fleet.d, d.base)
+        ply.started = 0.0
         for length, wait in (40_000.0, 8000), (10_000.0, 2000):
-            d.c.length = length
-            self.assertEqual([d.c.may_rise(d.base + wait + late, ply) for late in (-1, 0)], [False, True])
+            d.c.prices.length = length
+            self.assertEqual([d.c.rungs.may_rise(d.base + wait + late, ply) for late in (-1, 0)], [False, True])
 
     def test_a_storm_of_further_tries_prices_nobody_out(self):
         """Rehearsed: after five seconds in which nothing could be had, viewers who came again at once were counted as demand, and service stayed at nothing for good."""
@@ -275,12 +277,12 @@
         d.say("links tell of more load than the uplink carries, but nothing is short: declined at first")
         for node in (1, 2):
             d.note(200 + node, 1, node, face.LINK_ASKED, 0.6)
-        d.c.demand[0].value = 0.0
+        d.c.prices.demand[0].value = 0.0
         d.ask(300, 2)
         d.say("seconds without a word of shortage: the uplink carries more, and is tried with a little more")
         for now in range(1000, 9000, 500):
             d.c.wake(d.base + now)
-        d.c.demand[0].value = 0.0
+        d.c.prices.demand[0].value = 0.0
         d.ask(9000, 3)
         self.same("uplink", d)
 
--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -2,9 +2,12 @@
 import math
 import random
 import unittest
+from unittest import mock
 
 from laddergw import interface as face, mail
-from laddergw.control import LEAST_OVER, Controller
+from laddergw.control import Controller, controller
+from laddergw.control.accounts import Fleet
+from laddergw.control.holders import LEAST_OVER, Holders
 from laddergw import settings
 from tests.helpers import Drive, TraceTest, deployment
 
@@ -40,7 +43,7 @@
         d.ask(5_000, 2, wait=100.0)
         d.end(5_100, 2, 1, face.TIMED_OUT)
         self.same("waits", d)
-        self.assertEqual((d.c.plays, d.c.waiting, d.c.pending), ({}, {}, []))
+        self.assertEqual((d.c.plays, d.c.holders.waiting, d.c.pending), ({}, {}, []))
 
     def test_no_play_waits_for_a_probe_past_its_limit(self):
         """Reviewed: a viewer that stops waiting after 100 ms got its answer after 200."""
@@ -48,7 +51,7 @@
             d = Drive(nodes=1, **BLIND)
             d.ask(0, 1, wait=float(wait))
             _, wake = d.c.wake(d.base)
-            self.assertTrue(not d.c.waiting or wake <= d.base + wait / 2, wait)
+            self.assertTrue(not d.c.holders.waiting or wake <= d.base + wait / 2, wait)
 
 
 class Peers(TraceTest):
@@ -63,7 +66,7 @@
         d.mail(5_000, [(1, 0.3), (2, 0.2), (99, 0.1), (1, math.nan), (2, -1.0), (2, math.inf)], [(0, 0.9), (77, 0.5), (1, 0.0), (1, math.nan)])
         d.ask(5_010, 2)
         self.same("peers", d)
-        self.assertNotIn(99, d.c.nodes)
+        self.assertNotIn(99, d.c.fleet.nodes)
 
     def test_messages_go_both_ways_and_broken_ones_are_refused(self):
         loads, shares = [(4_000_000_000, 0.5), (7, 2.55)], [(3, 0.9)]
@@ -87,13 +90,13 @@
         for play in 1, 2, 3:
             d.ask(play, play, ceiling=1)
             d.starts(100 + play, play, 1)
-        self.assertAlmostEqual(d.c.nodes[1].own, 200 * 1.6)
+        self.assertAlmostEqual(d.c.fleet.nodes[1].own, 200 * 1.6)
         d.end(200, 1, 1, face.SERVED, over=True)
-        self.assertAlmostEqual(d.c.nodes[1].own, 200 * 1.3)
+        self.assertAlmostEqual(d.c.fleet.nodes[1].own, 200 * 1.3)
         for play in 2, 3:
             d.end(200 + play, play, 1, face.SERVED, over=True)
-        self.assertAlmostEqual(d.c.nodes[1].own, 0)
-        self.assertEqual(d.c.nodes[1].shared, {})
+        self.assertAlmostEqual(d.c.fleet.nodes[1].own, 0)
+        self.assertEqual(d.c.fleet.nodes[1].shared, {})
 
     def test_directors_meet_at_the_same_holder(self):
         """Spread by each director's own draw, viewers of one title shared hardly a stream."""
@@ -108,19 +111,22 @@
         """Room, pace and doubt are worked out once a moment: whatever happens within it must make them new."""
         looked = []
 
-        class Checked(Controller):
-            crowd = property(lambda self: 0.4, lambda self, value: None)    # a change of it would hide others
-
+        class Checked(Holders):
             def holding(self, now, ply):
                 super().holding(now, ply)
+                fleet = self.fleet
                 for n in ply.holders:
-                    fresh = (self.room(now, n), self.room(now, n, -LEAST_OVER), now - n.pace >= self.d.warm_ms or self.turn(now, n),
+                    fresh = (fleet.room(now, n), fleet.room(now, n, -LEAST_OVER), now - n.pace >= fleet.d.warm_ms or self.turn(now, n),
                              n.links - n.known.now(now))
                     looked.append((n.room, n.over, n.paced, n.doubt) == fresh)
+
+        class Steady(Fleet):
+            crowd = property(lambda self: 0.4, lambda self, value: None)    # a change of it would hide others
         d, chance = Drive(nodes=6, peers=True, peer_price=0.0078, **BLIND), random.Random(5)
-        d.c = Checked(d.c.d, 7, 0.0)
+        with mock.patch.object(controller, "Holders", Checked), mock.patch.object(controller, "Fleet", Steady):
+            d.c = Controller(d.c.fleet.d, 7, 0.0)
         d.listed(0, [d.line(n) for n in range(1, 7)], True)
-        shapes = [d.c.d, d.c.d._replace(fall_multiple=5.0, directors=9), d.c.d._replace(racks=3)]
+        shapes = [d.c.fleet.d, d.c.fleet.d._replace(fall_multiple=5.0, directors=9), d.c.fleet.d._replace(racks=3)]
         for turn in range(4_000):
             now, node, play = d.base + turn // 12 * 40.0, chance.randrange(1, 7), chance.randrange(turn + 1)
             ply = d.c.plays.get(play)
@@ -165,19 +171,19 @@
         d = Drive(nodes=4)
         for play in range(6):
             d.starts(play + 100, play, d.ask(play, play)[0].node)
-        before = [(rack.links, rack.own) for rack in d.c.racks]
+        before = [(rack.links, rack.own) for rack in d.c.fleet.racks]
         d.c.retold(d.base + 200, self.NEW)
-        self.assertAlmostEqual(sum(rack.own for rack in d.c.racks), sum(n.own for n in d.c.nodes.values()))
-        self.assertAlmostEqual(sum(rack.links for rack in d.c.racks), 4 * 5000.0)
+        self.assertAlmostEqual(sum(rack.own for rack in d.c.fleet.racks), sum(n.own for n in d.c.fleet.nodes.values()))
+        self.assertAlmostEqual(sum(rack.links for rack in d.c.fleet.racks), 4 * 5000.0)
         d.ask(210, 10, product=1)
         d.c.retold(d.base + 220, self.OLD)           # while that play waits for its probe
-        self.assertEqual([(rack.links, rack.own) for rack in d.c.racks], before)
+        self.assertEqual([(rack.links, rack.own) for rack in d.c.fleet.racks], before)
         placed = d.wake(410)
         self.assertEqual([v.play for v in placed if v.node], [10])
         for play in range(6):                        # on the terms that they were taken on: nothing is left over
             d.end(500 + play, play, d.c.plays[play].node.id, face.SERVED, over=True)
         d.end(600, 10, placed[0].node, face.SERVED, over=True)
-        self.assertEqual([round(n.own, 6) for n in d.c.nodes.values()], [0.0] * 4)
+        self.assertEqual([round(n.own, 6) for n in d.c.fleet.nodes.values()], [0.0] * 4)
         self.assertEqual(d.c.plays, {})
 
 
@@ -193,9 +199,9 @@
             for play in leaving:
                 d.end(200 + play, play, 1, face.SERVED, over=True)
                 left = [p.rung for p in d.c.plays.values() if p.d.join == 1]
-                self.assertGreaterEqual(d.c.nodes[1].own + 1e-6, 200.0 * len(left))
-            self.assertAlmostEqual(d.c.nodes[1].own, 0)
-            self.assertAlmostEqual(d.c.rates, 0)
+                self.assertGreaterEqual(d.c.fleet.nodes[1].own + 1e-6, 200.0 * len(left))
+            self.assertAlmostEqual(d.c.fleet.nodes[1].own, 0)
+            self.assertAlmostEqual(d.c.fleet.rates, 0)
 
 
 class WireSettings(unittest.TestCase):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -46,12 +46,12 @@
         terms["Specifics"] |= {"Positions": 1024, "RackKb": 9e6}
         terms["Siblings"] = 1024
         town = Town(nodes=("n0007",), settings=terms, known={"seq": 1, "results": [event(1, *(member(n, 1, cell=i) for i, n in enumerate(names)), whole=True)]})
-        self.assertEqual(sum(node.state == face.READY for node in town.director.controller.nodes.values()), 1024)
+        self.assertEqual(sum(node.state == face.READY for node in town.director.controller.fleet.nodes.values()), 1024)
         town.run(20)
         town.log_side.tell(event(2, *(member(n, 1, "DELETED", cell=i) for i, n in enumerate(names) if i % 2 == 0),
                                  *(member(f"s{i:04}", 1, cell=i, since=1) for i in range(0, 1024, 2))))
         town.run(20)
-        self.assertEqual(sum(node.state == face.READY for node in town.director.controller.nodes.values()), 1024)
+        self.assertEqual(sum(node.state == face.READY for node in town.director.controller.fleet.nodes.values()), 1024)
         town.run(600)
         self.assertEqual(len(town.director.nodes.by_id), 1024)
         town.viewer().stream.write(set_up(1, figures="home:7;copies:1;top:2"))
@@ -68,7 +68,7 @@
         terms["Specifics"]["SeenAfter"] = 700_000
         town.director.change(assignments.of(tree(changelog="log two:1", settings=terms)))
         town.run(200)
-        self.assertEqual(town.director.controller.d.seen_after_ms, 700.0)
+        self.assertEqual(town.director.controller.fleet.d.seen_after_ms, 700.0)
         self.assertEqual(sum("log gets since 1" in line for line in town.lines), 2)
         for bad in ({"settings": {}}, {"known": None}, {"changelog": "x"}, {"listen": 7}, {"settings": TREE | {"Siblings": "many"}}, {"seed": "zz"}):
             with self.subTest(bad), self.assertRaises(assignments.Refused):
--- a/tests/test_platform_nodes.py
+++ b/tests/test_platform_nodes.py
@@ -117,7 +117,7 @@
                 with self.subTest(act.__name__, shared=shared):
                     town = Town()
                     town.director.nodes.most = 1 if shared else 22
-                    town.director.controller.nodes[2].rest = 1e12      # node b: all go to a
+                    town.director.controller.fleet.nodes[2].rest = 1e12      # node b: all go to a
                     town.viewer()
                     town.director.heard(town.director_side(), message(set_up(1, product="paid")))
                     if shared:
@@ -125,7 +125,7 @@
                     town.director.decide()
                     line, = town.director.nodes.by_id["a"].lines
                     self.assertEqual((line.up, len(line.plays)), (False, 1 + shared))
-                    town.director.controller.nodes[2].rest, town.director.nodes.most = 0.0, 22
+                    town.director.controller.fleet.nodes[2].rest, town.director.nodes.most = 0.0, 22
                     town.hosts["director"].soon(lambda: act(town))
                     town.run(50)
                     got = [part for part in town.lines if "node a gets SETUP" in part]
--- a/tests/test_platform_viewers.py
+++ b/tests/test_platform_viewers.py
@@ -163,7 +163,7 @@
         front, other = town.viewer("front"), town.viewer("other")
         front.stream.write(set_up(1, figures="home:0;copies:3;top:2;at:a") + set_up(2, figures="home:0;copies:3;top:2;at:a"))
         town.run(20)
-        for controlled in town.director.controller.nodes.values():
+        for controlled in town.director.controller.fleet.nodes.values():
             controlled.rest = 1e12
         other.stream.write(set_up(3))
         town.run(2600)
