A switch to more cells no longer ends a director whose list names cells past the old ones

Seen: drawn calls on the module raised IndexError in retold. Cause: nodes were taken out of their cells by the new count of cells (enlist, self.cells[node.cell % self.d.cells]) while the cells were still the old ones. Change: by the count that stands. Result: a test that fails without it; no other line of decision touched.

--- a/laddergw/control/accounts.py
+++ b/laddergw/control/accounts.py
@@ -111,7 +111,7 @@
             rack.touched += 1
             for total, part in (rack.known, node.known), (rack.told, node.told):
                 total.add(now, sign * part.now(now))
-            for index in rack.members, self.cells[node.cell % self.d.cells]:
+            for index in rack.members, self.cells[node.cell % len(self.cells)]:
                 index.pop(node.id, None) if sign < 0 else index.update({node.id: node})
         self.ready += node.links * ((state == face.READY) - (node.state == face.READY))
         node.state = state
--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -186,6 +186,13 @@
         self.assertEqual([round(n.own, 6) for n in d.c.fleet.nodes.values()], [0.0] * 4)
         self.assertEqual(d.c.plays, {})
 
+    def test_more_and_fewer_cells(self):
+        """Drawn: a list that names cells past those of the deployment; a switch to more of them raised, and ended the director."""
+        d = Drive(nodes=6, cells=4)
+        for cells in 9, 2, 6:
+            d.c.retold(d.base, deployment(cells=cells))
+            self.assertEqual([sorted(cell) for cell in d.c.fleet.cells],
+                             [[n for n in range(1, 7) if (n - 1) % cells == cell] for cell in range(cells)])
 
     def test_shared_streams_go_through_a_switch_and_back(self):
         """Reviewed: a viewer that came while streams were shared left by terms under which nothing is."""
