Pure machines get a room below directors and terms; the platform's director in three

Cause: director/ and terms/ imported each other (allocation, life, pace, windows, door, house), and the platform's director had grown to 406 lines.

--- a/benchmarks/limits_random.py
+++ b/benchmarks/limits_random.py
@@ -6,7 +6,7 @@
 import sys
 from concurrent.futures import ProcessPoolExecutor
 
-from laddergw.director import house as houses
+from laddergw.terms import house as houses
 from laddergw.director.director import Director
 from laddergw.lab import audit, limits as lab
 from laddergw.lab.plant import plant
--- a/benchmarks/routes.py
+++ b/benchmarks/routes.py
@@ -5,11 +5,11 @@
 import time
 from zlib import crc32
 
-from laddergw.director.life import Life
-from laddergw.director.pace import Room, full
-from laddergw.director.windows import Budgets
+from laddergw.machines.life import Life
+from laddergw.machines.pace import Room, full
+from laddergw.machines.windows import Budgets
 from laddergw.lab.plant import plant
-from laddergw.director.house import read as read_house
+from laddergw.terms.house import read as read_house
 from laddergw.terms import limits as files
 from laddergw.terms.generations import allowed, budget_names
 from laddergw.terms.loading import load, usual
--- a/benchmarks/windows.py
+++ b/benchmarks/windows.py
@@ -7,7 +7,7 @@
 import time
 from collections import deque
 
-from laddergw.director.windows import Window
+from laddergw.machines.windows import Window
 
 WINDOW_MS, CALLS = 10_000.0, 60_000
 
--- a/laddergw/cli/__main__.py
+++ b/laddergw/cli/__main__.py
@@ -56,7 +56,7 @@
 @app.command()
 def check(files: Annotated[list[Path], typer.Argument(help="directors' files")]) -> None:
     """Checks directors' files and tells everything that is wrong, with its place. Ends with 2 where a file is refused."""
-    from laddergw.director import house
+    from laddergw.terms import house
     from laddergw.terms.sexpr import Refused
     refused = 0
     for file in files:
--- a/laddergw/cli/planning.py
+++ b/laddergw/cli/planning.py
@@ -11,7 +11,7 @@
 @app.command()
 def show(house: Annotated[Path, typer.Argument(help="a director's file that names planners")], nodes: Annotated[int, typer.Option(help="so many of the most asked")] = 20) -> None:
     """Hears plans as an edge does, and prints the first of each planner that answers."""
-    from laddergw.director import house as houses
+    from laddergw.terms import house as houses
     from laddergw.loop.sockets import SocketLoop
     from laddergw.loop.tls import Secure, client_context
     from laddergw.planner import plan as plans, wire
--- a/laddergw/cli/terms.py
+++ b/laddergw/cli/terms.py
@@ -11,7 +11,7 @@
 
 
 def house_of(path: Path):
-    from laddergw.director import house
+    from laddergw.terms import house
     from laddergw.terms.sexpr import Refused
     try:
         return house.read_file(str(path))
--- a/laddergw/director/carrying.py
+++ b/laddergw/director/carrying.py
@@ -6,10 +6,10 @@
 from typing import Callable
 
 from laddergw import interface as face
-from laddergw.director import allocation as alloc
+from laddergw.machines import allocation as alloc
 from laddergw.director import frames, tokens
-from laddergw.director.allocation import Allocation, Step
-from laddergw.director.life import TRIES_OVER
+from laddergw.machines.allocation import Allocation, Step
+from laddergw.machines.life import TRIES_OVER
 from laddergw.director.link import Link
 from laddergw.director.tries import Try
 from laddergw.http.client import Call
--- a/laddergw/director/director.py
+++ b/laddergw/director/director.py
@@ -10,17 +10,18 @@
 
 from laddergw import interface as face, mail
 from laddergw.control import Controller
-from laddergw.director import allocation as alloc
-from laddergw.director import door, frames, tokens
+from laddergw.machines import allocation as alloc
+from laddergw.director import frames, tokens
+from laddergw.machines import door
 from laddergw.director.carrying import MOVED, STOPPED, Carrying, written
 from laddergw.director.fleet import Fleet
-from laddergw.director.house import House
-from laddergw.director.life import Life
+from laddergw.terms.house import House
+from laddergw.machines.life import Life
 from laddergw.director.link import Link
-from laddergw.director.pace import OFF, Room, full
+from laddergw.machines.pace import OFF, Room, full
 from laddergw.director.post import Post
 from laddergw.director.tries import Try
-from laddergw.director.windows import Budgets
+from laddergw.machines.windows import Budgets
 from laddergw.hosting import Hosting
 from laddergw.http.limits import PeerLimits
 from laddergw.http.server import Exchange, Server
--- a/laddergw/director/program.py
+++ b/laddergw/director/program.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from laddergw.director import house as houses
+from laddergw.terms import house as houses
 from laddergw.director.director import Director
 from laddergw.director.limits_file import Beside, LimitsFile, at_start
 from laddergw.director.watching import Watcher, health, logger
--- a/laddergw/director/tries.py
+++ b/laddergw/director/tries.py
@@ -1,7 +1,7 @@
 """Keeps what a director has in hand for one viewer's try, from its request to the end of its play."""
-from laddergw.director.allocation import Allocation
+from laddergw.machines.allocation import Allocation
 from laddergw.director.frames import Request
-from laddergw.director.life import Life
+from laddergw.machines.life import Life
 from laddergw.director.tokens import Earlier
 from laddergw.http.client import Call
 from laddergw.http.server import Exchange
--- a/laddergw/edge/front.py
+++ b/laddergw/edge/front.py
@@ -8,7 +8,8 @@
 from zlib import crc32
 
 from laddergw import interface as face
-from laddergw.director import door, frames, tokens
+from laddergw.director import frames, tokens
+from laddergw.machines import door
 from laddergw.director.carrying import LOST
 from laddergw.director.director import Director
 from laddergw.director.link import Link
--- a/laddergw/lab/limits.py
+++ b/laddergw/lab/limits.py
@@ -5,8 +5,8 @@
 """
 import os
 
-from laddergw.director import house as houses
-from laddergw.director.house import House
+from laddergw.terms import house as houses
+from laddergw.terms.house import House
 from laddergw.lab.plant import Plant, between, draw
 from laddergw.lab.script import Trouble
 from laddergw.lab.stage_memory import MemoryStage
--- a/laddergw/lab/move.py
+++ b/laddergw/lab/move.py
@@ -7,7 +7,7 @@
 import os
 import signal
 
-from laddergw.director import house as houses
+from laddergw.terms import house as houses
 from laddergw.lab import limits
 from laddergw.lab.plant import Plant, draw
 from laddergw.lab.script import Trouble
--- a/laddergw/director/life.py
+++ b/laddergw/machines/life.py
@@ -11,8 +11,8 @@
 from typing import NamedTuple
 
 from laddergw import interface as face
-from laddergw.director.allocation import Allocation
-from laddergw.director.door import Turned
+from laddergw.machines.allocation import Allocation
+from laddergw.machines.door import Turned
 
 NEVER_RAN = (face.FULL, face.UNREACHABLE, face.NEVER_SENT)    # outcomes after which a set-up has provably not run
 TRIES_OVER = "it was tried as often as its terms allow"
--- a/laddergw/planner/program.py
+++ b/laddergw/planner/program.py
@@ -10,7 +10,7 @@
 import sys
 from typing import NamedTuple
 
-from laddergw.director.house import signing_keys, take_planners, take_tls
+from laddergw.terms.house import signing_keys, take_planners, take_tls
 from laddergw.director.watching import logger
 from laddergw.loop import held
 from laddergw.loop.sockets import SocketLoop
--- /dev/null
+++ b/laddergw/platform/allocating.py
@@ -0,0 +1,135 @@
+"""The nodes' side of plays: set-ups go out and end, and the module is told how; an allocation's facts become outcomes in allocation.py."""
+import logging
+
+from laddergw import interface as face
+from laddergw.platform import allocation as life
+from laddergw.platform import requests
+from laddergw.platform.nodes import Line, Node
+from laddergw.platform.plays import BROKEN, ENDED, Play
+from laddergw.signalling import binary, rtsp
+
+NOTES = {"got": face.DELIVERED, "level": face.RUNG_NOW, "port": face.LINK_ASKED, "spine": face.UPLINK_ASKED}
+
+log = logging.getLogger("laddergw.platform")
+
+
+class Allocating:
+    """Carries out allocations of the director's plays at media nodes."""
+
+    def __init__(self, director):
+        self.director, self.count = director, director.count
+
+    def allocate(self, ply: Play, verdict: face.Verdict) -> None:
+        ply.number, ply.sent_at = ply.number + 1, self.director.loop.now
+        node = ply.node = self.director.nodes.by_number.get(verdict.node)
+        line = None if node is None or node.gone or verdict.timeout_ms <= 0 else node.free_line()
+        if line is None:
+            self.director.loop.soon(lambda: self.tell_end(ply, face.NEVER_SENT))
+            return
+        r = ply.request
+        node.open[ply.session], ply.line = ply, line
+        line.set_up(ply, rtsp.request("SETUP", r.title, ply.session, (
+            ("Subject", r.product), ("X-Patience", str(max(1, int(verdict.timeout_ms)))), ("Rate-Step", str(verdict.rung))), r.description))
+        log.debug("%s.%d %s: to node %s on %s, time-out %.0f ms", ply.session, ply.number, r.product, node.id, ply.line, verdict.timeout_ms)
+        ply.timer = self.director.loop.after(verdict.timeout_ms, lambda: self.late(ply))
+
+    def say(self, node: Node, data: bytes) -> None:
+        """To a node about a play that stands, on any connection."""
+        line = next((line for line in node.lines if line.up and not line.plays), None) or next(iter(node.lines), None)
+        if line is None:
+            if node.gone:
+                return
+            self.director.nodes.room(of_held=True)            # past the bound all the same: what ends a play must leave
+            line = node.dial()
+        line.stream.write(data)
+
+    def release(self, ply: Play) -> None:
+        self.say(ply.node, rtsp.request("TEARDOWN", ply.request.title, ply.session, (("Reason", f"cause={ENDED}"),)))
+
+    def answered(self, node: Node, line: Line, message: rtsp.Message) -> None:
+        ply = line.plays[message.session]
+        fact = life.answer(message.status)
+        if fact == life.THERE and not message.body:
+            line.end(life.SPOILT)                    # an answer without its description cannot be passed on
+            return node.renew()
+        state = line.settle(ply.session)
+        ply.line = None
+        node.open.pop(ply.session, None)
+        if fact == life.THERE:
+            return self.director.desk.stand(ply, message.body)
+        return self.ended(ply, state, fact, self.report(message))
+
+    def report(self, message: rtsp.Message) -> tuple:
+        """The load report of a message, in the order that the settings name its values, or nothing."""
+        values = {}
+        for part in message.headers.get("x-state", "").split(";"):
+            name, _, text = part.partition(":")
+            if requests.FIGURE.fullmatch(text):
+                values[name] = float(text)
+        names = self.director.assignment.deployment.reports
+        return tuple(values[name] for name in names) if values and all(name in values for name in names) else ()
+
+    def told(self, node: Node, line: Line, message: rtsp.Message) -> None:
+        """A media node speaks of a play: a note, or its release."""
+        ply = node.held.get(message.session) or line.plays.get(message.session)
+        if message.method == "TEARDOWN":
+            line.stream.write(rtsp.answer(200, "OK", message.sequence or "2", message.session))
+            if ply is not None:
+                cause = message.headers.get("reason", "").removeprefix("cause=")
+                log.debug("%s.%d: released by its node, cause %s", ply.session, ply.number, cause[:8])
+                state = life.HELD if ply.stands else line.state(ply.session)
+                self.ended(ply, state, life.end(int(cause) if cause.isdigit() else 0), self.report(message))
+        elif message.method == "ANNOUNCE" and ply is not None and ply.stands:
+            kind, value = NOTES.get(message.headers.get("x-note", "")), message.headers.get("figure", "")
+            if kind is not None and requests.FIGURE.fullmatch(value):
+                self.director.feed(self.director.controller.note, self.director.loop.now, ply.id, node.number, kind, float(value))
+
+    def late(self, ply: Play) -> None:
+        """The module's time-out for this allocation."""
+        ply.timer = None
+        self.drop_set_up(ply, life.LATE)
+
+    def drop_set_up(self, ply: Play, fact: str) -> None:
+        """Gives a set-up up. Its connection ends too: what may still come on it belongs to nobody."""
+        line = ply.line
+        log.debug("%s.%d: %s on %s, set-up ends at byte %d", ply.session, ply.number, fact, line, line.ends[ply.session])
+        state = line.give_up(ply.session)
+        if state == life.OUT:
+            line.stream.write(rtsp.request("TEARDOWN", ply.request.title, ply.session))
+        if not line.plays and line in line.node.lines:
+            line.node.lines.remove(line)
+            line.stream.close()
+            line.node.renew()
+        self.ended(ply, state, fact)
+
+    def ended(self, ply: Play, state: str, fact: str, report: tuple = ()) -> None:
+        """An allocation has ended; the module is told, and a viewer whose play stood."""
+        outcome = life.outcome(state, fact)
+        if outcome is None:
+            return
+        if ply.stands:
+            self.settle_standing(ply)
+            if fact != life.GIVEN_UP:        # also who left: our answer may still be on its way to it, and be all that it gets
+                cause = BROKEN if fact in (life.BROKEN_OFF, life.LOST) else ENDED
+                self.director.door.send(ply.viewer, binary.RELEASE, ply.session, (binary.CAUSE, bytes([cause])))
+        elif ply.line is not None:
+            if ply.session in ply.line.plays:
+                ply.line.settle(ply.session)
+            ply.line = None
+            ply.node.open.pop(ply.session, None)
+        self.tell_end(ply, outcome, report)
+
+    def settle_standing(self, ply: Play) -> None:
+        self.director.standing.pop(ply.session, None)
+        ply.node.held.pop(ply.session, None)
+
+    def tell_end(self, ply: Play, outcome: str, report: tuple = ()) -> None:
+        if ply.timer is not None:
+            ply.timer.cancel()
+            ply.timer = None
+        log.debug("%s.%d: ends, %s", ply.session, ply.number, outcome)
+        self.director.count(("stood: " if ply.stands else "set-up: ") + outcome)
+        over = ply.stands or ply.session not in self.director.open
+        self.director.feed(self.director.controller.ended, self.director.loop.now, ply.id, ply.number, outcome,
+                           ply.node.number if ply.node else 0, over, report)
+        self.director.redo = True
--- /dev/null
+++ b/laddergw/platform/desk.py
@@ -0,0 +1,138 @@
+"""The viewers' side of plays: each set-up is taken in once and gets its one answer.
+
+It is answered in `stand` or `finish`, and both take it out of the open plays first, so that one answer goes out whatever comes together.
+"""
+import logging
+
+from laddergw.platform import allocation as life
+from laddergw.platform import requests
+from laddergw.platform.plays import DECLINED, ENDED, FAILED, Play
+from laddergw.platform.viewers import OPEN_MOST, Viewer
+from laddergw.signalling import binary
+
+EARLY_MS = 20.0            # answers are due so long before the viewer's time limit: its clock began before ours
+GUARD_MS = 10.0            # past the module's own time-out at the limit, which it answers by the play's terms
+TOLD_MOST = 40             # unusable set-ups told in the log: a flood must not fill it
+
+log = logging.getLogger("laddergw.platform")
+
+
+class Desk:
+    """Answers the viewers of the director's plays."""
+
+    def __init__(self, director):
+        self.director, self.count = director, director.count
+
+    def heard(self, viewer: Viewer, message: binary.Message) -> None:
+        if message.kind == binary.SET_UP:
+            self.asked(viewer, message)
+        elif message.kind == binary.RELEASE:
+            self.viewer_ends(viewer, message.session)
+        elif message.kind == binary.TEST:
+            viewer.write(binary.TESTED, message.session, (binary.CAUSE, bytes([self.director.stopping is None])))
+        elif message.kind == binary.HEARD:
+            self.director.door.heard(message.session)
+        elif message.kind != binary.PROGRESS:
+            viewer.close("a director's message")
+
+    def asked(self, viewer: Viewer, message: binary.Message) -> None:
+        session = message.session
+        if session in self.director.open or (session in self.director.standing and not self.takes_over(message)):
+            return viewer.close("a session that is there")   # an answer on it would be the other's
+        try:
+            request = requests.read(message, self.director.assignment)
+        except requests.Unusable as error:
+            self.director.count("unusable")
+            if self.director.counts["unusable"] <= TOLD_MOST:
+                log.info("unusable: %s", error)
+            return viewer.refuse(session)
+        viewer.spoke = True
+        if request.at:
+            return self.handed_over(viewer, session, request)
+        if self.director.broken or self.director.stopping is not None or len(viewer.plays) >= OPEN_MOST:
+            self.director.count("turned away")
+            return viewer.refuse(session, DECLINED, self.away(self.director.assignment.deployment.retry_max_ms))
+        self.director.count("asked")
+        ply = self.director.open[session] = viewer.plays[session] = Play(request, session, viewer)
+        wait = max(0.0, request.ask.wait_ms - self.director.loop.stalled - EARLY_MS)
+        ply.guard = self.director.loop.after(wait + GUARD_MS, lambda: self.overdue(ply))
+        return self.director.feed(self.director.controller.asked, self.director.loop.now, request.ask._replace(wait_ms=wait))
+
+    def takes_over(self, message: binary.Message) -> bool:
+        return b"at:" in (message.parameters or {}).get(binary.FIGURES, b"")
+
+    def handed_over(self, viewer: Viewer, session: str, request: requests.Request) -> None:
+        """A play that stands at a node already; it may be one that is held here."""
+        node = self.director.nodes.by_id.get(request.at)
+        if node is None or node.gone:
+            self.director.count("handed over from nowhere")
+            return viewer.refuse(session)
+        self.director.door.prove(viewer)
+        if session not in self.director.standing:
+            self.director.count("handed over")
+            ply = self.director.standing[session] = node.held[session] = Play(request, session, viewer)
+            ply.node, ply.number, ply.stands = node, 0, True
+            self.director.feed(self.director.controller.handed_over, self.director.loop.now, request.ask, node.number)
+            if not node.lines and self.director.nodes.room(of_held=False):
+                node.dial()                          # what the node tells of it comes on any connection
+        return None
+
+    def away(self, ms: float | None) -> tuple[int, bytes]:
+        return binary.AWAY, b"%d" % (ms or 0)
+
+    def viewer_ends(self, viewer: Viewer, session: str) -> None:
+        if ply := self.director.standing.get(session):        # it gave up as our answer left: what stood is released to it too
+            log.debug("%s.%d: ended by its viewer", ply.session, ply.number)
+            self.director.allocating.release(ply)
+            self.director.door.send(viewer, binary.RELEASE, session, (binary.CAUSE, bytes([ENDED])))
+            self.director.feed(self.director.controller.left, self.director.loop.now, ply.id)
+            self.director.allocating.ended(ply, life.HELD, life.GIVEN_UP)
+        elif (ply := self.director.open.get(session)) and ply.viewer is viewer:
+            return self.given_up(ply)
+        return viewer.write(binary.HEARD, session)
+
+    def given_up(self, ply: Play) -> None:
+        """The viewer waits no more: no answer is owed, and its allocation ends."""
+        if self.director.open.pop(ply.session, None) is None:
+            return
+        log.debug("%s: given up by its viewer", ply.session)
+        self.director.count("given up")
+        ply.viewer.plays.pop(ply.session, None)
+        ply.stop_timers()
+        self.director.feed(self.director.controller.left, self.director.loop.now, ply.id)
+        if ply.line is not None:
+            self.director.allocating.drop_set_up(ply, life.GIVEN_UP)
+
+    def overdue(self, ply: Play) -> None:
+        """The last guard of the one answer: whatever holds it up, it is failed in time."""
+        ply.guard = None
+        if ply.session in self.director.open:
+            self.director.count("overdue")
+            self.director.feed(self.director.controller.left, self.director.loop.now, ply.id)
+            if ply.session in self.director.open:
+                self.finish(ply, FAILED)
+
+    def finish(self, ply: Play, cause: int, *more: tuple[int, bytes]) -> None:
+        """The final answer of a play that does not stand."""
+        if self.director.open.pop(ply.session, None) is None:
+            return
+        ply.viewer.plays.pop(ply.session, None)
+        ply.stop_timers()
+        log.debug("%s: answered with cause %d", ply.session, cause)
+        self.director.count("declined" if cause == DECLINED else "failed")
+        ply.viewer.refuse(ply.session, cause, *more)
+        if ply.line is not None:
+            self.director.allocating.drop_set_up(ply, life.GIVEN_UP)
+
+    def stand(self, ply: Play, description: bytes) -> None:
+        """The play stands: its viewer gets the description that its node gave."""
+        del self.director.open[ply.session]
+        ply.viewer.plays.pop(ply.session, None)
+        ply.stop_timers()
+        ply.stands = True
+        self.director.standing[ply.session] = ply.node.held[ply.session] = ply
+        ply.viewer.write(binary.ANSWER, ply.session, (binary.DESCRIPTION, description))
+        self.director.door.prove(ply.viewer)
+        log.debug("%s.%d: plays", ply.session, ply.number)
+        self.director.count("playing")
+        self.director.feed(self.director.controller.playing, self.director.loop.now, ply.id, ply.number, self.director.loop.now - ply.sent_at, ply.node.number)
--- a/laddergw/platform/nodes.py
+++ b/laddergw/platform/nodes.py
@@ -170,14 +170,14 @@
 
 
 class Nodes:
-    """All nodes of the list. `director` carries out what comes of them."""
+    """All nodes of the list. `allocating` carries out what comes of them."""
 
-    def __init__(self, loop, director, most: int, connect_ms: float):
+    def __init__(self, loop, allocating, most: int, connect_ms: float):
         self.loop, self.most, self.connect_ms = loop, most, connect_ms
         self.by_id: dict[str, Node] = {}
         self.by_number: dict[int, Node] = {}
         self.numbers = self.tests = 0
-        self.count, self.ended, self.told, self.answered = director.count, director.ended, director.told, director.answered
+        self.count, self.ended, self.told, self.answered = allocating.count, allocating.ended, allocating.told, allocating.answered
         loop.after(LOOK_MS, self.look)
 
     def lines(self) -> int:
--- a/laddergw/platform/viewers.py
+++ b/laddergw/platform/viewers.py
@@ -1,6 +1,6 @@
 """The viewers' side: connections, their messages, and bounds against those who say nothing or too much."""
 import logging
-from typing import Any, Callable
+from typing import Callable
 
 from laddergw.signalling import binary
 
@@ -37,7 +37,7 @@
         try:
             while self.stream is not None and (message := self.reader.next()) is not None:
                 self.half = self.used = self.door.loop.now
-                self.door.director.heard(self, message)
+                self.door.desk.heard(self, message)
         except binary.Malformed as error:
             return self.close(str(error))
         if not self.reader.buffer:
@@ -56,7 +56,7 @@
 
     def close(self, why: str) -> None:
         if self.stream is not None:
-            self.door.director.count("closed: " + why.partition(" of ")[0])
+            self.door.desk.count("closed: " + why.partition(" of ")[0])
             log.debug("viewers' connection closed: %s; %.0f ms old, idle %.0f", why, self.door.loop.now - self.since, self.door.loop.now - self.used)
             self.stream.close()
 
@@ -64,14 +64,14 @@
         self.stream = None
         self.door.leave(self)
         for ply in list(self.plays.values()):
-            self.door.director.given_up(ply)
+            self.door.desk.given_up(ply)
 
 
 class Door:
     """All viewers' connections."""
 
-    def __init__(self, loop, director, address: tuple[str, int], most: int):
-        self.loop, self.director, self.most = loop, director, most
+    def __init__(self, loop, desk, address: tuple[str, int], most: int):
+        self.loop, self.desk, self.most = loop, desk, most
         self.viewers: dict[Viewer, None] = {}        # oldest first
         self.unheard: dict[str, tuple[Viewer | None, bytes, float]] = {}   # releases: where they went, until when to keep them
         self.listener = loop.listen(address, lambda stream: Viewer(self))
@@ -123,7 +123,7 @@
     def again(self, lost: Callable[[Viewer | None], bool], first: Viewer | None = None) -> None:
         """What went out on a connection that has ended, or found none that is proven, goes on another."""
         for session, (_, data, until) in [entry for entry in self.unheard.items() if lost(entry[1][0])]:
-            self.director.count("told again")
+            self.desk.count("told again")
             self.pass_on(first, session, data, until)
 
     def prove(self, viewer: Viewer) -> None:
--- a/laddergw/terms/checking.py
+++ b/laddergw/terms/checking.py
@@ -3,7 +3,7 @@
 import pickle
 import sys
 
-from laddergw.director import house as houses
+from laddergw.terms import house as houses
 from laddergw.terms.loading import load
 
 
--- a/laddergw/terms/generations.py
+++ b/laddergw/terms/generations.py
@@ -3,8 +3,8 @@
 A file is checked whole and then switched at one moment: plays that come from then on are under the new one, plays under way keep theirs.
 """
 from laddergw.terms.limits import Budget, Limits, Row
-from laddergw.director.pace import OFF
-from laddergw.director.windows import Allowed
+from laddergw.machines.pace import OFF
+from laddergw.machines.windows import Allowed
 
 
 class Generation:
--- a/laddergw/director/house.py
+++ b/laddergw/terms/house.py
@@ -9,21 +9,11 @@
 from typing import NamedTuple
 
 from laddergw import interface as face
+from laddergw.machines.door import Bounds
 from laddergw.terms.reading import NEEDED, Faults, Reader, only_form, text_of
 from laddergw.terms.sexpr import Form, Refused
 
 
-class Bounds(NamedTuple):
-    """What a director takes on itself. Times in ms."""
-    open_tries: int = 2_000        # viewers that wait for an answer: 5 s of 400 a second
-    held_plays: int = 20_000       # plays under way; each holds a viewer's connection
-    connections: int = 25_000      # at the door, held plays included
-    lease_most_ms: float = 2_000.0   # longest time for which a set-up may be out: over the usual first-frame targets
-    answer_margin_ms: float = 40.0   # kept of a viewer's wait for the way back
-    retry_ms: float = 1_000.0      # come-back time of those turned away at the door, drawn from its upper half
-    finish_ms: float = 10_000.0    # plays under way may go on so long after a SIGTERM
-
-
 class House(NamedTuple):
     """All that one director's process is told."""
     number: int
--- a/laddergw/terms/limits.py
+++ b/laddergw/terms/limits.py
@@ -11,8 +11,8 @@
 """
 from typing import Any, NamedTuple
 
-from laddergw.director.life import PlayTerms
-from laddergw.director.pace import KINDS as ADAPTIVE, OFF
+from laddergw.machines.life import PlayTerms
+from laddergw.machines.pace import KINDS as ADAPTIVE, OFF
 from laddergw.terms.reading import Faults, Reader, only_form, text_of
 from laddergw.terms.routes import At, RouteTrie
 from laddergw.terms.sexpr import Place
--- a/laddergw/terms/loading.py
+++ b/laddergw/terms/loading.py
@@ -1,9 +1,9 @@
 """From a file's bytes to limits that may be loaded, or to everything that speaks against it."""
 from typing import NamedTuple
 
-from laddergw.director.allocation import GRACE_MS
-from laddergw.director.house import House
-from laddergw.director.life import PlayTerms
+from laddergw.machines.allocation import GRACE_MS
+from laddergw.terms.house import House
+from laddergw.machines.life import PlayTerms
 from laddergw.terms import limits as files
 from laddergw.terms.limits import Limits
 from laddergw.terms.proof import Objection, prove
--- a/laddergw/terms/proof.py
+++ b/laddergw/terms/proof.py
@@ -8,8 +8,8 @@
 
 from laddergw import interface as face
 from laddergw.control.holders import COLD_PART
-from laddergw.director.house import House
-from laddergw.director.life import PlayTerms
+from laddergw.terms.house import House
+from laddergw.machines.life import PlayTerms
 from laddergw.terms import search
 from laddergw.terms.limits import Effective, Limits, Told, usual
 from laddergw.terms.search import Terms
--- a/laddergw/terms/search.py
+++ b/laddergw/terms/search.py
@@ -1,6 +1,6 @@
 """Searches the lives that a play can have under given terms for one in which it has two allocations out, or no answer in time.
 
-The search runs the machines that the director runs (director/life.py, director/allocation.py) against all that nodes, network and viewer can do at each step, each at
+The search runs the machines that the director runs (machines/life.py, machines/allocation.py) against all that nodes, network and viewer can do at each step, each at
 its worst moment: a set-up refused, without a connection, silent, cut after its last byte; a release acknowledged or lost; a node that drains while a set-up waits; a
 director that dies, a viewer that leaves, a viewer that comes again at once, to a director that knows nothing of the first. Bounded in viewer's tries and states.
 
@@ -9,8 +9,8 @@
 """
 from typing import NamedTuple
 
-from laddergw.director.allocation import Allocation, Step
-from laddergw.director.life import Life, PlayTerms
+from laddergw.machines.allocation import Allocation, Step
+from laddergw.machines.life import Life, PlayTerms
 
 TRIES_MOST = 2             # of one viewer: what a third meets, a second has met
 STATES_MOST = 20_000       # of one search: five attempts need a few thousand
--- a/tests/replays.py
+++ b/tests/replays.py
@@ -7,7 +7,7 @@
 from collections import deque
 
 from laddergw.director.director import Director
-from laddergw.director.house import read
+from laddergw.terms.house import read
 from laddergw.lab.tap import tap
 from laddergw.terms import limits as files
 from laddergw.terms.loading import usual
--- a/tests/test_allocation.py
+++ b/tests/test_allocation.py
@@ -4,8 +4,8 @@
 from hypothesis import given, settings, strategies as st
 
 from laddergw import interface as face
-from laddergw.director.allocation import GONE, Allocation, Step
-from laddergw.director.life import Life as TryLife, PlayTerms
+from laddergw.machines.allocation import GONE, Allocation, Step
+from laddergw.machines.life import Life as TryLife, PlayTerms
 from tests.helpers import TraceTest
 
 FACTS = ("answered 201", "answered 201 unsound", "answered 503", "answered 409", "answered 500", "cut none", "cut part", "cut all",
--- a/tests/test_files.py
+++ b/tests/test_files.py
@@ -3,7 +3,7 @@
 
 from hypothesis import given, settings, strategies as st
 
-from laddergw.director import house
+from laddergw.terms import house
 from laddergw.terms.sexpr import Atom, Form, Refused, parse
 from tests.helpers import TraceTest
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -8,11 +8,11 @@
 
 from hypothesis import given, settings, strategies as st
 
-from laddergw.director import life as lives
-from laddergw.director.house import read
-from laddergw.director.life import Life, PlayTerms
+from laddergw.machines import life as lives
+from laddergw.terms.house import read
+from laddergw.machines.life import Life, PlayTerms
 from laddergw.director.limits_file import Beside, InPlace, LimitsFile, at_start
-from laddergw.director.windows import PARTS, Allowed, Budgets, Window
+from laddergw.machines.windows import PARTS, Allowed, Budgets, Window
 from laddergw.loop.sockets import SocketLoop
 from laddergw.terms import limits as files, search
 from laddergw.terms.generations import Generations, changes
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -3,8 +3,8 @@
 
 from hypothesis import given, settings, strategies as st
 
-from laddergw.director import pace
-from laddergw.director.pace import AIMD, GRADIENT, OFF, NodePace, Room, full
+from laddergw.machines import pace
+from laddergw.machines.pace import AIMD, GRADIENT, OFF, NodePace, Room, full
 from laddergw.lab import storm
 from tests.helpers import TraceTest
 
--- a/tests/test_platform_nodes.py
+++ b/tests/test_platform_nodes.py
@@ -105,10 +105,10 @@
             town.director.listed(changes.event_of(event(2, member("a", 1, "DRAINING"))))
 
         def late(town):
-            town.director.late(town.director.open[f"{1:016x}"])
+            town.director.allocating.late(town.director.open[f"{1:016x}"])
 
         def leave(town):
-            town.director.viewer_ends(town.director_side(), f"{1:016x}")
+            town.director.desk.viewer_ends(town.director_side(), f"{1:016x}")
 
         def stop(town):
             town.director.end_all()
@@ -119,9 +119,9 @@
                     town.director.nodes.most = 1 if shared else 22
                     town.director.controller.fleet.nodes[2].rest = 1e12      # node b: all go to a
                     town.viewer()
-                    town.director.heard(town.director_side(), message(set_up(1, product="paid")))
+                    town.director.desk.heard(town.director_side(), message(set_up(1, product="paid")))
                     if shared:
-                        town.director.heard(town.director_side(), message(set_up(2, product="paid")))
+                        town.director.desk.heard(town.director_side(), message(set_up(2, product="paid")))
                     town.director.decide()
                     line, = town.director.nodes.by_id["a"].lines
                     self.assertEqual((line.up, len(line.plays)), (False, 1 + shared))
@@ -142,7 +142,7 @@
         front = town.viewer()
         town.lines = Silent()
         for i, name in enumerate(names):
-            town.director.heard(town.director_side(), message(set_up(i + 1, figures=f"home:0;copies:3;top:2;at:{name}")))
+            town.director.desk.heard(town.director_side(), message(set_up(i + 1, figures=f"home:0;copies:3;top:2;at:{name}")))
             town.hosts[name].at(town.world.now + 3000, lambda name=name: said.setdefault(name, town.world.now))
             # A node says what it has to tell on an open connection, and once more on the next that opens
             came = town.hosts[name].listeners[0]
--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -3,7 +3,7 @@
 import unittest
 
 from laddergw import mail
-from laddergw.director import house as houses
+from laddergw.terms import house as houses
 from laddergw.director.carrying import LOST
 from laddergw.director.director import Director
 from laddergw.director.post import STALE_MS, Post
