--- a/laddergw/cli/rehearsing.py
+++ b/laddergw/cli/rehearsing.py
@@ -15,7 +15,7 @@
 
 
 def rehearse(
-    name: Annotated[str, typer.Argument(help="bad-day, quiet, limits (the operators' file switched), move (directors' files switched to another shape and back), apart (planners killed), stitched (sessions with notices), or a named day: laddergw days list")] = "bad-day",
+    name: Annotated[str, typer.Argument(help="bad-day, quiet, limits (the operators' file switched), move (directors' files switched to another shape and back), apart (planners killed), fleet (lines between edges and planners fail, the audit held against all), stitched (sessions with notices), or a named day: laddergw days list")] = "bad-day",
     seed: Annotated[int, typer.Option(help="draws everything")] = 1,
     seconds: Annotated[Optional[float], typer.Option(help="time in which new plays come; 60, with stitched 120, with a named day its own")] = None,
     rate: Annotated[Optional[float], typer.Option(help="new plays a second; 24 or the day's own")] = None,
@@ -37,6 +37,9 @@
     usual = lambda: plant.plant(seed, directors or 4, nodes or 24, rate or 24.0, seconds or 60.0)
     if name == "apart" and day is None:
         return apart(seed, usual(), report, memory, keep, log, kills)
+    if name == "fleet" and day is None:
+        from laddergw.cli.rehearsing_fleet import fleet
+        return fleet(seed, plant.plant(seed, directors or 12, nodes or 24, rate or 24.0, seconds or 60.0), report, memory, keep, log, kills)
     if name in ("limits", "move") and day is None:
         return switching(importlib.import_module(f"laddergw.lab.{name}"), seed, usual(), report, memory, keep, log)
     if name == "stitched" and day is None:
--- /dev/null
+++ b/laddergw/cli/rehearsing_fleet.py
@@ -0,0 +1,22 @@
+"""rehearse fleet: the audit of the fleet, in memory or as processes, with the lines between edges and planners failing."""
+import time
+from pathlib import Path
+
+import typer
+
+from laddergw.cli.rehearsing import conclude, played
+
+
+def fleet(seed: int, the_plant, report: Path | None, memory: bool, keep: Path | None, log: str, kills: int) -> None:
+    """A bad day, and on top of it: lines cut, stalled, slowed and reset, planners killed, also both at once, limits switched every few seconds."""
+    from laddergw.lab import script
+    from laddergw.lab.fleet_processes import FleetProcesses
+    from laddergw.lab.fleet_stage import FleetStage
+    began, the_script = time.monotonic(), script.bad_day(the_plant)
+    stage = FleetStage(the_plant, the_script, kills) if memory else FleetProcesses(the_plant, the_script, kills, str(keep) if keep else None, log)
+    records = played(stage)
+    said = [stage.told(), "audit: " + ", ".join(f"{name} {value}" for name, value in stage.facts.items())
+            + ("; every count as the directors counted themselves" if not stage.verdict else f"; {len(stage.verdict)} differ")]
+    for line in said + [f"broken: audit: {broken}" for broken in stage.verdict[:20]]:
+        typer.echo(line)
+    conclude(the_plant, the_script, records, stage.conductor.missed, "in memory" if memory else "on loopback", began, seed, said, report, bool(stage.verdict))
--- a/laddergw/director/director.py
+++ b/laddergw/director/director.py
@@ -202,7 +202,7 @@
         r, now = ply.request, self.loop.now
         ply.asked = True
         if self.observer is not None:
-            self.observer.admitted(r)
+            self.observer.admitted(ply)
         self.feed(self.controller.asked, now, face.Asked(ply.id, ply.product, r.title, r.home, r.copies, r.ceiling,
                                                          r.length_ms, max(0.0, ply.life.limit - now),
                                                          ply.earlier.tries > 1))
--- a/laddergw/director/tries.py
+++ b/laddergw/director/tries.py
@@ -12,7 +12,7 @@
 class Try:
     """One request for a play. `life` says what its terms allow; `budgets`: names of those that its further allocations draw on."""
     __slots__ = ("id", "exchange", "request", "product", "earlier", "asked_at", "life", "generation", "budgets", "allocation", "call", "body",
-                 "timer", "lease_timer", "answered", "playing", "left", "asked", "node_ms", "ending", "sent_at", "deployment")
+                 "timer", "lease_timer", "answered", "playing", "left", "asked", "node_ms", "ending", "sent_at", "deployment", "stand")
 
     def __init__(self, number: int, exchange: Exchange, request: Request, product: int, earlier: Earlier, life: Life,
                  generation: Generation, budgets: tuple[str, ...], deployment: Deployment):
@@ -25,6 +25,7 @@
         self.answered = self.playing = self.left = self.asked = False
         self.node_ms, self.sent_at = 0.0, 0.0     # time that nodes took, to tell our own delay apart
         self.ending: str | None = None            # what its viewer is told once its allocation is gone
+        self.stand = ""                           # id of the versions that it was let in under, where they are audited
 
     def settle(self) -> bool:
         """Claims the one answer: True for the first who asks, and for nobody when the viewer has left."""
--- /dev/null
+++ b/laddergw/fleet/answers.py
@@ -0,0 +1,114 @@
+"""Answers to operators' questions from the book. Pure. Each says what it does not know: who was silent, cut off, or could not tell all it did."""
+from laddergw.fleet.book import SILENT_MS, Book, Process
+from laddergw.fleet.stamps import LET_IN
+from laddergw.fleet.versions import KINDS
+
+
+def unknown(book: Book, now: float) -> list[str]:
+    """What stands behind every answer."""
+    said = []
+    for process in in_order(book):
+        if now - process.heard_ms >= SILENT_MS:
+            said.append(f"{process.name} silent since {seconds(now - process.heard_ms)} ago: what it does now is not known")
+        if process.untold:
+            said.append(f"{process.name} dropped {process.untold} actions before any planner could keep them")
+    return said
+
+
+def in_order(book: Book) -> list[Process]:
+    return [book.processes[name] for name in sorted(book.processes)]
+
+
+def seconds(ms: float) -> str:
+    return f"{ms / 1000:.1f} s"
+
+
+def versions(book: Book, now: float, wall_ms: float) -> dict:
+    """By kind and version: the directors on it, plays let in under it in the last minute, since when the first is on it."""
+    rows: dict[tuple, dict] = {}
+    for process in in_order(book):
+        held = process.last()
+        if held is None or now - process.heard_ms >= SILENT_MS:
+            continue
+        for one in book.stands[held.stand].versions:
+            row = rows.setdefault((KINDS.index(one.kind), one.hash), {"kind": one.kind, "version": one.hash, "number": one.number, "issuer": one.issuer,
+                                                                      "directors": [], "let_in_last_minute": 0, "since_wall_ms": wall_ms})
+            row["directors"].append(process.name)
+            row["since_wall_ms"] = min(row["since_wall_ms"], wall_ms - (now - since(book, process, one)))
+    for process in in_order(book):
+        for _, stand_id, count in process.lately:
+            for one in book.stands[stand_id].versions:
+                if (key := (KINDS.index(one.kind), one.hash)) in rows:
+                    rows[key]["let_in_last_minute"] += count
+    return {"versions": [rows[key] for key in sorted(rows)], "not_known": unknown(book, now)}
+
+
+def since(book: Book, process: Process, one) -> float:
+    """Since when a process is on a version without a break."""
+    start = process.last().since_ms
+    for number in sorted(process.turns, reverse=True):
+        held = process.turns[number]
+        if (on := book.stands[held.stand].of(one.kind)) is None or on.hash != one.hash:
+            break
+        start = held.since_ms
+    return start
+
+
+def director(book: Book, name: str, at_wall_ms: float, now: float, wall_ms: float) -> dict:
+    """What each process of a director acted on at a time."""
+    at, found = now - (wall_ms - at_wall_ms), []
+    for process in in_order(book):
+        if name not in (process.name, process.director):
+            continue
+        held = process.at(at)
+        if held is None:
+            first = min((h.since_ms for h in process.turns.values()), default=now)
+            found.append({"process": process.name, "stand": None, "why": f"nothing is known of it before {seconds(now - first)} ago"})
+            continue
+        after = process.turns.get(held.number + 1)
+        found.append({"process": process.name, "stand": held.stand, "turn": held.number, "versions": [tuple(v) for v in book.stands[held.stand].versions],
+                      "since_wall_ms": wall_ms - (now - held.since_ms), "until_wall_ms": None if after is None else wall_ms - (now - after.since_ms),
+                      "last_word_wall_ms": wall_ms - (now - process.heard_ms), "late_by_at_most_ms": held.told_ms - held.since_ms,
+                      "did": did(process, held.number)})
+    return {"director": name, "at_wall_ms": at_wall_ms, "processes": found, "not_known": unknown(book, now)}
+
+
+def did(process: Process, turn: int) -> dict[str, int]:
+    found: dict[str, int] = {}
+    for key, count in sorted(process.counts.items()):
+        if key.turn == turn:
+            found[f"{key.product} {key.action}".strip()] = found.get(f"{key.product} {key.action}".strip(), 0) + count
+    return found
+
+
+def version(book: Book, hash_begins: str, now: float, wall_ms: float) -> dict:
+    """Who acted on a version, from when to when, how many plays of which product; also plays that kept it past its time."""
+    rows = []
+    for process in in_order(book):
+        turns = [held for number, held in sorted(process.turns.items()) if any(v.hash.startswith(hash_begins) for v in book.stands[held.stand].versions)]
+        numbers = {held.number for held in turns}
+        plays: dict[str, int] = {}
+        later: dict[str, int] = {}
+        for key, count in sorted(process.counts.items()):
+            kept = key.kept and any(v.hash.startswith(hash_begins) for v in book.stands[key.kept].versions) if key.kept in book.stands else False
+            if key.turn in numbers and key.action == LET_IN:
+                plays[key.product] = plays.get(key.product, 0) + count
+            elif kept and key.turn not in numbers:
+                name = f"{key.product} {key.action}"
+                later[name] = later.get(name, 0) + count
+        if turns:
+            end = process.turns.get(turns[-1].number + 1)
+            rows.append({"process": process.name, "from_wall_ms": wall_ms - (now - turns[0].since_ms), "turns": len(turns),
+                         "to_wall_ms": None if end is None else wall_ms - (now - end.since_ms), "let_in": plays, "kept_later": later})
+    return {"version": hash_begins, "acted": rows, "not_known": unknown(book, now)}
+
+
+def counted(book: Book) -> dict[tuple[str, str, str, str], int]:
+    """All counts, by process, stand in force, product and action."""
+    found: dict[tuple[str, str, str, str], int] = {}
+    for process in in_order(book):
+        for key, count in process.counts.items():
+            held = process.turns.get(key.turn)
+            name = process.name, held.stand if held else "", key.product, key.action
+            found[name] = found.get(name, 0) + count
+    return found
--- /dev/null
+++ b/laddergw/fleet/telling.py
@@ -0,0 +1,63 @@
+"""What a director tells of its stands and counts, a part of each digest: what changed since the last one on the same connection, all of it on a new one.
+
+Numbers of turns and counts only grow, so a part that is lost with its connection, doubled or out of order does no harm: the next connection begins whole.
+"""
+import msgspec
+
+from laddergw.fleet.stamps import ACTIONS, Key, Stamps, Turn
+from laddergw.fleet.versions import KINDS, Version, stand
+
+TURNS_TOLD, COUNTS_TOLD, STANDS_TOLD = 512, 65_536, 1_024      # of one part, at most: twice what a director holds
+
+
+class Part(msgspec.Struct, frozen=True):
+    """`turns`: number, time, stand; `stands`: by id, the versions; `counts`: turn, kept, product, action, how many so far."""
+    turns: tuple[tuple[int, float, str], ...] = ()
+    stands: dict[str, tuple[tuple[str, int, str, str], ...]] = {}
+    counts: tuple[tuple[int, str, str, str, int], ...] = ()
+    untold: int = 0                                             # actions of turns that were dropped before any planner kept them
+    alone_ms: float = 0.0                                       # before this connection, no planner was to be reached so long
+
+
+class Senseless(ValueError):
+    """A part that cannot be; the text says why."""
+
+
+class Told:
+    """What went out on one connection."""
+
+    def __init__(self):
+        self.turn, self.counts, self.stands = 0, {}, set()
+
+    def part(self, stamps: Stamps, alone_ms: float = 0.0) -> Part:
+        """What has changed since the last part, and counts as told by now."""
+        turns = [turn for turn in stamps.turns if turn.number > self.turn]
+        counts = []
+        for number, mine in stamps.counts.items():
+            if number < self.turn and number in self.counts:    # an earlier turn's counts stand still once it is over and told
+                continue
+            before = self.counts.get(number, {})
+            counts += [(*key, count) for key, count in mine.items() if before.get(key) != count]
+        self.counts = {number: dict(mine) for number, mine in stamps.counts.items()}
+        named = {turn.stand for turn in turns} | {row[1] for row in counts if row[1]}
+        stands = {name: tuple(tuple(v) for v in stamps.stands[name].versions) for name in sorted(named - self.stands) if name in stamps.stands}
+        self.stands |= stands.keys()
+        if turns:
+            self.turn = turns[-1].number
+        return Part(tuple(tuple(turn) for turn in turns), stands, tuple(counts), stamps.untold, alone_ms)
+
+
+def checked(part: Part) -> tuple[list[Turn], list[tuple[Key, int]]]:
+    """Its turns and counts. Raises Senseless."""
+    if len(part.turns) > TURNS_TOLD or len(part.counts) > COUNTS_TOLD or len(part.stands) > STANDS_TOLD or part.untold < 0 or not 0 <= part.alone_ms < 1e15:
+        raise Senseless("more than a director holds")
+    turns = [Turn(*turn) for turn in part.turns]
+    if any(turn.number < 1 or not 0 <= turn.at_ms < 1e15 for turn in turns) or [t.number for t in turns] != sorted({t.number for t in turns}):
+        raise Senseless("turns that do not follow each other")
+    counts = [(Key(*row[:4]), row[4]) for row in part.counts]
+    if any(count < 0 or key.turn < 1 or key.action not in ACTIONS for key, count in counts):
+        raise Senseless("counts of nothing")
+    for name, versions in part.stands.items():
+        if any(version[0] not in KINDS for version in versions) or stand(Version(*version) for version in versions).id != name:
+            raise Senseless(f"stand {name[:20]!r} is not made of what it names")
+    return turns, counts
--- /dev/null
+++ b/laddergw/lab/fleet_processes.py
@@ -0,0 +1,140 @@
+"""rehearse fleet on loopback: edges, planners, racks and viewers as processes; the lines between edges and planners go through us and fail, planners are
+killed, also both at once, and stopped; the limits file that all watch changes. The judge asks the planner for its counts, and each edge for its own."""
+import json
+import os
+import re
+import signal
+
+from laddergw.http.client import Pool
+from laddergw.lab import fleet_check
+from laddergw.lab.apart_processes import PLANNERS, ApartProcesses
+from laddergw.lab.fleet_check import Tally
+from laddergw.lab.fleet_stage import BACK_MS, BOTH_DIE, LineFault, schedule
+from laddergw.lab.limits import sound
+from laddergw.lab.lines import Lines
+from laddergw.lab.plant import Plant, between
+from laddergw.lab.script import Trouble
+from laddergw.lab.stage_processes import HOST
+from laddergw.lab.viewers_stand_in import LIMITS
+from laddergw.loop.tls import Secure, client_context
+from laddergw.planner import wire
+from laddergw.planner.peer import Peer
+from laddergw.terms import house as houses
+
+SWITCH_MS = 5_000.0        # between versions: each edge searches each of them in a process beside it
+STOPS, STOP_MS = 3, (1_000.0, 6_000.0)     # planners stopped (SIGSTOP), and for how long: past a silence and a lease
+ASK_MS = 10_000.0          # the judge waits so long for any one answer
+ANSWERS = re.compile(r'laddergw_answers_total\{answer="(\w+)",product="([^"]+)"\} (\d+)')
+
+
+class FleetProcesses(ApartProcesses):
+    """See the module."""
+
+    def __init__(self, plant: Plant, script: list[Trouble], kills: int, folder: str | None = None, level: str = "warning"):
+        super().__init__(plant, script, kills, folder, level)
+        self.lines = Lines(self.loop, self.record, plant.seed)
+        self.read_house = houses.read(plant.house(0, (HOST, 1), (HOST, 1), plant.seed))
+        self.limits, self.switches, self.verdict, self.facts = self.file("limits.terms"), 0, ["the judge was never asked"], {}
+        self.faults: list[LineFault] = schedule(plant.seed, [f"d{n}" for n in range(plant.directors)], [f"p{n}" for n in range(PLANNERS)], plant.crowd.seconds * 1000)
+        self.write_limits()
+
+    def write_limits(self) -> None:
+        with open(self.limits + ".new", "w") as stream:
+            stream.write(sound(self.plant.seed, self.switches % 4, self.read_house))
+        os.replace(self.limits + ".new", self.limits)
+
+    def house_text(self, number: int) -> str:
+        """Its planners are reached through lines of ours."""
+        text = super().house_text(number)
+        for planner, (host, port) in self.places.items():
+            ends = f"d{number}", f"p{planner}"
+            line = self.lines.by_ends.get(ends) or self.lines.line(*ends, (HOST, 0), lambda planner=planner: self.places[planner])
+            text = text.replace(f'(planner "{host}" {port})', f'(planner "{line.address[0]}" {line.address[1]})')
+        return text
+
+    def director_command(self, file: str, source: str) -> list[str]:
+        return super().director_command(file, source) + ["--limits", self.limits]
+
+    def let_them_come(self) -> None:
+        super().let_them_come()
+        seconds = self.plant.crowd.seconds * 1000
+        for fault in self.faults:
+            self.loop.after(fault.at, lambda fault=fault: self.strike(fault))
+        for moment in range(BOTH_DIE):
+            at = between(self.plant.seed, 0, seconds, "both", moment)
+            for planner in range(PLANNERS):
+                self.loop.after(at, lambda planner=planner: self.kill_planner(planner))
+        for stop in range(STOPS):
+            self.loop.after(between(self.plant.seed, 0, seconds, "stop", stop), lambda stop=stop: self.stop_planner(stop))
+        self.loop.after(SWITCH_MS, self.switch)
+
+    def strike(self, fault: LineFault) -> None:
+        line = self.lines.by_ends[fault.source, fault.target]
+        if not self.ending:
+            line.fault(fault.what, fault.value)
+            self.loop.after(fault.lasts, lambda: self.ending or line.fault("heal"))
+
+    def stop_planner(self, stop: int) -> None:
+        child = self.planners.get(stop % PLANNERS)
+        if child is None or self.ending:
+            return
+        child.send_signal(signal.SIGSTOP)
+        self.record("planner stopped", self.loop.now, number=stop % PLANNERS)
+        self.loop.after(between(self.plant.seed, *STOP_MS, "stopped", stop), lambda: child.poll() is None and child.send_signal(signal.SIGCONT))
+
+    def switch(self) -> None:
+        if not self.ending:
+            self.switches += 1
+            self.write_limits()
+            self.loop.after(SWITCH_MS, self.switch)
+
+    # The judge
+
+    def before_end(self) -> None:
+        """All lines are whole, all have time to come back; then the book against what the edges counted themselves."""
+        for child in self.planners.values():
+            child.send_signal(signal.SIGCONT)
+        self.lines.heal()
+        settled = self.loop.now + BACK_MS
+        self.wait(lambda: self.loop.now >= settled, BACK_MS + 1_000, "all come back")
+        tallies = {}
+        for number in sorted(self.conductor.directors_up):
+            said = self.fetch(number, "POST", "/v1/audit", b"{}")
+            tallies[json.loads(said)["process"]] = self.tally(self.fetch(number, "GET", "/metrics", b"").decode())
+        asked = [found for planner in self.places if (found := self.ask(planner, wire.Ask("verify"))) and found["kept"]]
+        if not asked:
+            self.verdict = ["no planner keeps the journal"]
+            return
+        leader = next(planner for planner in self.places if (self.ask(planner, wire.Ask("verify")) or {}).get("kept"))
+        rows = [tuple(row) for row in self.ask(leader, wire.Ask("counts"))["counts"]]
+        rows = [row for row in rows if row[3] in ("playing", "declined", "failed")]
+        self.verdict = fleet_check.judge([row for row in rows if row[0] in tallies], tallies, set(tallies)) + asked[0]["faults"]
+        self.facts = {"edges": len(tallies), "answers": sum(sum(t.counts.values()) for t in tallies.values()), "switches": self.switches, "faults": len(self.faults),
+                      "records": asked[0]["records"], "processes": len({row[0] for row in rows})}
+
+    def tally(self, text: str) -> Tally:
+        """The answers that an edge gave, by its own metrics."""
+        tally = Tally()
+        for answer, product, count in ANSWERS.findall(text):
+            tally.counts[product, answer] = int(count)
+        return tally
+
+    def fetch(self, number: int, method: str, path: str, body: bytes) -> bytes:
+        pool, came = Pool(self.loop, self.addresses[number], LIMITS), []
+        pool.call(method, path, body, came.append)
+        self.wait(lambda: came, ASK_MS, f"edge {number} answers {path}")
+        return came[0].body
+
+    def ask(self, planner: int, question: wire.Ask) -> dict | None:
+        """One question to a planner; None where it is not there."""
+        came, over = [], []
+
+        def told(peer: Peer, frame: wire.Frame) -> None:
+            if isinstance(frame, wire.Answer):
+                came.append(json.loads(frame.body))
+                peer.end("answered")
+        peer = Peer(self.loop, wire.Hello(wire.VERSION, "d-operator", wire.OPERATOR, 0), told, lambda peer: peer.send(question), lambda peer, why: over.append(why))
+        host, port = self.places[planner]
+        self.loop.dial((host, port), Secure(peer, client_context(*self.edge_papers), False, host), ASK_MS)
+        self.wait(lambda: over, ASK_MS, f"planner {planner} answers")
+        return came[0] if came else None
--- /dev/null
+++ b/laddergw/lab/fleet_stage.py
@@ -0,0 +1,170 @@
+"""rehearse fleet, in memory: edges and two planners with lines between them that fail, planners killed, limits switched, and the audit held against it all."""
+from typing import NamedTuple
+
+from laddergw import interface as face
+from laddergw.director.director import Director
+from laddergw.fleet import answers, versions
+from laddergw.fleet.stamps import LET_IN
+from laddergw.lab import fleet_check
+from laddergw.lab.apart import PORT, TWO, ApartStage
+from laddergw.lab.fleet_check import Tally
+from laddergw.lab.limits import sound
+from laddergw.lab.lines import Lines
+from laddergw.lab.plant import Plant, between, draw
+from laddergw.lab.script import Trouble
+from laddergw.lab.stage_memory import MemoryStage
+from laddergw.planner.edge_side import EdgeSide
+from laddergw.store import ledger as ledgers
+from laddergw.terms import house as houses
+from laddergw.terms.generations import flat
+from laddergw.terms.loading import load
+
+RELAY_PORT = 9_000
+SWITCH_MS = 2_500.0        # between versions of the limits
+SPREAD_MS = 900.0          # directors go over to one within this of each other
+FAULT_MS = (250.0, 1_100.0)        # between faults of lines, over the whole plant
+LASTS_MS = (300.0, 5_000.0)        # of one: silence is told after 2 s, leases run 3 s
+BOTH_DIE = 3               # moments at which both planners are killed: what only one had heard, and not written, was heard by nobody
+BACK_MS = 9_000.0          # after all is whole again: a takeover, a line dialled anew, a record of the journal, twice
+
+
+class LineFault(NamedTuple):
+    """One fault of one line, ms from the start."""
+    at: float
+    source: str
+    target: str
+    what: str
+    value: float | str | None
+    lasts: float
+
+
+def schedule(seed: int, sources: list[str], targets: list[str], ms: float) -> list[LineFault]:
+    """Drawn faults of the lines between them, in order of time."""
+    found, at, number = [], 0.0, 0
+    kinds = (("cut", None), ("cut", "to"), ("cut", "back"), ("hole", None), ("stall", "to"), ("stall", "back"), ("delay", 400.0), ("jitter", 300.0),
+             ("rate", 4_000.0), ("reset", 700.0), ("half-open", None), ("shut", None), ("late", 800.0))
+    while at < ms:
+        number += 1
+        at += between(seed, *FAULT_MS, "gap", number)
+        what, value = kinds[int(draw(seed, "kind", number) * len(kinds))]
+        source, target = (ends[int(draw(seed, "end", index, number) * len(ends))] for index, ends in enumerate((sources, targets)))
+        found.append(LineFault(at, source, target, what, value, between(seed, *LASTS_MS, "lasts", number)))
+    return found
+
+
+class Tallied(Director):
+    """Counts what it does by itself, for the judge."""
+
+    def __init__(self, *given, **named):
+        self.tally = Tally()
+        super().__init__(*given, **named, watch=self.tallied)
+        self.note_limits()
+
+    def note_limits(self) -> None:
+        self.tally.limits = "\n".join(f"{key} = {value}" for key, value in flat(self.limits).items())
+
+    def tallied(self, what: str, **facts) -> None:
+        ply = self.tries.get(facts.get("play"))
+        if what == "limits changed":
+            self.note_limits()
+        elif ply is None:
+            return
+        elif what == "answer":
+            self.tally.did(facts["product"], {face.DECLINED: "declined", face.FAILED: "failed"}.get(facts["answer"], "playing"))
+        elif what == "allocate":
+            self.tally.did(ply.request.product, "set-up again" if facts["number"] else "set-up")
+        elif what == "ended" and ply.playing:
+            self.tally.did(ply.request.product, "ended")
+
+    def admit(self, ply) -> None:
+        self.tally.did(ply.request.product, "let in")
+        super().admit(ply)
+
+
+class FleetStage(ApartStage):
+    """See the module."""
+
+    def __init__(self, plant: Plant, script: list[Trouble], kills: int = 6, director_class=Tallied, faults: list[LineFault] | None = None):
+        super().__init__(plant, script, TWO, kills, director_class=director_class)
+        self.lines = Lines(self.world.host("relay"), self.record, plant.seed)
+        self.house = houses.read(plant.house(0, ("d0", 1), ("list", 1), plant.seed))
+        self.tallies: dict[str, Tally] = {}
+        self.switches = 0
+        ends = [f"d{n}" for n in range(plant.directors)], [f"p{n}" for n in range(TWO)]
+        self.faults = schedule(plant.seed, *ends, plant.crowd.seconds * 1000) if faults is None else faults
+        self.verdict: list = ["the judge was never asked"]
+        self.facts: dict[str, int] = {}
+
+    def start_director(self, number: int) -> None:
+        MemoryStage.start_director(self, number)
+        director, places = self.directors[number], []
+        for planner in range(self.count):
+            ends = f"d{number}", f"p{planner}"
+            line = self.lines.by_ends.get(ends) or self.lines.line(*ends, ("relay", RELAY_PORT + 10 * number + planner), lambda planner=planner: (f"p{planner}", PORT))
+            places.append(line.address)
+        self.sides[number] = EdgeSide(director, tuple(places), self.keys())
+        self.tallies[director.name] = director.tally
+
+    def run(self) -> list[tuple]:
+        start = self.world.now + 3_000
+        for fault in self.faults:
+            self.loop.at(start + fault.at, lambda fault=fault: self.strike(fault))
+        self.loop.at(start, self.switch)
+        for moment in range(BOTH_DIE):
+            at = start + between(self.plant.seed, 0, self.plant.crowd.seconds * 1000, "both", moment)
+            for planner in range(self.count):
+                self.loop.at(at + planner, lambda planner=planner: self.done or self.kill_planner(planner))
+        return super().run()
+
+    def strike(self, fault: LineFault) -> None:
+        line = self.lines.by_ends.get((fault.source, fault.target))
+        if line is None or self.done:
+            return
+        line.loop.now = self.world.now
+        line.fault(fault.what, fault.value)
+        self.loop.at(self.world.now + fault.lasts, lambda: self.heal(line))
+
+    def heal(self, line) -> None:
+        line.loop.now = self.world.now
+        line.fault("heal")
+
+    def switch(self) -> None:
+        if self.done:
+            return
+        self.switches += 1
+        text = sound(self.plant.seed, self.switches % 4, self.house)     # (of four, so that versions come back)
+        loaded = load(text.encode(), f"version-{self.switches % 4}", self.house)
+        for number, director in self.directors.items():
+            host, wait = self.world.hosts[f"d{number}"], between(self.plant.seed, 0, SPREAD_MS, "spread", number, self.switches)
+            self.loop.at(self.world.now + wait, lambda host=host, director=director: host.alive and host.running
+                         and host.tell(self.world.now, lambda: director.change_limits(loaded.limits)))
+        self.loop.at(self.world.now + SWITCH_MS, self.switch)
+
+    def finished(self) -> None:
+        """The last viewer is served: all lines are whole again, and the judge waits until all have come back."""
+        if not self.done:
+            for line in self.lines.by_ends.values():
+                self.heal(line)
+            self.loop.at(self.world.now + BACK_MS, self.judge)
+
+    def judge(self) -> None:
+        self.done = True
+        leader = next((p for p in self.planners.values() if p.standing.state == "leads" and p.store is not None), None)
+        if leader is None:
+            self.verdict = ["no planner leads"]
+            return
+        back = {d.name for n, d in self.directors.items() if self.world.hosts[f"d{n}"].alive and self.world.hosts[f"d{n}"].running}
+        book = leader.auditing.book
+        rows = [(*key, count) for key, count in answers.counted(book).items()]
+        of_version: dict[tuple[str, str, str], int] = {}
+        for process in book.processes.values():
+            for key, count in process.counts.items():
+                if key.action == LET_IN:
+                    name = process.name, book.stands[process.turns[key.turn].stand].of(versions.LIMITS).hash, key.product
+                    of_version[name] = of_version.get(name, 0) + count
+        hash_of = lambda text: versions.version(versions.LIMITS, text.split("\n") if text else []).hash
+        self.verdict = fleet_check.judge(rows, self.tallies, back) + fleet_check.judge_versions(of_version, self.tallies, back, hash_of)
+        self.verdict += list(ledgers.verify(leader.store.db).faults)
+        self.facts = {"processes": len(self.tallies), "back": len(back), "switches": self.switches, "faults": len(self.faults),
+                      "actions": sum(sum(t.counts.values()) for t in self.tallies.values()), "stands": len(book.stands),
+                      "turns kept": max((len(side.audit.stamps.turns) for side in self.sides.values()), default=0), "records": leader.auditing.ledger.count}
--- /dev/null
+++ b/laddergw/planner/audit_side.py
@@ -0,0 +1,124 @@
+"""A director's side of the fleet's audit: keeps its stand by what is in force, and stamps what it carries out. Nothing of it is on a play's way but the count.
+
+It listens where the director tells what it decided (`watch`), where plays are let in, and where lists and plans come, so that no line of the director changes.
+"""
+import json
+import pathlib
+from functools import cache
+
+import laddergw
+from laddergw.director import frames
+from laddergw.director.tries import Try
+from laddergw.fleet import stamps as acts, versions
+from laddergw.fleet.stamps import Stamps
+from laddergw.fleet.telling import Part, Told
+from laddergw.http.server import Exchange
+from laddergw.interface import DECLINED
+from laddergw.terms.generations import flat
+
+CHANGES = {"limits changed": versions.LIMITS, "deployment changed": versions.HOUSE, "keys changed": versions.KEYS, "rules changed": versions.RULES}
+
+
+@cache
+def program() -> versions.Version:
+    """The text of the program that runs, as it lay on the disk when it was asked for first."""
+    root = pathlib.Path(laddergw.__file__).parent
+    files = sorted(root.rglob("*.py"))
+    return versions.version(versions.PROGRAM, [part for file in files for part in (file.relative_to(root).as_posix(), file.read_bytes())])
+
+
+class AuditSide:
+    """See the module. `side`: the director's line to its planners."""
+
+    def __init__(self, side):
+        self.director, self.loop, self.stamps = side.director, side.loop, Stamps()
+        self.alone_since: float | None = self.loop.now
+        self.held = {versions.PROGRAM: program()}
+        for kind in CHANGES.values():
+            self.read(kind)
+        director, self.watched, self.changed = self.director, self.director.watch, self.director.fleet.changed
+        director.watch, director.fleet.changed = self.told, self.listed
+        director.pages["POST", "/v1/audit"] = self.page
+        self.stand()
+
+    # What is in force
+
+    def read(self, kind: str) -> None:
+        """The version of a kind as the director has it now."""
+        house = self.director.house
+        if kind == versions.LIMITS:
+            texts = [f"{key} = {value}" for key, value in flat(self.director.limits).items()]
+        elif kind == versions.HOUSE:
+            texts = [*house.names, repr(house.deployment._replace(number=0, zone=0))]     # (what is a director's own place is no version)
+        elif kind == versions.KEYS:
+            texts = [part for name, secret in house.keys for part in (name, secret)] + sorted(house.retired)
+        else:
+            programme = getattr(self.director, "programme", None)
+            if programme is None:
+                return
+            texts = [repr(programme)]
+        self.held[kind] = versions.version(kind, texts)
+
+    def stand(self) -> None:
+        self.stamps.on(versions.stand(self.held.values()), self.loop.now)
+
+    def listed(self, lines: list, whole: bool, stopped: list) -> None:
+        entries = self.director.fleet.entries        # (a node's age goes on everywhere by itself)
+        self.held[versions.LIST] = versions.version(versions.LIST, [repr(entries[node]._replace(age_ms=None)) for node in sorted(entries)])
+        self.stand()
+        self.changed(lines, whole, stopped)
+
+    def obeys(self, epoch: int, planner: str) -> None:
+        """Plans of one planner under one epoch count as one version: two and a half come each second."""
+        if (before := self.held.get(versions.PLAN)) is None or (before.number, before.issuer) != (epoch, planner):
+            self.held[versions.PLAN] = versions.version(versions.PLAN, [str(epoch), planner], planner, epoch)
+            self.stand()
+
+    # What is carried out
+
+    def let_in(self, ply: Try) -> None:
+        ply.stand = self.stamps.now_in_force
+        self.did(ply, acts.LET_IN)
+
+    def did(self, ply: Try, action: str) -> None:
+        self.stamps.did(ply.request.key, ply.request.product, ply.stand or self.stamps.now_in_force, action, self.loop.now)
+
+    def told(self, what: str, **facts) -> None:
+        """What the director watches, stamped on its way."""
+        if what in CHANGES:
+            self.read(CHANGES[what])
+            self.stand()
+        elif (ply := self.director.tries.get(facts.get("play"))) is not None:
+            if what == "allocate":
+                self.did(ply, acts.AGAIN if facts["number"] else acts.SET_UP)
+            elif what == "answer":
+                self.did(ply, acts.PLAYING if facts["answer"] == "playing" else acts.DECLINED if facts["answer"] == DECLINED else acts.FAILED)
+            elif what == "ended" and ply.playing:
+                self.did(ply, acts.ENDED)
+        self.watched(what, **facts)
+
+    # What is told
+
+    def alone(self) -> None:
+        """No planner is to be reached from now on."""
+        if self.alone_since is None:
+            self.alone_since = self.loop.now
+
+    def part(self, told: Told) -> Part:
+        since, self.alone_since = self.alone_since, None
+        return told.part(self.stamps, 0.0 if since is None else self.loop.now - since)
+
+    def page(self, exchange: Exchange) -> None:
+        """A play's way, by its viewer's key; without one, where this director stands."""
+        try:
+            asked = json.loads(exchange.body or b"{}").get("play")
+        except (ValueError, AttributeError):
+            return exchange.answer(400, frames.problem("an object, with `play` or without"))
+        if asked is None:
+            stand = self.stamps.stands[self.stamps.now_in_force]
+            return exchange.answer(200, frames.encode({"process": self.director.name, "stand": stand.id, "since_ms": self.stamps.turns[-1].at_ms, "now_ms": self.loop.now,
+                                                       "versions": [version._asdict() for version in stand.versions], "untold": self.stamps.untold}))
+        way = self.stamps.ways.get(asked)
+        if way is None:
+            return exchange.answer(404, frames.problem("no such play among those that are remembered here"))
+        return exchange.answer(200, frames.encode({"process": self.director.name, "play": asked, "now_ms": self.loop.now, "way": [step._asdict() for step in way]}))
--- a/laddergw/planner/edge_side.py
+++ b/laddergw/planner/edge_side.py
@@ -7,14 +7,16 @@
 from laddergw import interface as face
 from laddergw.director.director import Director
 from laddergw.director import frames
-from laddergw.director.frames import Request
+from laddergw.director.tries import Try
 from laddergw.http.server import Exchange
 from laddergw.loop.tls import Secure
 from laddergw.planner import plan as plans, wire
+from laddergw.planner.audit_side import AuditSide
 from laddergw.planner.digests import HOT_TOLD, Digest
 from laddergw.planner.peer import Peer
 from laddergw.planner.plan import Keys, Obeyed, Sent
 from laddergw.planner.sketch import Sketch
+from laddergw.fleet.telling import Told
 from laddergw.planner.trust import Trust
 
 DIGEST_MS = 250.0          # between digests
@@ -35,6 +37,7 @@
         self.titles = Sketch()
         self.lines = [Line(self, tuple(address)) for address in planners]
         director.observer = self
+        self.audit = AuditSide(self)
         self.loop.after(DIGEST_MS, self.tell)
 
     @property
@@ -43,7 +46,9 @@
 
     # What the director sees
 
-    def admitted(self, request: Request) -> None:
+    def admitted(self, ply: Try) -> None:
+        request = ply.request
+        self.audit.let_in(ply)
         self.arrivals[request.product] = self.arrivals.get(request.product, 0) + 1
         self.titles.add(request.title)
 
@@ -88,6 +93,7 @@
             self.director.watch("plan refused", error=str(error))
             return
         if self.obeyed.offer(plan, self.loop.now):
+            self.audit.obeys(plan.epoch, plan.planner)
             self.use(plan)
 
     def use(self, plan: plans.Plan) -> None:
@@ -124,7 +130,8 @@
     def dial(self) -> None:
         side = self.side
         hello = wire.Hello(wire.VERSION, side.director.name, wire.EDGE, side.obeyed.seen[0])
-        self.base, self.peer = None, Peer(side.loop, hello, self.told, lambda peer: None, self.down)
+        self.base, self.audit = None, Told()
+        self.peer = Peer(side.loop, hello, self.told, lambda peer: None, self.down)
         owner = self.peer if side.tls is None else Secure(self.peer, side.tls(), False, self.address[0])
         side.loop.dial(self.address, owner, DIAL_MS)
 
@@ -133,7 +140,8 @@
             return
         base = None if digest.number % WHOLE_EACH == 0 else self.base
         obeyed, plan = self.side.obeyed, self.side.obeyed.plan
-        self.peer.send(wire.as_frame(digest, base, 0 if plan is None else plan.epoch, self.side.loop.now - obeyed.came_ms if plan is not None else 0.0, obeyed.seen[0]))
+        age = self.side.loop.now - obeyed.came_ms if plan is not None else 0.0
+        self.peer.send(wire.as_frame(digest, base, 0 if plan is None else plan.epoch, age, obeyed.seen[0], self.side.audit.part(self.audit)))
         self.base = wire.Base(digest.number, digest.nodes)
 
     def told(self, peer: Peer, frame: wire.Frame) -> None:
@@ -142,9 +150,13 @@
             self.side.heard(frame.sealed)
         elif isinstance(frame, wire.Again):
             self.base = None
+        elif isinstance(frame, wire.Kept):
+            self.side.audit.stamps.kept_by_planner(frame.turn)
 
     def down(self, peer: Peer, why: str) -> None:
         self.peer = None
+        if not any(line.peer is not None and line.peer.other is not None for line in self.side.lines):
+            self.side.audit.alone()
         if self.side.loop.running:
             self.side.director.watch("planner line down", why=why)
             self.side.loop.after(REDIAL_MS, self.dial)
--- a/laddergw/planner/server.py
+++ b/laddergw/planner/server.py
@@ -7,10 +7,12 @@
 
 import msgspec
 
-from laddergw.loop.tls import Secure, accepting, common_name
+from laddergw.loop.tls import accepting, common_name
 from laddergw.planner import plan as plans, wire
+from laddergw.planner.auditing import Auditing
 from laddergw.planner.digests import Digest, View
 from laddergw.planner.forecast import Forecast
+from laddergw.planner.leader import Leader
 from laddergw.planner.peer import Peer
 from laddergw.planner.plan import Keys, Plan
 from laddergw.planner.sketch import Hot, Sketch
@@ -23,7 +25,6 @@
 SNAPSHOT_EACH = 60         # records
 AGE_MS, AGE_PART = 10_000.0, 0.8       # hot titles: what was asked for a minute ago counts a quarter
 FORGET_MS = 30_000.0       # an edge's process silent for so long is gone
-REDIAL_MS = 700.0          # a standby's pause before it dials the leader again
 HOT_MOST = 32
 TURN_MS = 20.0             # pace of background turns while work waits
 
@@ -50,9 +51,10 @@
         self.view, self.hot, self.forecasts = View(), Sketch(), {}
         self.version = self.records = 0
         self.past: dict[str, int] = {}
+        self.standing = Standing(seed, store.epoch if store is not None else 1, loop.now, leads)
+        self.auditing = Auditing(loop, self.guarded)
         if store is not None:
             self.recover()
-        self.standing = Standing(seed, store.epoch if store is not None else 1, loop.now, leads)
         self.peers: dict[Peer, None] = {}
         self.bases: dict[str, Digest] = {}
         self.lie: Callable[[Plan], Plan] | None = None       # for rehearsals: a planner gone wrong
@@ -92,11 +94,13 @@
             self.hot = Sketch()
             self.hot.merge(Hot(*hot) for hot in kept.hot)
         self.view.past = dict(self.past)
+        self.guarded(lambda: self.auditing.opened(self.store))
         self.watch("recovered", records=len(found.records), snapshot=found.state is not None, epoch=self.store.epoch)
 
     def keep_due(self) -> None:
         if self.store is not None and self.standing.state == LEADS:
             self.work.add("keep", self.keep(), USUAL)
+            self.work.add("audit", self.audit(), USUAL)
 
     def keep(self) -> Generator[None, None, None]:
         """One record of the history; each SNAPSHOT_EACH of them a snapshot."""
@@ -110,6 +114,10 @@
             yield
             self.guarded(lambda: self.store.snapshot(data))
 
+    def audit(self) -> Generator[None, None, None]:
+        self.auditing.keep(self.peers)
+        yield
+
     def guarded(self, write: Callable[[], None]) -> bool:
         """A write that fails costs what it would have kept, no plan; where another planner has the store, this one stands by."""
         try:
@@ -146,9 +154,12 @@
         self.watch("peer down", peer=peer.other.name if peer.other else "", why=why)
 
     def told(self, peer: Peer, frame: wire.Frame) -> None:
+        if isinstance(frame, wire.Ask) and peer.other.role == wire.OPERATOR:
+            return peer.send(wire.Answer(self.auditing.ask(frame)))
         if not isinstance(frame, wire.DigestFrame) or peer.other.role != wire.EDGE:
-            return peer.end("only edges tell digests, and nothing else")
+            return peer.end("only edges tell digests, and operators ask")
         edge = peer.other.name
+        self.auditing.told(peer, frame)          # first: it needs no base, and is told once on a connection
         digest = wire.as_digest(edge, frame, self.bases.get(edge))
         if digest is None:
             return peer.send(wire.Again(frame.number))
@@ -227,32 +238,9 @@
         for peer in list(self.peers):
             peer.end("the planner stops")
         if self.store is not None and self.standing.state == LEADS:
-            for _ in self.keep():
-                pass
+            for step in self.keep(), self.audit():
+                for _ in step:
+                    pass
         if self.store is not None:
             self.store.close()
         self.loop.stop()
-
-
-class Leader:
-    """A planner's line to another one, whose plans it hears."""
-
-    def __init__(self, planner: Planner, address: tuple[str, int]):
-        self.planner, self.address, self.peer = planner, address, None
-        self.dial()
-
-    def dial(self) -> None:
-        planner = self.planner
-        hello = wire.Hello(wire.VERSION, planner.name, wire.STANDBY, planner.standing.epoch)
-        self.peer = Peer(planner.loop, hello, self.told, lambda peer: None, self.down)
-        owner = self.peer if planner.client_tls is None else Secure(self.peer, planner.client_tls(), False, self.address[0])
-        planner.loop.dial(self.address, owner, REDIAL_MS)
-
-    def told(self, peer: Peer, frame: wire.Frame) -> None:
-        if isinstance(frame, wire.PlanFrame):
-            peer.send(wire.Credit(1))
-            self.planner.heard_plan(frame.sealed)
-
-    def down(self, peer: Peer, why: str) -> None:
-        if self.planner.loop.running:
-            self.planner.loop.after(REDIAL_MS, self.dial)
--- a/laddergw/planner/wire.py
+++ b/laddergw/planner/wire.py
@@ -5,6 +5,9 @@
     again    number                              planner -> edge: send a whole one, the delta's base is not here
     plan     sealed bytes                        planner -> edge, and to standbys
     credit   plans                               edge -> planner: so many more may come
+    kept     turn                                planner -> edge: its audit before that turn is on the disk
+    ask      question, name, time                operator -> planner: of the fleet's audit
+    answer   body                                planner -> operator: JSON
     beat     at_ms                               both ways, while nothing else is sent
 
 Names on the wire stay here. Everything that comes is checked against its type and bounds before it is believed.
@@ -13,6 +16,7 @@
 
 import msgspec
 
+from laddergw.fleet.telling import Part, Senseless
 from laddergw.planner.digests import Digest
 from laddergw.planner.sketch import Hot
 
@@ -22,7 +26,7 @@
 BEAT_MS = 500.0            # pace of beats
 SILENT_MS = 2_000.0        # a peer that says nothing for so long is given up
 CREDIT = 4                 # plans that may be on their way to an edge; a newer one takes the place of one that waits
-EDGE, PLANNER, STANDBY = "edge", "planner", "standby"
+EDGE, PLANNER, STANDBY, OPERATOR = "edge", "planner", "standby", "operator"
 
 
 class Hello(msgspec.Struct, tag="hello", frozen=True):
@@ -46,6 +50,7 @@
     obeys: int                                   # epoch of the last plan that came
     age_ms: float                                # since it came
     seen: int                                    # highest epoch of all that came
+    audit: Part | None = None                    # what changed of its stands and counts; peers of before know nothing of it, nor need to
 
 
 class Again(msgspec.Struct, tag="again", frozen=True):
@@ -64,7 +69,21 @@
     at_ms: float
 
 
-Frame = Hello | DigestFrame | Again | PlanFrame | Credit | Beat
+class Kept(msgspec.Struct, tag="kept", frozen=True):
+    turn: int
+
+
+class Ask(msgspec.Struct, tag="ask", frozen=True):
+    question: str
+    name: str = ""
+    at_wall_ms: float = 0.0
+
+
+class Answer(msgspec.Struct, tag="answer", frozen=True):
+    body: bytes
+
+
+Frame = Hello | DigestFrame | Again | PlanFrame | Credit | Beat | Kept | Ask | Answer
 encoder, decoder = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder(Frame)
 
 
@@ -107,14 +126,15 @@
     nodes: dict[int, tuple[float, int]]
 
 
-def as_frame(digest: Digest, base: Base | None, obeys: int = 0, age_ms: float = 0.0, seen: int = 0) -> DigestFrame:
-    """Whole, or what changed since a base; with what the edge obeys."""
+def as_frame(digest: Digest, base: Base | None, obeys: int = 0, age_ms: float = 0.0, seen: int = 0, audit: Part | None = None) -> DigestFrame:
+    """Whole, or what changed since a base; with what the edge obeys, and its part of the audit."""
     nodes, gone, since = digest.nodes, (), 0
     if base is not None:
         since = base.number
         nodes = {node: told for node, told in digest.nodes.items() if base.nodes.get(node) != told}
         gone = tuple(node for node in base.nodes if node not in digest.nodes)
-    return DigestFrame(digest.number, since, digest.at_ms, nodes, gone, digest.arrivals, tuple(tuple(hot) for hot in digest.hot), digest.failures, digest.drains, obeys, age_ms, seen)
+    return DigestFrame(digest.number, since, digest.at_ms, nodes, gone, digest.arrivals, tuple(tuple(hot) for hot in digest.hot), digest.failures, digest.drains, obeys, age_ms, seen,
+                       audit)
 
 
 def as_digest(edge: str, frame: DigestFrame, known: Digest | None) -> Digest | None:
--- /dev/null
+++ b/tests/test_fleet_processes.py
@@ -0,0 +1,84 @@
+"""The fleet's audit with processes of the program and faults between them: edges, planners, lines of ours, and the command that asks."""
+import json
+import logging
+import shutil
+import subprocess
+import sys
+import tempfile
+import unittest
+
+from laddergw.lab import audit
+from laddergw.lab.fleet_processes import FleetProcesses
+from laddergw.lab.plant import plant
+from laddergw.lab.script import Trouble
+
+COMMAND_MS = 30_000.0      # one command: the interpreter, its imports, a few answers
+
+
+class Asking(FleetProcesses):
+    """Asks with the operators' command while all processes run, and once more with both planners gone."""
+
+    def __init__(self, *given):
+        super().__init__(*given)
+        self.answers: dict[str, tuple[int, str]] = {}
+
+    def command(self, *words: str) -> None:
+        ended, house = [], self.file("asked.scm")
+        with open(self.file(f"d0.{self.starts[0]}.scm")) as told, open(house, "w") as asked:
+            asked.write(told.read().replace('(listen "127.0.0.1" 0)', '(listen "%s" %d)' % self.addresses[0]))
+        with open(self.file("answer.txt"), "w+") as out:
+            self.loop.spawn([sys.executable, "-m", "laddergw.cli", "fleet", *words, house], ended.append, stdout=out, stderr=subprocess.STDOUT)
+            self.wait(lambda: ended, COMMAND_MS, " ".join(words))
+            out.seek(0)
+            self.answers[words[-1] if words[0] == "audit" else " ".join(words)] = ended[0], out.read()
+
+    def before_end(self) -> None:
+        super().before_end()
+        self.command("verify")
+        self.command("versions", "--json")
+        self.command("versions")
+        self.command("audit", "--director", "d0")
+        found = {row["kind"]: row["version"] for row in json.loads(self.answers["versions --json"][1])["versions"]}
+        self.command("audit", "--version", found["program"][:8])
+        source = f"d0.{self.starts[0]}"
+        key = next(facts["play"] for _, what, facts in self.collect_of(source) if what == "took" and facts["play"])
+        self.command("audit", "--play", key)
+        self.key, self.program = key, found["program"]
+        for child in self.planners.values():
+            child.kill()
+            child.wait()
+        self.command("verify", "--json")
+
+    def collect_of(self, source: str) -> list:
+        with open(self.file(f"{source}.jsonl"), "rb") as stream:
+            return [json.loads(line) for line in stream if line.endswith(b"\n")]
+
+
+class Processes(unittest.TestCase):
+    def test_lines_that_fail_planners_that_die_and_the_command_that_asks(self):
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+        folder = tempfile.mkdtemp(prefix="laddergw-fleet-")
+        self.addCleanup(shutil.rmtree, folder, True)
+        the_plant = plant(3, directors=3, nodes=6, rate=10, seconds=6)
+        stage = Asking(the_plant, [Trouble(2_000, "freeze", 1, 2_500.0), Trouble(3_000, "kill", 2), Trouble(4_000, "start", 2)], 2, folder)
+        records = stage.run()
+        judged = audit.audit(the_plant, records)
+        self.assertEqual((judged.without, judged.twice, judged.breaks, stage.verdict), (0, 0, [], []))
+        self.assertGreater(stage.facts["answers"], 20)
+        struck = {facts["fault"] for _, what, facts in records if what == "line fault"}
+        self.assertGreater(len(struck), 3)
+        status, said = stage.answers["verify"]
+        self.assertEqual((status, "all as they were written" in said), (0, True), said)
+        status, said = stage.answers["versions"]
+        self.assertEqual((status, stage.program in said), (0, True), said)
+        self.assertIn("did under it:", stage.answers["d0"][1])
+        self.assertRegex(stage.answers[stage.program[:8]][1], r"d0-[0-9a-f]{8} +20\d\d-.* to now  let in ")
+        status, said = stage.answers[stage.key]
+        self.assertEqual(status, 0, said)
+        self.assertRegex(said, r"let in +under [0-9a-f]{12}")
+        self.assertEqual(stage.answers["verify --json"][0], 2, stage.answers["verify --json"])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -16,7 +16,6 @@
     "laddergw/lab/audit.py": 352,
     "laddergw/lab/node_stand_in.py": 387,
     "laddergw/lab/player_stand_in.py": 272,
-    "laddergw/planner/server.py": 258,
     "tests/test_limits.py": 370,
     "tests/test_planner.py": 294,
 }
--- /dev/null
+++ b/tests/test_lines.py
@@ -0,0 +1,192 @@
+"""Lines with faults: the same on sockets and in memory, each fault seen from both ends."""
+import unittest
+
+from laddergw.lab.lines import HELD_MOST, Line, Lines
+from laddergw.loop.memory import Memory
+from laddergw.loop.sockets import SocketLoop
+
+
+class Peer:
+    def __init__(self, echo=False):
+        self.echo, self.data, self.ends, self.stream = echo, b"", [], None
+
+    def opened(self, stream):
+        self.stream = stream
+
+    def got(self, stream, data):
+        self.data += data
+        if self.echo:
+            stream.write(data)
+
+    def emptied(self, stream):
+        pass
+
+    def closed(self, stream, why):
+        self.ends.append(why)
+
+
+class World:
+    """A client, a line and an echo, on one loop or on three hosts in memory."""
+
+    def __init__(self, case, in_memory):
+        self.held, self.told, self.memory = [], [], Memory(4) if in_memory else None
+        if in_memory:
+            self.client, self.relay, self.server = (self.memory.host(name) for name in ("client", "relay", "server"))
+            where = [(name, 0) for name in ("relay", "server")]
+        else:
+            self.client = self.relay = self.server = SocketLoop()
+            case.addCleanup(self.client.close)
+            where = [("127.0.0.1", 0)] * 2
+        listener = self.server.listen(where[1], lambda stream: self.held.append(Peer(echo=True)) or self.held[-1])
+        self.line = Line(self.relay, "a>b", where[0], lambda: listener.address, lambda what, now, **facts: self.told.append((facts["fault"], facts["value"])))
+        self.peer = self.dial()
+
+    def dial(self):
+        peer, before = Peer(), len(self.held)
+        self.client.dial(self.line.address, peer, 1_000)
+        self.until(lambda: peer.stream is not None)
+        if not (self.line.hole or self.line.shut or self.line.late_ms):
+            self.until(lambda: len(self.held) > before)
+        return peer
+
+    def until(self, done, ms=2_000):
+        if self.memory:
+            end = self.memory.now + ms
+            while not done() and self.memory.now < end:
+                self.memory.run(self.memory.now + 1)
+        else:
+            end = self.client.clock() + ms
+            while not done() and self.client.clock() < end:
+                self.client.turn()
+        return done()
+
+    def settle(self, ms=60):
+        self.until(lambda: False, ms)
+
+    @property
+    def now(self):
+        return self.memory.now if self.memory else self.client.clock()
+
+
+class Faults(unittest.TestCase):
+    def both(self, act):
+        for in_memory in True, False:
+            with self.subTest("in memory" if in_memory else "on sockets"):
+                act(World(self, in_memory))
+
+    def test_what_goes_through_whole(self):
+        def act(world):
+            data = bytes(range(256)) * 4_000
+            world.peer.stream.write(data)
+            self.assertTrue(world.until(lambda: len(world.peer.data) == len(data)))
+            self.assertEqual(world.peer.data, data)
+            world.peer.stream.close()
+            self.assertTrue(world.until(lambda: world.held[0].ends))
+            self.assertEqual((world.held[0].ends, world.line.pairs), ([None], {}))
+        self.both(act)
+
+    def test_cut_one_way_and_both(self):
+        def act(world):
+            world.peer.stream.write(b"one")
+            world.until(lambda: world.peer.data == b"one")
+            world.line.fault("cut", "back")
+            world.peer.stream.write(b"two")
+            self.assertTrue(world.until(lambda: world.held[0].data == b"onetwo"))
+            world.settle()
+            self.assertEqual((world.peer.data, world.peer.ends), (b"one", []))
+            world.line.fault("cut")
+            world.peer.stream.write(b"three")
+            world.settle()
+            self.assertEqual(world.held[0].data, b"onetwo")
+            world.line.fault("heal")             # what was cut does not come together again: each end finds its connection ended
+            self.assertTrue(world.until(lambda: world.peer.ends and world.held[0].ends))
+            again = world.dial()
+            again.stream.write(b"four")
+            self.assertTrue(world.until(lambda: again.data == b"four"))
+            self.assertEqual(world.told, [("cut", "back"), ("cut", None), ("heal", None)])
+        self.both(act)
+
+    def test_a_black_hole_accepts_reads_and_says_nothing(self):
+        def act(world):
+            world.line.fault("hole")
+            peer = world.dial()
+            peer.stream.write(b"x" * 100_000)
+            world.settle(100)
+            self.assertEqual((peer.data, peer.ends, peer.stream.queued, len(world.held)), (b"", [], 0, 1))
+        self.both(act)
+
+    def test_a_peer_that_stops_reading_is_pushed_back_on(self):
+        def act(world):
+            world.line.fault("stall", "to")
+            world.peer.stream.write(b"y" * 40 * HELD_MOST)
+            world.settle(100)
+            self.assertGreater(world.peer.stream.queued, 0)
+            self.assertEqual(world.held[0].data, b"")
+            world.line.fault("heal")
+            self.assertTrue(world.until(lambda: len(world.peer.data) == 40 * HELD_MOST, 10_000))
+        self.both(act)
+
+    def test_delay_and_rate(self):
+        def act(world):
+            world.line.fault("delay", 40)
+            began = world.now
+            world.peer.stream.write(b"late")
+            self.assertTrue(world.until(lambda: world.peer.data == b"late"))
+            self.assertGreaterEqual(world.now - began, 80)
+            world.line.fault("heal")
+            world.line.fault("rate", 50_000)
+            began = world.now
+            world.peer.stream.write(b"z" * 10_000)
+            self.assertTrue(world.until(lambda: len(world.peer.data) == 10_004, 5_000))
+            self.assertGreaterEqual(world.now - began, 200)
+        self.both(act)
+
+    def test_a_reset_in_the_middle_of_what_is_sent(self):
+        def act(world):
+            world.line.fault("reset", 4)
+            world.peer.stream.write(b"12345678")
+            self.assertTrue(world.until(lambda: world.held[0].ends and world.peer.ends))
+            self.assertIn(world.held[0].data, (b"1234", b""))           # (a reset may overtake what was not read)
+            self.assertIsNotNone(world.held[0].ends[0])
+        self.both(act)
+
+    def test_half_open(self):
+        def act(world):
+            world.peer.stream.write(b"a")
+            world.until(lambda: world.peer.data == b"a")
+            world.line.fault("half-open")
+            self.assertTrue(world.until(lambda: world.peer.ends))
+            world.settle()
+            self.assertEqual(world.held[0].ends, [])
+            world.line.fault("heal")
+            self.assertTrue(world.until(lambda: world.held[0].ends))
+        self.both(act)
+
+    def test_late_and_shut(self):
+        def act(world):
+            world.line.fault("late", 60)
+            began, peer = world.now, world.dial()
+            peer.stream.write(b"b")
+            self.assertTrue(world.until(lambda: peer.data == b"b"))
+            self.assertGreaterEqual(world.now - began, 60)
+            world.line.fault("shut")
+            self.assertTrue(world.until(lambda: peer.ends))
+            refused = world.dial()
+            self.assertTrue(world.until(lambda: refused.ends))
+            self.assertRaises(ValueError, world.line.fault, "rust")
+        self.both(act)
+
+    def test_groups(self):
+        world, told = Memory(5), []
+        lines = Lines(world.host("relay"), lambda what, now, **facts: told.append(facts["line"]))
+        for number, (source, target) in enumerate((("d0", "p0"), ("d0", "p1"), ("d1", "p0"), ("p1", "p0"))):
+            lines.line(source, target, ("relay", 100 + number), lambda: ("x", 1))
+        lines.part(frozenset(("d0", "p0")), frozenset(("d1", "p1")))
+        self.assertEqual(told, ["d0>p1", "d1>p0", "p1>p0"])
+        told.clear()
+        lines.part(frozenset(("d0", "p0")), frozenset(("d1",)))         # p1 is in neither and sees all
+        self.assertEqual(told, ["d1>p0"])
+
+
+if __name__ == "__main__":
+    unittest.main()
