--- a/laddergw/cli/rehearsing.py
+++ b/laddergw/cli/rehearsing.py
@@ -28,6 +28,7 @@
     report: Annotated[Optional[Path], typer.Option(help="write the result as JSON")] = None,
     sessions: Annotated[int, typer.Option(help="with stitched")] = 600,
     kills: Annotated[int, typer.Option(help="with apart: of planners")] = 20,
+    lines: Annotated[Optional[Path], typer.Option(help="with fleet: a script of faults between edges and planners in place of the drawn one")] = None,
     keep: Annotated[Optional[Path], typer.Option(help="keep files and records in this folder")] = None,
     log: Annotated[str, typer.Option(help="log level of the directors")] = "warning",
 ) -> None:
@@ -39,7 +40,7 @@
         return apart(seed, usual(), report, memory, keep, log, kills)
     if name == "fleet" and day is None:
         from laddergw.cli.rehearsing_fleet import fleet
-        return fleet(seed, plant.plant(seed, directors or 12, nodes or 24, rate or 24.0, seconds or 60.0), report, memory, keep, log, kills)
+        return fleet(seed, plant.plant(seed, directors or 12, nodes or 24, rate or 24.0, seconds or 60.0), report, memory, keep, log, kills, lines)
     if name in ("limits", "move") and day is None:
         return switching(importlib.import_module(f"laddergw.lab.{name}"), seed, usual(), report, memory, keep, log)
     if name == "stitched" and day is None:
--- a/laddergw/cli/rehearsing_fleet.py
+++ b/laddergw/cli/rehearsing_fleet.py
@@ -4,16 +4,25 @@
 
 import typer
 
-from laddergw.cli.rehearsing import conclude, played
+from laddergw.cli.rehearsing import EXIT_COULD_NOT, conclude, played
 
 
-def fleet(seed: int, the_plant, report: Path | None, memory: bool, keep: Path | None, log: str, kills: int) -> None:
+def fleet(seed: int, the_plant, report: Path | None, memory: bool, keep: Path | None, log: str, kills: int, lines: Path | None = None) -> None:
     """A bad day, and on top of it: lines cut, stalled, slowed and reset, planners killed, also both at once, limits switched every few seconds."""
-    from laddergw.lab import script
+    from laddergw.lab import line_script, script
     from laddergw.lab.fleet_processes import FleetProcesses
     from laddergw.lab.fleet_stage import FleetStage
+    from laddergw.terms.sexpr import Refused
     began, the_script = time.monotonic(), script.bad_day(the_plant)
-    stage = FleetStage(the_plant, the_script, kills) if memory else FleetProcesses(the_plant, the_script, kills, str(keep) if keep else None, log)
+    try:
+        faults = line_script.read_file(str(lines)) if lines is not None else None
+    except Refused as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(EXIT_COULD_NOT) from None
+    stage = FleetStage(the_plant, the_script, kills, faults=faults) if memory else FleetProcesses(the_plant, the_script, kills, str(keep) if keep else None, log, faults)
+    if keep is not None:
+        keep.mkdir(parents=True, exist_ok=True)
+        (keep / "lines.scm").write_text(line_script.write(stage.faults))
     records = played(stage)
     said = [stage.told(), "audit: " + ", ".join(f"{name} {value}" for name, value in stage.facts.items())
             + ("; every count as the directors counted themselves" if not stage.verdict else f"; {len(stage.verdict)} differ")]
--- a/laddergw/lab/fleet_processes.py
+++ b/laddergw/lab/fleet_processes.py
@@ -9,7 +9,8 @@
 from laddergw.lab import fleet_check
 from laddergw.lab.apart_processes import PLANNERS, ApartProcesses
 from laddergw.lab.fleet_check import Tally
-from laddergw.lab.fleet_stage import BACK_MS, BOTH_DIE, STOP_MS, STOPS, LineFault, schedule
+from laddergw.lab.fleet_stage import BACK_MS, BOTH_DIE, STOP_MS, STOPS
+from laddergw.lab.line_script import LineFault, schedule
 from laddergw.lab.limits import sound
 from laddergw.lab.lines import Lines
 from laddergw.lab.plant import Plant, between
@@ -29,12 +30,14 @@
 class FleetProcesses(ApartProcesses):
     """See the module."""
 
-    def __init__(self, plant: Plant, script: list[Trouble], kills: int, folder: str | None = None, level: str = "warning"):
+    def __init__(self, plant: Plant, script: list[Trouble], kills: int, folder: str | None = None, level: str = "warning",
+                 faults: list[LineFault] | None = None):
         super().__init__(plant, script, kills, folder, level)
         self.lines = Lines(self.loop, self.record, plant.seed)
         self.read_house = houses.read(plant.house(0, (HOST, 1), (HOST, 1), plant.seed))
         self.limits, self.switches, self.verdict, self.facts = self.file("limits.terms"), 0, ["the judge was never asked"], {}
-        self.faults: list[LineFault] = schedule(plant.seed, [f"d{n}" for n in range(plant.directors)], [f"p{n}" for n in range(PLANNERS)], plant.crowd.seconds * 1000)
+        ends = [f"d{n}" for n in range(plant.directors)], [f"p{n}" for n in range(PLANNERS)]
+        self.faults = schedule(plant.seed, *ends, plant.crowd.seconds * 1000) if faults is None else faults
         self.write_limits()
 
     def write_limits(self) -> None:
@@ -68,8 +71,8 @@
         self.loop.after(SWITCH_MS, self.switch)
 
     def strike(self, fault: LineFault) -> None:
-        line = self.lines.by_ends[fault.source, fault.target]
-        if not self.ending:
+        line = self.lines.by_ends.get((fault.source, fault.target))
+        if line is not None and not self.ending:
             line.fault(fault.what, fault.value)
             self.loop.after(fault.lasts, lambda: self.ending or line.fault("heal"))
 
--- a/laddergw/lab/fleet_stage.py
+++ b/laddergw/lab/fleet_stage.py
@@ -1,6 +1,4 @@
 """rehearse fleet, in memory: edges and two planners with lines between them that fail, planners killed, limits switched, and the audit held against it all."""
-from typing import NamedTuple
-
 from laddergw import interface as face
 from laddergw.director.director import Director
 from laddergw.fleet import answers, versions
@@ -9,8 +7,9 @@
 from laddergw.lab.apart import PORT, TWO, ApartStage
 from laddergw.lab.fleet_check import Tally
 from laddergw.lab.limits import sound
+from laddergw.lab.line_script import LineFault, schedule
 from laddergw.lab.lines import Lines
-from laddergw.lab.plant import Plant, between, draw
+from laddergw.lab.plant import Plant, between
 from laddergw.lab.script import Trouble
 from laddergw.lab.stage_memory import MemoryStage
 from laddergw.planner.edge_side import EdgeSide
@@ -22,37 +21,11 @@
 RELAY_PORT = 9_000
 SWITCH_MS = 2_500.0        # between versions of the limits
 SPREAD_MS = 900.0          # directors go over to one within this of each other
-FAULT_MS = (250.0, 1_100.0)        # between faults of lines, over the whole plant
-LASTS_MS = (300.0, 5_000.0)        # of one: silence is told after 2 s, leases run 3 s
 BOTH_DIE = 3               # moments at which both planners are killed: what only one had heard, and not written, was heard by nobody
 STOPS, STOP_MS = 4, (1_000.0, 6_000.0)     # planners that stand still (as by SIGSTOP), and for how long: past a silence and a lease
 BACK_MS = 9_000.0          # after all is whole again: a takeover, a line dialled anew, a record of the journal, twice
 
 
-class LineFault(NamedTuple):
-    """One fault of one line, ms from the start."""
-    at: float
-    source: str
-    target: str
-    what: str
-    value: float | str | None
-    lasts: float
-
-
-def schedule(seed: int, sources: list[str], targets: list[str], ms: float) -> list[LineFault]:
-    """Drawn faults of the lines between them, in order of time."""
-    found, at, number = [], 0.0, 0
-    kinds = (("cut", None), ("cut", "to"), ("cut", "back"), ("hole", None), ("stall", "to"), ("stall", "back"), ("delay", 400.0), ("jitter", 300.0),
-             ("rate", 4_000.0), ("reset", 700.0), ("half-open", None), ("shut", None), ("late", 800.0))
-    while at < ms:
-        number += 1
-        at += between(seed, *FAULT_MS, "gap", number)
-        what, value = kinds[int(draw(seed, "kind", number) * len(kinds))]
-        source, target = (ends[int(draw(seed, "end", index, number) * len(ends))] for index, ends in enumerate((sources, targets)))
-        found.append(LineFault(at, source, target, what, value, between(seed, *LASTS_MS, "lasts", number)))
-    return found
-
-
 class Tallied(Director):
     """Counts what it does by itself, for the judge."""
 
--- a/laddergw/lab/shrink.py
+++ b/laddergw/lab/shrink.py
@@ -23,8 +23,9 @@
     return found
 
 
-def shrink(script: list[Trouble], fails: Callable[[list[Trouble]], bool], most: int = 200) -> Shrunk:
-    """The least script found that still fails; the whole one where it does not. At most so many days are played."""
+def shrink(script: list, fails: Callable[[list], bool], most: int = 200, sensible: Callable[[list], list] = sensible) -> Shrunk:
+    """The least script found that still fails; the whole one where it does not. At most so many days are played. `sensible` leaves out what
+    no longer follows from anything: of troubles by default, of other scripts as told."""
     played, parts = 0, 2
     while len(script) >= 2 and played < most:
         size, smaller = -(-len(script) // parts), None
--- a/tests/test_lines.py
+++ b/tests/test_lines.py
@@ -1,9 +1,11 @@
 """Lines with faults: the same on sockets and in memory, each fault seen from both ends."""
 import unittest
 
+from laddergw.lab import line_script, shrink
 from laddergw.lab.lines import HELD_MOST, Line, Lines
 from laddergw.loop.memory import Memory
 from laddergw.loop.sockets import SocketLoop
+from laddergw.terms.sexpr import Refused
 
 
 class Peer:
@@ -188,5 +190,27 @@
         self.assertEqual(told, ["d1>p0"])
 
 
+class Scripts(unittest.TestCase):
+    def test_what_is_written_is_what_was_read(self):
+        drawn = line_script.schedule(7, ["d0", "d1"], ["p0"], 20_000)
+        self.assertGreater(len({fault.what for fault in drawn}), 6)
+        self.assertEqual(line_script.read(line_script.write(drawn), "drawn"), drawn)
+        self.assertEqual(drawn, line_script.schedule(7, ["d0", "d1"], ["p0"], 20_000))
+
+    def test_a_script_with_faults_is_refused_with_all_of_them(self):
+        text = "(lines (fault rust (at 1) (from d0) (to p0) (for 5)) (fault cut (at -1) (from d0) (way up) (for 5) (hue 3)))"
+        with self.assertRaises(Refused) as refused:
+            line_script.read(text, "script")
+        told = "\n".join(map(str, refused.exception.faults))
+        for key in "rust", "at", "to", "way", "hue":
+            self.assertIn(key, told)
+
+    def test_shrinking(self):
+        drawn = line_script.schedule(7, ["d0", "d1"], ["p0", "p1"], 30_000)
+        needs = {drawn[3], drawn[-2]}
+        found = shrink.shrink(drawn, lambda tried: needs <= set(tried), sensible=list)
+        self.assertEqual(set(found.script), needs)
+
+
 if __name__ == "__main__":
     unittest.main()
