Forbidden versions: rights as leases, and doors that shut without being told

Cause: a director that is cut off or stands still goes on under an old version, and nobody can say when that has ended. (without-planner open|closed) in its file says what it does without one; without the key nothing changes. Guards: nothing that over half of the heard directors are on, or all, is forbidden. bin/laddergw fleet forbid, allow, floors; the health page says why.

--- a/laddergw/cli/fleet.py
+++ b/laddergw/cli/fleet.py
@@ -157,6 +157,41 @@
                                        + (f", on the terms of {step['kept']}" if step["kept"] else "") for step in found["way"]])
 
 
+def floors_asked(house: Path, question: str, name: str, as_json: bool) -> None:
+    from laddergw.planner import wire
+    found, = ask(house, wire.Ask(question, name))
+    if "refused" in found:
+        typer.echo(f"refused: {found['refused']}", err=True)
+        raise typer.Exit(1)
+    say(found, as_json, lambda found: [
+        f"{row['kind']:8} {row['version']} forbidden since {clock(row['since_wall_ms'])}: " + ("nobody lets plays in under it any more" if row["nobody_acts_on_it"]
+        else "some may still let plays in under it" + (f": {', '.join(row['may_still'])} stay open without planners" if row["may_still"] else " until their rights end"))
+        for row in found["floors"]] or ["no version is forbidden"])
+    raise typer.Exit(0)
+
+
+Kind = Annotated[str, typer.Argument(help="program, file, keys, limits or rules")]
+Hash = Annotated[str, typer.Argument(help="a version's hash, or how it begins")]
+
+
+@app.command()
+def forbid(kind: Kind, version: Hash, house: House, as_json: AsJson = False) -> None:
+    """A version that must not be used any more: directors on it let nothing in, and whoever is cut off shuts its own door. Ends with 1 where it is refused."""
+    floors_asked(house, "forbid", f"{kind} {version}", as_json)
+
+
+@app.command()
+def allow(kind: Kind, version: Hash, house: House, as_json: AsJson = False) -> None:
+    """The way back."""
+    floors_asked(house, "allow", f"{kind} {version}", as_json)
+
+
+@app.command()
+def floors(house: House, as_json: AsJson = False) -> None:
+    """Forbidden versions, and whether anybody may still let plays in under them."""
+    floors_asked(house, "floors", "", as_json)
+
+
 @app.command()
 def verify(house: House, as_json: AsJson = False) -> None:
     """Follows the journal's links from end to end. Ends with 1 where a record was altered or taken out."""
--- a/laddergw/director/director.py
+++ b/laddergw/director/director.py
@@ -57,7 +57,7 @@
         self.dirty: dict[Link, None] = {}
         self.numbers = self.waiting = self.held = self.draws = 0
         self.stopping = False
-        self.observer: Any = None              # of admissions, ends and notes: a planner's edge side
+        self.observer, self.shut = None, lambda: None    # of admissions, ends and notes: a planner's edge side; why nothing is let in at all
         self.read_again: Callable[[], None] = lambda: None    # what SIGHUP does
         self.fleet = Fleet(loop, house.lists, str(house.number), self.make_link, self.list_changed, self.list_failed, tap)
         self.server = Server(loop, house.listen, self.serve, PeerLimits(connections=self.bounds.connections), tap)
@@ -164,7 +164,7 @@
         slow = full(self.waiting, self.room.size(self.ready_nodes()), product_row.importance, self.most_importance, ply.earlier.tries)
         turned = (door.turn_away(self.bounds, self.waiting, self.held, self.stopping, self.chance()) or door.no_room(slow, self.bounds, self.chance())
                   or door.earlier_try(repeat == "paid", ply.earlier.ran) or life.turned(ply.earlier.tries)
-                  or door.hold_back(request.unsettled_ms, self.bounds.lease_most_ms))
+                  or door.hold_back(request.unsettled_ms, self.bounds.lease_most_ms) or self.shut())
         self.tries[ply.id] = ply
         self.waiting += 1
         exchange.on_gone = lambda: self.viewer_left(ply)
--- a/laddergw/director/watching.py
+++ b/laddergw/director/watching.py
@@ -109,9 +109,11 @@
 
 
 def health(director) -> Callable[[Exchange], None]:
-    """200 while plays are taken, 503 before the first list and while the director stops."""
+    """200 while plays are taken, 503 before the first list, while the director stops, and while it may let nothing in, with the reason."""
 
     def page(exchange: Exchange) -> None:
-        ready = bool(director.fleet.links) and not director.stopping
+        ready, shut = bool(director.fleet.links) and not director.stopping, director.shut()
+        if ready and shut is not None:
+            return exchange.answer(503, b'{"ready": false, "why": "%s"}\n' % shut.reason.encode())
         exchange.answer(200 if ready else 503, b'{"ready": true}\n' if ready else b'{"ready": false}\n')
     return page
--- a/laddergw/fleet/book.py
+++ b/laddergw/fleet/book.py
@@ -5,6 +5,7 @@
 """
 from typing import NamedTuple
 
+from laddergw.fleet.rights import OPEN, Seen
 from laddergw.fleet.stamps import Key
 from laddergw.fleet.telling import Part, Senseless, checked
 from laddergw.fleet.versions import Stand, Version, stand
@@ -28,7 +29,7 @@
     """One director's process."""
 
     def __init__(self, name: str):
-        self.name, self.heard_ms, self.untold, self.alone = name, 0.0, 0, []
+        self.name, self.heard_ms, self.untold, self.alone, self.without = name, 0.0, 0, [], ""
         self.turns: dict[int, Held] = {}
         self.counts: dict[Key, int] = {}
         self.folded_to = 0                                  # turns up to this are counted in `earlier` alone
@@ -85,7 +86,7 @@
                     process.lately.append((now, process.turns[key.turn].stand, count - before))
         if part.alone_ms and (not process.alone or now - process.alone[-1][0] > 1.0):
             process.alone = [*process.alone[1 - ALONE_KEPT:], (now, part.alone_ms)]
-        process.heard_ms, process.untold = now, max(process.untold, part.untold)
+        process.heard_ms, process.untold, process.without = now, max(process.untold, part.untold), part.without
         process.lately = [row for row in process.lately if now - row[0] < MINUTE_MS]
         if new_turns or new_counts:
             marked = self.changed.setdefault(name, (set(), set()))
@@ -114,6 +115,11 @@
             del self.stands[name]
         self.kept_stands &= used
 
+    def seen(self) -> list[Seen]:
+        """Each process's last word, for rights. One that asks for none stays open."""
+        return [Seen(name, frozenset((v.kind, v.hash) for v in self.stands[held.stand].versions), process.heard_ms, process.without or OPEN)
+                for name, process in sorted(self.processes.items()) if (held := process.last()) is not None]
+
     # The ledger's side
 
     def record(self, name: str, wall_ms: float, whole: bool = False) -> dict:
--- a/laddergw/fleet/telling.py
+++ b/laddergw/fleet/telling.py
@@ -4,6 +4,7 @@
 """
 import msgspec
 
+from laddergw.fleet.rights import CLOSED, OPEN
 from laddergw.fleet.stamps import ACTIONS, Key, Stamps, Turn
 from laddergw.fleet.versions import KINDS, Version, stand
 
@@ -17,6 +18,7 @@
     counts: tuple[tuple[int, str, str, str, int], ...] = ()
     untold: int = 0                                             # actions of turns that were dropped before any planner kept them
     alone_ms: float = 0.0                                       # before this connection, no planner was to be reached so long
+    without: str = ""                                           # "open" or "closed": it asks for a right to let plays in, and what it does without one
 
 
 class Senseless(ValueError):
@@ -29,7 +31,7 @@
     def __init__(self):
         self.turn, self.counts, self.stands = 0, {}, set()
 
-    def part(self, stamps: Stamps, alone_ms: float = 0.0) -> Part:
+    def part(self, stamps: Stamps, alone_ms: float = 0.0, without: str = "") -> Part:
         """What has changed since the last part, and counts as told by now."""
         turns = [turn for turn in stamps.turns if turn.number > self.turn]
         counts = []
@@ -44,12 +46,12 @@
         self.stands |= stands.keys()
         if turns:
             self.turn = turns[-1].number
-        return Part(tuple(tuple(turn) for turn in turns), stands, tuple(counts), stamps.untold, alone_ms)
+        return Part(tuple(tuple(turn) for turn in turns), stands, tuple(counts), stamps.untold, alone_ms, without)
 
 
 def checked(part: Part) -> tuple[list[Turn], list[tuple[Key, int]]]:
     """Its turns and counts. Raises Senseless."""
-    if len(part.turns) > TURNS_TOLD or len(part.counts) > COUNTS_TOLD or len(part.stands) > STANDS_TOLD or part.untold < 0 or not 0 <= part.alone_ms < 1e15:
+    if len(part.turns) > TURNS_TOLD or len(part.counts) > COUNTS_TOLD or len(part.stands) > STANDS_TOLD or part.untold < 0 or part.without not in ("", OPEN, CLOSED) or not 0 <= part.alone_ms < 1e15:
         raise Senseless("more than a director holds")
     turns = [Turn(*turn) for turn in part.turns]
     if any(turn.number < 1 or not 0 <= turn.at_ms < 1e15 for turn in turns) or [t.number for t in turns] != sorted({t.number for t in turns}):
--- a/laddergw/lab/fleet_processes.py
+++ b/laddergw/lab/fleet_processes.py
@@ -47,7 +47,7 @@
 
     def house_text(self, number: int) -> str:
         """Its planners are reached through lines of ours."""
-        text = super().house_text(number)
+        text = super().house_text(number).replace("(bounds", f"(without-planner {'closed' if number % 2 else 'open'})\n (bounds", 1)
         for planner, (host, port) in self.places.items():
             ends = f"d{number}", f"p{planner}"
             line = self.lines.by_ends.get(ends) or self.lines.line(*ends, (HOST, 0), lambda planner=planner: self.places[planner])
@@ -121,9 +121,14 @@
             tally.counts[product, answer] = int(count)
         return tally
 
+    def call(self, number: int, method: str, path: str, body: bytes) -> list:
+        """Asks an edge; what is returned holds the answer once it has come."""
+        came: list = []
+        Pool(self.loop, self.addresses[number], LIMITS).call(method, path, body, came.append)
+        return came
+
     def fetch(self, number: int, method: str, path: str, body: bytes) -> bytes:
-        pool, came = Pool(self.loop, self.addresses[number], LIMITS), []
-        pool.call(method, path, body, came.append)
+        came = self.call(number, method, path, body)
         self.wait(lambda: came, ASK_MS, f"edge {number} answers {path}")
         return came[0].body
 
--- a/laddergw/planner/audit_side.py
+++ b/laddergw/planner/audit_side.py
@@ -10,10 +10,12 @@
 from laddergw.director import frames
 from laddergw.director.tries import Try
 from laddergw.fleet import stamps as acts, versions
+from laddergw.fleet.rights import Right
 from laddergw.fleet.stamps import Stamps
 from laddergw.fleet.telling import Part, Told
 from laddergw.http.server import Exchange
 from laddergw.interface import DECLINED
+from laddergw.machines.door import Turned
 from laddergw.terms.generations import flat
 
 CHANGES = {"limits changed": versions.LIMITS, "deployment changed": versions.HOUSE, "keys changed": versions.KEYS, "rules changed": versions.RULES}
@@ -39,6 +41,10 @@
         director, self.watched, self.changed = self.director, self.director.watch, self.director.fleet.changed
         director.watch, director.fleet.changed = self.told, self.listed
         director.pages["POST", "/v1/audit"] = self.page
+        self.right = Right(director.house.without_planner) if director.house.without_planner else None
+        self.named: frozenset = frozenset()
+        if self.right is not None:
+            director.shut = self.shut
         self.stand()
 
     # What is in force
@@ -61,6 +67,7 @@
 
     def stand(self) -> None:
         self.stamps.on(versions.stand(self.held.values()), self.loop.now)
+        self.named = frozenset((version.kind, version.hash) for version in self.held.values())
 
     def listed(self, lines: list, whole: bool, stopped: list) -> None:
         entries = self.director.fleet.entries        # (a node's age goes on everywhere by itself)
@@ -97,6 +104,17 @@
                 self.did(ply, acts.ENDED)
         self.watched(what, **facts)
 
+    # Rights
+
+    def asks(self, number: int) -> None:
+        if self.right is not None:
+            self.right.asks(number, self.loop.now)
+
+    def shut(self) -> Turned | None:
+        """Why nothing is let in at this moment: viewers are declined and come again elsewhere; what plays goes on under its terms."""
+        why = self.right.why_shut(self.named, self.loop.now)
+        return None if why is None else Turned(False, self.director.bounds.retry_ms * (1 + self.director.chance()) / 2, why)
+
     # What is told
 
     def alone(self) -> None:
@@ -106,7 +124,8 @@
 
     def part(self, told: Told) -> Part:
         since, self.alone_since = self.alone_since, None
-        return told.part(self.stamps, 0.0 if since is None else self.loop.now - since)
+        return told.part(self.stamps, 0.0 if since is None else self.loop.now - since,
+                         self.director.house.without_planner)
 
     def page(self, exchange: Exchange) -> None:
         """A play's way, by its viewer's key; without one, where this director stands."""
--- a/laddergw/planner/auditing.py
+++ b/laddergw/planner/auditing.py
@@ -10,7 +10,8 @@
 import msgspec
 
 from laddergw.fleet import answers
-from laddergw.fleet.book import Book
+from laddergw.fleet.book import SILENT_MS, Book
+from laddergw.fleet.rights import LEASE_MS, Floors
 from laddergw.fleet.telling import Senseless
 from laddergw.planner import wire
 from laddergw.store.keeper import Store
@@ -21,14 +22,20 @@
 encode = msgspec.msgpack.Encoder().encode
 
 
+FLOORS = "floors"          # of a record that names the forbidden versions, all of them
+
+
 def fold(records: Iterator[bytes]) -> bytes:
     """Records of the journal as one: for each process what holds by then, its oldest turns as counts alone."""
-    book = Book()
+    book, floors = Book(), []
     for record in records:
         for one in read(record):
+            if FLOORS in one:
+                floors = [one]
+                continue
             book.restore(one)
             book.bound(book.processes[one["process"]])
-    return encode([book.record(name, 0.0, whole=True) for name in sorted(book.processes)])
+    return encode(floors + [book.record(name, 0.0, whole=True) for name in sorted(book.processes)])
 
 
 def read(record: bytes) -> list[dict]:
@@ -40,17 +47,21 @@
 
     def __init__(self, loop, guarded: Callable[[Callable[[], None]], bool], wall: Callable[[], float] = lambda: time.time() * 1000):
         self.loop, self.guarded, self.wall = loop, guarded, wall
-        self.book, self.ledger = Book(), None
+        self.book, self.ledger, self.floors = Book(), None, Floors()
 
     def opened(self, store: Store) -> None:
         """The store is ours: what it holds is read, what it lacks of what we heard is written with the next records."""
         self.ledger = Ledger(store)
-        disk = Book()
+        disk, forbidden = Book(), []
         for record in self.ledger.records():
             for one in read(record):
+                if FLOORS in one:
+                    forbidden = one[FLOORS]
+                    continue
                 disk.restore(one)
                 self.book.restore(one)
                 disk.bound(disk.processes[one["process"]])
+        self.floors.taken_over((tuple(version) for version in forbidden), self.loop.now)
         for name, process in self.book.processes.items():
             known = disk.processes.get(name)
             folded = known.folded_to if known else 0
@@ -68,6 +79,8 @@
         try:
             if frame.audit is not None:
                 self.book.merge(peer.other.name, frame.audit, frame.at_ms, self.loop.now)
+                if frame.audit.without and self.keeps():
+                    peer.send(wire.Right(frame.number, self.ledger.store.epoch, LEASE_MS, tuple(sorted(self.floors.since))))
         except Senseless as error:
             raise wire.Malformed(f"audit: {error}") from None
 
@@ -105,6 +118,32 @@
             self.book.kept(record)
         return True
 
+    def change_floors(self, frame: wire.Ask) -> dict:
+        """Forbids or allows a version, told by its kind and how its hash begins: first on the disk, then in force. What is forbidden then."""
+        if not self.keeps():
+            return {"refused": "this planner does not keep the journal: ask the one that does"}
+        kind, _, begins = frame.name.partition(" ")
+        known = {(v.kind, v.hash) for stand in self.book.stands.values() for v in stand.versions} | self.floors.since.keys()
+        meant = sorted(one for one in known if begins and one[0] == kind and one[1].startswith(begins))
+        if frame.question != "floors":
+            if len(meant) != 1:
+                return {"refused": f"{len(meant)} known versions of {kind!r} begin with {begins!r}"}
+            before = dict(self.floors.since)
+            if frame.question == "allow":
+                why = None if self.floors.allow(meant[0]) else "it is not forbidden"
+            else:
+                why = self.floors.forbid(meant[0], self.book.seen(), self.loop.now, SILENT_MS)
+            if why is None and not self.guarded(lambda: self.ledger.append([encode([{FLOORS: sorted(self.floors.since)}])])):
+                why = "it could not be written"
+            if why is not None:
+                self.floors.since = before
+                return {"refused": why}
+        rows = []
+        for (kind, name), since in sorted(self.floors.since.items()):
+            nobody, may = self.floors.nobody((kind, name), self.book.seen(), self.loop.now)
+            rows.append({"kind": kind, "version": name, "since_wall_ms": self.wall() - (self.loop.now - since), "nobody_acts_on_it": nobody, "may_still": may})
+        return {"floors": rows, "not_known": answers.unknown(self.book, self.loop.now)}
+
     def ask(self, frame: wire.Ask) -> bytes:
         book, now, wall = self.book, self.loop.now, self.wall()
         if frame.question == "versions":
@@ -115,6 +154,8 @@
             found = answers.version(book, frame.name, now, wall)
         elif frame.question == "counts":
             found = {"counts": [[*key, count] for key, count in sorted(answers.counted(book).items())], "not_known": answers.unknown(book, now)}
+        elif frame.question in ("forbid", "allow", "floors"):
+            found = self.change_floors(frame)
         elif frame.question == "verify":
             verdict = self.ledger.verify() if self.keeps() else None
             found = {"kept": verdict is not None} | (verdict._asdict() if verdict is not None else {"why": "this planner does not keep the journal: it stands by, was fenced out, or has no store"})
--- a/laddergw/planner/edge_side.py
+++ b/laddergw/planner/edge_side.py
@@ -79,6 +79,7 @@
         digest = self.digest()
         self.titles = Sketch()                   # hot titles are told once, the planner adds them up
         self.sent.told(digest.number, digest.nodes)
+        self.audit.asks(digest.number)
         for line in self.lines:
             line.tell(digest)
         self.loop.after(DIGEST_MS, self.tell)
@@ -152,6 +153,8 @@
             self.base = None
         elif isinstance(frame, wire.Kept):
             self.side.audit.stamps.kept_by_planner(frame.turn)
+        elif isinstance(frame, wire.Right) and self.side.audit.right is not None:
+            self.side.audit.right.granted(frame.number, frame.epoch, frame.lease_ms, frame.forbidden)
 
     def down(self, peer: Peer, why: str) -> None:
         self.peer = None
--- a/laddergw/planner/wire.py
+++ b/laddergw/planner/wire.py
@@ -6,6 +6,7 @@
     plan     sealed bytes                        planner -> edge, and to standbys
     credit   plans                               edge -> planner: so many more may come
     kept     turn                                planner -> edge: its audit before that turn is on the disk
+    right    number, epoch, lease, forbidden     planner -> edge: it may let plays in, counted from when it sent that digest
     ask      question, name, time                operator -> planner: of the fleet's audit
     answer   body                                planner -> operator: JSON
     beat     at_ms                               both ways, while nothing else is sent
@@ -73,6 +74,13 @@
     turn: int
 
 
+class Right(msgspec.Struct, tag="right", frozen=True):
+    number: int
+    epoch: int
+    lease_ms: float
+    forbidden: tuple[tuple[str, str], ...]       # kinds and hashes of versions
+
+
 class Ask(msgspec.Struct, tag="ask", frozen=True):
     question: str
     name: str = ""
@@ -83,7 +91,7 @@
     body: bytes
 
 
-Frame = Hello | DigestFrame | Again | PlanFrame | Credit | Beat | Kept | Ask | Answer
+Frame = Hello | DigestFrame | Again | PlanFrame | Credit | Beat | Kept | Right | Ask | Answer
 encoder, decoder = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder(Frame)
 
 
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -2,6 +2,7 @@
 import json
 import logging
 import shutil
+import signal
 import subprocess
 import sys
 import tempfile
@@ -11,6 +12,8 @@
 from laddergw.lab.fleet_processes import FleetProcesses
 from laddergw.lab.plant import plant
 from laddergw.lab.script import Trouble
+from laddergw.lab.stage_processes import CouldNotRun
+from laddergw.planner import wire
 
 COMMAND_MS = 30_000.0      # one command: the interpreter, its imports, a few answers
 
@@ -44,11 +47,49 @@
         key = next(facts["play"] for _, what, facts in self.collect_of(source) if what == "took" and facts["play"])
         self.command("audit", "--play", key)
         self.key, self.program = key, found["program"]
+        self.shut_out()
         for child in self.planners.values():
             child.kill()
             child.wait()
         self.command("verify", "--json")
 
+    def shut_out(self) -> None:
+        """The edge that closes alone stands still while the others go over to new limits and its own are forbidden: it wakes to a closed door."""
+        leader = next(planner for planner in self.places if (self.ask(planner, wire.Ask("verify")) or {}).get("kept"))
+        of = lambda: {process: row["version"] for row in self.ask(leader, wire.Ask("versions"))["versions"] if row["kind"] == "limits" for process in row["directors"]}
+        old = next(version for process, version in of().items() if process.startswith("d1-"))
+        others = lambda: [version for process, version in of().items() if not process.startswith("d1-")]
+        self.children[1].send_signal(signal.SIGSTOP)
+        self.switches += 1
+        self.write_limits()
+        self.until(lambda: others() and old not in others(), "the others go over")
+        self.command("forbid", "limits", old[:10])
+        asked = self.call(1, "GET", "/healthz", b"")
+        self.until(lambda: self.ask(leader, wire.Ask("floors"))["floors"][0]["nobody_acts_on_it"], "nobody acts on it")
+        self.command("floors")
+        self.still = not asked
+        self.children[1].send_signal(signal.SIGCONT)
+        self.wait(lambda: asked, COMMAND_MS, "it wakes")
+        self.woke = asked[0].status, asked[0].body
+
+        def open_again() -> bool:
+            came = self.call(1, "GET", "/healthz", b"")
+            self.wait(lambda: came, COMMAND_MS, "it answers")
+            return came[0].status == 200
+        self.until(open_again, "it goes over, too, and opens")
+
+    def until(self, done, what: str) -> None:
+        """Asks again until it is so, a little later each time."""
+        latest = self.loop.now + COMMAND_MS
+        while not done():
+            self.assert_before(latest, what)
+            due = self.loop.now + 200
+            self.wait(lambda: self.loop.now >= due, 1_000, what)
+
+    def assert_before(self, latest: float, what: str) -> None:
+        if self.loop.now > latest:
+            raise CouldNotRun(f"{what}: not within {COMMAND_MS:.0f} ms")
+
     def collect_of(self, source: str) -> list:
         with open(self.file(f"{source}.jsonl"), "rb") as stream:
             return [json.loads(line) for line in stream if line.endswith(b"\n")]
@@ -77,6 +118,12 @@
         status, said = stage.answers[stage.key]
         self.assertEqual(status, 0, said)
         self.assertRegex(said, r"let in +under [0-9a-f]{12}")
+        status, said = stage.answers[next(words for words in stage.answers if words.startswith("forbid"))]
+        self.assertEqual((status, "some may still" in said), (0, True), said)
+        self.assertIn("nobody lets plays in under it any more", stage.answers["floors"][1])
+        self.assertTrue(stage.still)
+        self.assertEqual(stage.woke[0], 503, stage.woke)
+        self.assertIn(b"no planner has granted", stage.woke[1])
         self.assertEqual(stage.answers["verify --json"][0], 2, stage.answers["verify --json"])
 
 
--- /dev/null
+++ b/tests/test_fleet_rights.py
@@ -0,0 +1,170 @@
+"""Rights and forbidden versions: leases counted from the asking, guards, every order of losses and takeovers, and directors behind lines that fail."""
+import json
+import os
+import tempfile
+import unittest
+
+from laddergw.fleet import rights_check, versions
+from laddergw.fleet.rights import ASKED_KEPT, CLOSED, LEASE_MS, MARGIN_MS, OPEN, Floors, Right, Seen
+from laddergw.fleet.rights_check import TICK_MS, Rules, check
+from laddergw.lab.lines import Line
+from laddergw.planner import wire
+from laddergw.planner.edge_side import EdgeSide
+from laddergw.planner.server import Planner
+from laddergw.store.keeper import Store
+from laddergw.terms.loading import load
+from tests.town import Town
+
+V, W = ("limits", "v" * 16), ("limits", "w" * 16)
+
+
+class Rights(unittest.TestCase):
+    def test_a_right_counts_from_when_it_was_asked_for(self):
+        right = Right(CLOSED)
+        self.assertIn("no planner", right.why_shut(frozenset(), 0.0))
+        right.asks(1, 1_000.0)
+        self.assertTrue(right.granted(1, 1, LEASE_MS, []))               # whenever that comes
+        self.assertIsNone(right.why_shut(frozenset(), 1_000.0 + LEASE_MS - 1))
+        self.assertIsNotNone(right.why_shut(frozenset(), 1_000.0 + LEASE_MS))
+        right.asks(2, 7_000.0)
+        right.granted(2, 1, 100 * LEASE_MS, [])                          # no longer than the lease that the planner's sentence counts on
+        self.assertIsNotNone(right.why_shut(frozenset(), 7_000.0 + LEASE_MS))
+
+    def test_older_words_change_nothing(self):
+        right = Right(OPEN)
+        for number in range(1, 6):
+            right.asks(number, 100.0 * number)
+        self.assertEqual([right.granted(*given) for given in ((3, 2, LEASE_MS, [V]), (2, 2, LEASE_MS, []), (3, 2, LEASE_MS, []), (5, 1, LEASE_MS, []), (99, 2, LEASE_MS, []))],
+                         [True, False, False, False, False])
+        self.assertIn("limits vvvvvvvv", right.why_shut(frozenset([V, W]), 0.0))
+        self.assertIsNone(right.why_shut(frozenset([W]), 1e9))           # open: it never shuts for the lack of a planner
+        self.assertTrue(right.granted(4, 3, LEASE_MS, []))
+        for number in range(6, 500):
+            right.asks(number, 0.0)
+        self.assertEqual(len(right.asked), ASKED_KEPT)
+
+    def test_guards(self):
+        floors = Floors()
+        seen = lambda on, off, alone=CLOSED: [Seen(f"d{n}", frozenset([V if n < on else W]), 0.0, alone) for n in range(on + off)]
+        self.assertIn("2 of 3 directors", floors.forbid(V, seen(2, 1), 0.0, 5_000.0))
+        self.assertIn("1 of 1", floors.forbid(V, seen(1, 0), 0.0, 5_000.0))
+        self.assertIn("no director is heard", floors.forbid(V, seen(1, 3), 9_000.0, 5_000.0))
+        self.assertIsNone(floors.forbid(V, seen(1, 3), 0.0, 5_000.0))
+        self.assertEqual([floors.nobody(V, seen(1, 3), at)[0] for at in (LEASE_MS, LEASE_MS + MARGIN_MS)], [False, True])
+        self.assertEqual(floors.nobody(V, seen(1, 3, OPEN), 1e9), (False, ["d0"]))
+        floors.taken_over([V], 50_000.0)
+        self.assertFalse(floors.nobody(V, [], 50_000.0 + LEASE_MS)[0])
+        self.assertEqual((floors.allow(V), floors.allow(V)), (True, False))
+
+    def test_no_break_in_the_states_looked_at(self):
+        self.assertEqual(check(most=60_000), rights_check.Outcome(60_000, None, ()))
+
+    def test_mistakes_are_found(self):
+        def from_the_answer(right, *given):
+            if found := Right.granted(right, *given):
+                right.until += 2 * TICK_MS
+            return found
+        for name, rules in (("counted from the answer", Rules(granted=from_the_answer)), ("the door left open", Rules(why_shut=lambda right, stand, now: None if now < right.until else "")),
+                            ("a right that never ends", Rules(why_shut=lambda right, stand, now: "" if right.forbidden & stand else None)), ("a fenced planner grants", Rules(fenced=False)),
+                            ("said too early", Rules(nobody=lambda floors, version, seen, now: (now >= floors.since[version] + TICK_MS, [])))):
+            with self.subTest(name):
+                self.assertIn("lets plays in under V", check(rules).broken)
+
+
+class Behind(unittest.TestCase):
+    """Two directors that close without planners, one of them on a version of its own."""
+
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = os.path.join(folder.name, "store")
+        self.town = Town(directors=2, bounds="(without-planner closed)")
+        self.planners = 0
+        self.start_planner()
+        self.lines, self.sides = [], []
+        for number, director in self.town.directors.items():
+            line = Line(self.town.world.host(f"relay{number}"), f"d{number}>p0", (f"relay{number}", 1), lambda: ("p0", 8300), self.town.record)
+            self.lines.append(line)
+            self.sides.append(EdgeSide(director, (line.address,)))
+        self.town.run(1_500)
+
+    def start_planner(self):
+        self.planners += 1
+        self.planner = Planner(self.town.world.host("p0"), f"p0.{self.planners}", ("p0", 8300), Store(self.path), (("k", b"key-of-the-small-town"),), clock=lambda: self.town.world.now)
+        self.addCleanup(self.planner.store.db.close)
+
+    def ask(self, number, **facts):
+        ask = self.town.ask(number, key=f"v{self.town.world.now}", **facts)
+        self.town.run(400)
+        return ask.answer, ask.lines[0][1].get("reason")
+
+    def own_version(self):
+        """The second director goes over to a file of its own; how its hash begins."""
+        director, host = self.town.directors[1], self.town.world.hosts["d1"]
+        loaded = load(b"(limits (defaults (attempts 2)))", "own", director.house)
+        host.tell(self.town.world.now, lambda: director.change_limits(loaded.limits))
+        self.town.run(1_500)
+        return self.sides[1].audit.held[versions.LIMITS].hash[:8]
+
+    def question(self, what, name=""):
+        return json.loads(self.planner.auditing.ask(wire.Ask(what, name)))
+
+    def test_shut_out_and_back(self):
+        self.assertEqual([self.ask(number)[0] for number in (0, 1)], ["playing", "playing"])
+        name = f"limits {self.own_version()}"
+        self.assertIn("0 known versions", self.question("forbid", "limits ffffffff0")["refused"])
+        self.assertFalse(self.question("forbid", name)["floors"][0]["nobody_acts_on_it"])
+        self.town.run(600)
+        self.assertEqual(self.ask(0)[0], "playing")
+        self.assertEqual(self.ask(1), ("declined", f"{name} must not be used any more"))
+        self.assertEqual(self.town.directors[1].held, 1)                 # what it holds goes on
+        self.town.run(LEASE_MS)
+        self.assertTrue(self.question("floors")["floors"][0]["nobody_acts_on_it"])
+        self.town.world.hosts["p0"].kill()                               # the journal tells the next planner
+        self.planner.store.db.close()
+        self.start_planner()
+        self.town.run(1_500)
+        self.assertEqual([row["version"][:8] for row in self.question("floors")["floors"]], [name[7:]])
+        self.assertEqual(self.ask(1)[0], "declined")
+        self.assertEqual(self.question("allow", name)["floors"], [])
+        self.town.run(600)
+        self.assertEqual(self.ask(1)[0], "playing")
+
+    def test_who_is_cut_off_shuts_its_own_door_before_the_planner_says_so(self):
+        name = f"limits {self.own_version()}"
+        line, director = self.lines[1], self.town.directors[1]
+        line.loop.now = self.town.world.now
+        line.fault("hole")
+        self.town.run(100)
+        self.assertNotIn("refused", self.question("forbid", name))
+        open_for, said = 0, None
+        for step in range(80):
+            self.town.run(100)
+            director.loop.now = self.town.world.now
+            is_open, nobody = director.shut() is None, self.question("floors")["floors"][0]["nobody_acts_on_it"]
+            self.assertFalse(is_open and nobody, step)
+            open_for, said = open_for + is_open, said or (nobody and step)
+        self.assertGreater(open_for, 40)                                 # it is not shut at once: nobody could tell it
+        self.assertTrue(50 <= said <= 60, said)
+        self.assertIn("no planner has granted", self.ask(1)[1])
+        line.loop.now = self.town.world.now
+        line.fault("heal")
+        self.town.run(3_000)
+        self.assertIn("must not be used", self.ask(1)[1])
+
+    def test_a_stand_still_past_the_lease(self):
+        """It wakes to a heap of old grants and a viewer's request, all in one turn: the request is declined."""
+        name = f"limits {self.own_version()}"
+        self.town.world.hosts["d1"].freeze(LEASE_MS + 4_000)
+        self.town.run(100)
+        self.question("forbid", name)
+        ask = self.town.ask(1, key="early", wait_ms=20_000)
+        self.town.run(LEASE_MS + 1_000)
+        self.assertTrue(self.question("floors")["floors"][0]["nobody_acts_on_it"])
+        self.assertIsNone(ask.answer)
+        self.town.run(4_000)
+        self.assertEqual(ask.answer, "declined", ask.lines)
+
+
+if __name__ == "__main__":
+    unittest.main()
