--- a/tests/test_lines.py
+++ b/tests/test_lines.py
@@ -6,25 +6,7 @@
 from laddergw.loop.memory import Memory
 from laddergw.loop.sockets import SocketLoop
 from laddergw.terms.sexpr import Refused
-
-
-class Peer:
-    def __init__(self, echo=False):
-        self.echo, self.data, self.ends, self.stream = echo, b"", [], None
-
-    def opened(self, stream):
-        self.stream = stream
-
-    def got(self, stream, data):
-        self.data += data
-        if self.echo:
-            stream.write(data)
-
-    def emptied(self, stream):
-        pass
-
-    def closed(self, stream, why):
-        self.ends.append(why)
+from tests.test_loop import Peer
 
 
 class World:
