--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -16,7 +16,6 @@
     "laddergw/lab/audit.py": 352,
     "laddergw/lab/node_stand_in.py": 387,
     "laddergw/lab/player_stand_in.py": 272,
-    "tests/test_limits.py": 370,
     "tests/test_planner.py": 294,
 }
 POLICY_LINES, POLICY_WIDTH = 660, 110    # of the decisions, lines that are not empty: the users' bound
