--- a/laddergw/cli/__main__.py
+++ b/laddergw/cli/__main__.py
@@ -10,7 +10,7 @@
 
 import typer
 
-from laddergw.cli import dayings, experimenting, fleet, manifests, planning, rehearsing, terms
+from laddergw.cli import dayings, experimenting, fleet, fleet_rollouts, manifests, planning, rehearsing, terms
 
 app = typer.Typer(no_args_is_help=True, pretty_exceptions_enable=False,
                   help="A session front that places and shapes video sessions on streaming servers.")
@@ -76,7 +76,7 @@
 app.add_typer(terms.app, name="terms")
 app.add_typer(dayings.app, name="days")
 app.add_typer(planning.app, name="plan")
-app.add_typer(fleet.app, name="fleet")
+app.add_typer(fleet_rollouts.app, name="fleet")      # (the same app, with more commands)
 
 
 def main() -> None:
--- a/laddergw/cli/fleet.py
+++ b/laddergw/cli/fleet.py
@@ -186,6 +186,17 @@
     floors_asked(house, "allow", f"{kind} {version}", as_json)
 
 
+@app.command()
+def gone(process: Annotated[str, typer.Argument(help="a silent process: d7-1a2b3c4d")], house: House, as_json: AsJson = False) -> None:
+    """Says that a silent process is no more: only who looked at its machine can know. One that is heard again takes that back. Ends with 1 where it is refused."""
+    from laddergw.planner import wire
+    found, = ask(house, wire.Ask("gone", process))
+    if "refused" in found:
+        typer.echo(f"refused: {found['refused']}", err=True)
+        raise typer.Exit(1)
+    say(found, as_json, lambda found: [f"{found['gone']} is no more, by your word"])
+
+
 @app.command()
 def floors(house: House, as_json: AsJson = False) -> None:
     """Forbidden versions, and whether anybody may still let plays in under them."""
--- a/laddergw/director/director.py
+++ b/laddergw/director/director.py
@@ -105,7 +105,7 @@
     def limits_refused(self, texts: list[str]) -> None:
         """A file was refused: what is in force stays."""
         self.generations.refused += 1
-        self.watch("limits refused", faults=len(texts))
+        self.watch("limits refused", faults=len(texts), first=texts[0] if texts else "")
         if self.tap is not None:
             self.tap("limits refused", self.loop.now, {"faults": texts})
 
--- a/laddergw/director/limits_file.py
+++ b/laddergw/director/limits_file.py
@@ -11,6 +11,7 @@
 import tempfile
 from typing import Callable
 
+from laddergw.terms.limits import Limits
 from laddergw.terms.loading import Loaded, load, load_file
 from laddergw.terms.sexpr import Fault, Place
 
@@ -89,6 +90,25 @@
             self.trouble = why
             self.refused([why])
 
+    def bring(self, data: bytes, sure: Callable[[Limits], str | None], done: Callable[[list[str]], None]) -> None:
+        """A version that came over a line: checked like the file, and held against `sure(limits)`; in force first, then on the disk, where it takes the
+        file's place. Where it cannot be written the file's own version comes back with the next start. `done(faults)`."""
+        if self.checking:
+            self.loop.after(LOOK_MS, lambda: self.bring(data, sure, done))
+            return
+
+        def checked(loaded: Loaded) -> None:
+            self.checking = False
+            against = loaded.texts() if loaded.limits is None else list(filter(None, [sure(loaded.limits)]))
+            if not against:
+                self.put(loaded.limits)
+                if replaced(self.path, data) is None:
+                    keep_good(self.path, data)
+                    self.seen = self.settled = digest(data)
+            done(against)
+        self.checking = True
+        self.checker.check(data, self.name, checked)
+
     def checked(self, loaded: Loaded) -> None:
         self.checking = False
         if loaded.limits is not None:
@@ -98,15 +118,23 @@
             self.refused(loaded.texts())
 
 
-def keep_good(path: str, data: bytes) -> None:
-    """A copy beside the file, for a director that starts while the file is being mended. Where it cannot be written, none is kept."""
+def replaced(path: str, data: bytes) -> str | None:
+    """Writes a file whole, in one move; why not, where it cannot be written."""
     fresh = f"{path}.{os.getpid()}.new"
     try:
         with open(fresh, "wb") as stream:
             stream.write(data)
-        os.replace(fresh, path + GOOD)
-    except OSError:
-        pass
+            stream.flush()
+            os.fsync(stream.fileno())
+        os.replace(fresh, path)
+    except OSError as error:
+        return f"cannot be written: {error.strerror}"
+    return None
+
+
+def keep_good(path: str, data: bytes) -> None:
+    """A copy beside the file, for a director that starts while the file is being mended. Where it cannot be written, none is kept."""
+    replaced(path + GOOD, data)
 
 
 def at_start(path: str, house) -> tuple[Loaded, list[str]]:
--- a/laddergw/director/program.py
+++ b/laddergw/director/program.py
@@ -128,6 +128,8 @@
     if side is not None:
         director.pages["GET", "/planner"] = side.page
     watch = watch_limits(limits, path, director, log) if limits is not None else None
+    if side is not None and watch is not None:
+        side.audit.brings(watch.bring)
     director.read_again = lambda: again(path, director, watch, log)
     loop.on_signal(signal.SIGHUP, director.read_again)
     set_up(director, log)
--- a/laddergw/fleet/answers.py
+++ b/laddergw/fleet/answers.py
@@ -8,7 +8,7 @@
     """What stands behind every answer."""
     said = []
     for process in in_order(book):
-        if now - process.heard_ms >= SILENT_MS:
+        if now - process.heard_ms >= SILENT_MS and not process.gone:
             said.append(f"{process.name} silent since {seconds(now - process.heard_ms)} ago: what it does now is not known")
         if process.untold:
             said.append(f"{process.name} dropped {process.untold} actions before any planner could keep them")
--- a/laddergw/fleet/book.py
+++ b/laddergw/fleet/book.py
@@ -5,16 +5,21 @@
 """
 from typing import NamedTuple
 
+import msgspec
+
 from laddergw.fleet.rights import OPEN, Seen
-from laddergw.fleet.stamps import Key
+from laddergw.fleet.stamps import DECLINED, FAILED, LET_IN, PLAYING, Key
 from laddergw.fleet.telling import Part, Senseless, checked
-from laddergw.fleet.versions import Stand, Version, stand
+from laddergw.fleet.versions import CAN_BE_WANTED, Stand, Version, stand
+from laddergw.fleet.wanted import Answers, Seat
 
+DIGEST_MS = 250.0          # between a process's digests
 SILENT_MS = 5_000.0        # a process that told nothing for so long: what it does now is not known
 TURNS_KEPT = 256           # of one process: a director holds as many untold. Of earlier ones the counts are kept, by product and action alone
 PROCESSES_KEPT = 4_096     # of all; past it those silent longest go from the book
 ALONE_KEPT = 64            # times at which a process was without any planner
 MINUTE_MS = 60_000.0
+STOPPED, DECLARED = "it stopped", "an operator says so"     # why a process lets nothing in any more
 
 
 class Held(NamedTuple):
@@ -29,17 +34,35 @@
     """One director's process."""
 
     def __init__(self, name: str):
-        self.name, self.heard_ms, self.untold, self.alone, self.without = name, 0.0, 0, [], ""
+        self.name, self.heard_ms, self.untold, self.alone, self.without, self.gone = name, 0.0, 0, [], "", ""
         self.turns: dict[int, Held] = {}
         self.counts: dict[Key, int] = {}
         self.folded_to = 0                                  # turns up to this are counted in `earlier` alone
         self.earlier: dict[tuple[str, str], int] = {}       # by product and action
         self.lately: list[tuple[float, str, int]] = []      # let in: when told, stand, how many
+        self.results: dict[tuple[str, str], list[int]] = {} # answers under a version that can be wanted: plays, and those that were none
+        self.said = Part()                                  # what else it told last: zone, what it takes, what came of a want
+        self.digests, self.still_ms, self.still_at = 0, 0.0, float("-inf")     # number of its last digest; its last stand-still, and when it was heard again
 
     @property
     def director(self) -> str:
         return self.name.partition("-")[0]
 
+    def count(self, key: Key, count: int) -> int:
+        """A count as it is told now; how much that is more."""
+        more = count - self.counts.get(key, 0)
+        if more <= 0 or key.turn <= self.folded_to:
+            return 0
+        self.counts[key] = count
+        return more
+
+    def heard(self, now: float, number: int) -> None:
+        """Its word came. Who was silent and told few digests meanwhile stood still; one that was cut off goes on counting them."""
+        gap, told = now - self.heard_ms, number - self.digests
+        if self.digests and gap >= SILENT_MS and told * DIGEST_MS < gap / 2:
+            self.still_ms, self.still_at = gap, now
+        self.heard_ms, self.digests = now, max(self.digests, number)
+
     def last(self) -> Held | None:
         return self.turns[max(self.turns)] if self.turns else None
 
@@ -64,8 +87,8 @@
         self.changed: dict[str, tuple[set[int], set[Key]]] = {}
         self.kept_stands: set[str] = set()                  # whose versions are in the ledger
 
-    def merge(self, name: str, part: Part, at_ms: float, now: float) -> bool:
-        """Takes in what a process told at `at_ms` of its clock; False where it says nothing new. Raises Senseless."""
+    def merge(self, name: str, part: Part, at_ms: float, now: float, number: int = 0) -> bool:
+        """Takes in what a process told at `at_ms` of its clock, with its digest of that number; False where it says nothing new. Raises Senseless."""
         turns, counts = checked(part)
         process = self.processes.setdefault(name, Process(name))
         if any(turn.stand not in part.stands and turn.stand not in self.stands for turn in turns):
@@ -78,20 +101,21 @@
                 process.turns[turn.number] = Held(turn.number, now - max(0.0, at_ms - turn.at_ms), turn.stand, now)
         new_counts = set()
         for key, count in counts:
-            before = process.counts.get(key, 0)
-            if count > before and key.turn > process.folded_to:
-                process.counts[key] = count
+            if more := process.count(key, count):
                 new_counts.add(key)
-                if key.action == "let in" and key.turn in process.turns:
-                    process.lately.append((now, process.turns[key.turn].stand, count - before))
+                self.result(process, key, more)
+                if key.action == LET_IN and key.turn in process.turns:
+                    process.lately.append((now, process.turns[key.turn].stand, more))
         if part.alone_ms and (not process.alone or now - process.alone[-1][0] > 1.0):
             process.alone = [*process.alone[1 - ALONE_KEPT:], (now, part.alone_ms)]
-        process.heard_ms, process.untold, process.without = now, max(process.untold, part.untold), part.without
+        process.heard(now, number)
+        process.untold, process.without, process.said = max(process.untold, part.untold), part.without, msgspec.structs.replace(part, turns=(), stands={}, counts=())
         process.lately = [row for row in process.lately if now - row[0] < MINUTE_MS]
         if new_turns or new_counts:
             marked = self.changed.setdefault(name, (set(), set()))
             marked[0].update(new_turns)
             marked[1].update(new_counts)
+        self.ends(process, STOPPED if part.over else "")
         self.bound(process)
         return bool(new_turns or new_counts)
 
@@ -107,6 +131,12 @@
             if oldest.name not in self.changed:
                 del self.processes[oldest.name]
 
+    def ends(self, process: Process, gone: str) -> None:
+        """A process lets nothing in any more: by its own word, or by an operator's until it is heard again, whoever said so."""
+        if process.gone != gone:
+            process.gone = gone
+            self.changed.setdefault(process.name, (set(), set()))
+
     def forget_stands(self) -> None:
         """Those that no turn and no play is on any more."""
         used = {held.stand for process in self.processes.values() for held in process.turns.values()}
@@ -115,10 +145,41 @@
             del self.stands[name]
         self.kept_stands &= used
 
+    def seats(self, kind: str, number: int, now: float) -> list[Seat]:
+        """Each director as its latest process tells, for the rollout of that number; those that stopped or are no more are none."""
+        latest: dict[str, Process] = {}
+        for _, process in sorted(self.processes.items()):
+            if not process.gone and process.turns and process.heard_ms >= latest.get(process.director, process).heard_ms:
+                latest[process.director] = process
+        found = []
+        for director, process in sorted(latest.items()):
+            on, said = self.stands[process.last().stand].of(kind), process.said
+            came = said.came if said.came[0] == number else (0, "", "", "")
+            found.append(Seat(director, process.name, said.zone, now - process.heard_ms < SILENT_MS, process.heard_ms, on.hash if on else "", kind in said.takes,
+                              came[2], came[3], said.trouble, process.still_ms, process.still_at))
+        return found
+
+    def result(self, process: Process, key: Key, more: int) -> None:
+        """More answers were given, by the version of what can be wanted."""
+        if more and key.action in (PLAYING, DECLINED, FAILED) and (held := process.turns.get(key.turn)) is not None:
+            for kind in CAN_BE_WANTED:
+                if (on := self.stands[held.stand].of(kind)) is not None:
+                    process.results.setdefault((kind, on.hash), [0, 0])[key.action != PLAYING] += more
+
+    def answers(self, kind: str, name: str) -> tuple[Answers, Answers]:
+        """Under a version, and under others of its kind: plays, and answers that were none."""
+        sums = [[0, 0], [0, 0]]
+        for process in self.processes.values():
+            for (of, version), (good, bad) in process.results.items():
+                if of == kind:
+                    sums[version != name][0] += good
+                    sums[version != name][1] += bad
+        return Answers(*sums[0]), Answers(*sums[1])
+
     def seen(self) -> list[Seen]:
-        """Each process's last word, for rights. One that asks for none stays open."""
-        return [Seen(name, frozenset((v.kind, v.hash) for v in self.stands[held.stand].versions), process.heard_ms, process.without or OPEN)
-                for name, process in sorted(self.processes.items()) if (held := process.last()) is not None]
+        """The last word of each process that may let plays in, for rights. One that asks for none stays open."""
+        return [Seen(name, frozenset((v.kind, v.hash) for v in self.stands[held.stand].versions), process.heard_ms, process.without or OPEN, process.said.zone)
+                for name, process in sorted(self.processes.items()) if not process.gone and (held := process.last()) is not None]
 
     # The ledger's side
 
@@ -129,7 +190,7 @@
             turns, counts = set(process.turns), set(process.counts)
         held = [process.turns[number] for number in sorted(turns) if number in process.turns]
         stands = ({h.stand for h in held} | {key.kept for key in counts if key.kept}) - (set() if whole else self.kept_stands)
-        return {"process": name, "wall_ms": wall_ms, "heard_ms": process.heard_ms, "untold": process.untold, "folded_to": process.folded_to,
+        return {"process": name, "wall_ms": wall_ms, "heard_ms": process.heard_ms, "untold": process.untold, "gone": process.gone, "folded_to": process.folded_to,
                 "earlier": [(*key, count) for key, count in sorted(process.earlier.items())] if whole else [],
                 "turns": [tuple(h) for h in held], "counts": [(*key, process.counts[key]) for key in sorted(counts) if key in process.counts],
                 "stands": {s: [tuple(v) for v in self.stands[s].versions] for s in sorted(stands) if s in self.stands}}
@@ -162,8 +223,9 @@
         for row in record["counts"]:
             key = Key(*row[:4])
             if key.turn > process.folded_to:
-                process.counts[key] = max(process.counts.get(key, 0), row[4])
+                self.result(process, key, process.count(key, row[4]))
         process.heard_ms, process.untold = max(process.heard_ms, record["heard_ms"]), max(process.untold, record["untold"])
+        process.gone = record.get("gone", "")
 
     def acknowledged(self, name: str) -> int:
         """The last turn of a process of which all earlier ones are on the disk, counts included."""
--- a/laddergw/fleet/rights.py
+++ b/laddergw/fleet/rights.py
@@ -5,13 +5,14 @@
 on a forbidden version shuts its door as it hears of it; one that is cut off shuts its own when its right ends, if its file says so (`closed`). So,
 a lease and a margin after a version was forbidden, nobody that closes lets a play in under it.
 
-No version is forbidden that most of the fleet is on, nor one that all of it is on: that would close the fleet by a slip.
+No version is forbidden that most of the fleet is on, nor one that all of a zone are on: that would close it by a slip.
 """
 from collections import OrderedDict
 from typing import Iterable, NamedTuple
 
 LEASE_MS = 5_000.0         # of a right: two losses of a planner's connection (2 s of silence each) pass by it
 MARGIN_MS = 500.0          # past a lease, for clocks that run apart by parts in a thousand, and a turn in which both fall
+FIRST_WORD_MS = 2_000.0    # a process that begins, and stays open without planners, waits so long for their first word: a dial and a digest, twice
 ASKED_KEPT = 64            # askings that a grant may answer: digests of 16 s, past any lease
 MOST_SHUT = 0.5            # share of the directors heard lately that a forbidden version may shut out
 FORBIDDEN_MOST = 64        # versions
@@ -23,8 +24,8 @@
 class Right:
     """A director's right. `alone`: what it does without one; OPEN never shuts for the lack of one, only on a forbidden version."""
 
-    def __init__(self, alone: str = OPEN):
-        self.alone, self.until, self.rank = alone, float("-inf"), (0, 0)
+    def __init__(self, alone: str = OPEN, began: float = float("-inf")):
+        self.alone, self.began, self.until, self.rank = alone, began, float("-inf"), (0, 0)
         self.asked: OrderedDict[int, float] = OrderedDict()
         self.forbidden: frozenset[Named] = frozenset()
 
@@ -48,6 +49,8 @@
             return f"{kind} {name[:8]} must not be used any more"
         if self.alone == CLOSED and now >= self.until:
             return "no planner has granted the right to let plays in"
+        if self.rank == (0, 0) and now < self.began + FIRST_WORD_MS:     # it may begin on a version that was forbidden while it was away
+            return "it has just begun, and waits for a planner's first word"
         return None
 
 
@@ -57,6 +60,7 @@
     stand: frozenset[Named]
     heard_ms: float
     alone: str
+    zone: int = 0
 
 
 class Floors:
@@ -75,6 +79,9 @@
             return "no director is heard: who would be shut out is not known"
         if len(on) > MOST_SHUT * len(alive):
             return f"{len(on)} of {len(alive)} directors are on it: over {MOST_SHUT:.0%} would be shut out"
+        for zone in sorted({one.zone for one in on}):
+            if all(version in one.stand for one in alive if one.zone == zone):
+                return f"all that are heard in zone {zone} are on it: the zone would be shut out"
         self.since.setdefault(version, now)
         return None
 
--- a/laddergw/fleet/telling.py
+++ b/laddergw/fleet/telling.py
@@ -9,9 +9,10 @@
 from laddergw.fleet.versions import KINDS, Version, stand
 
 TURNS_TOLD, COUNTS_TOLD, STANDS_TOLD = 512, 65_536, 1_024      # of one part, at most: twice what a director holds
+TEXT_MOST = 600            # letters of one text
 
 
-class Part(msgspec.Struct, frozen=True):
+class Part(msgspec.Struct, frozen=True, omit_defaults=True):
     """`turns`: number, time, stand; `stands`: by id, the versions; `counts`: turn, kept, product, action, how many so far."""
     turns: tuple[tuple[int, float, str], ...] = ()
     stands: dict[str, tuple[tuple[str, int, str, str], ...]] = {}
@@ -19,6 +20,11 @@
     untold: int = 0                                             # actions of turns that were dropped before any planner kept them
     alone_ms: float = 0.0                                       # before this connection, no planner was to be reached so long
     without: str = ""                                           # "open" or "closed": it asks for a right to let plays in, and what it does without one
+    over: bool = False                                          # it stops: it lets nothing in any more
+    zone: int = 0
+    takes: tuple[str, ...] = ()                                 # kinds of which a file can be brought up there
+    came: tuple[int, str, str, str] = (0, "", "", "")           # of what a planner wanted there: its number, hash, what came of it, why
+    trouble: str = ""                                           # what speaks against the director's own file of limits
 
 
 class Senseless(ValueError):
@@ -31,8 +37,8 @@
     def __init__(self):
         self.turn, self.counts, self.stands = 0, {}, set()
 
-    def part(self, stamps: Stamps, alone_ms: float = 0.0, without: str = "") -> Part:
-        """What has changed since the last part, and counts as told by now."""
+    def part(self, stamps: Stamps, **more) -> Part:
+        """What has changed since the last part, and counts as told by now; `more`: the part's other fields."""
         turns = [turn for turn in stamps.turns if turn.number > self.turn]
         counts = []
         for number, mine in stamps.counts.items():
@@ -46,12 +52,13 @@
         self.stands |= stands.keys()
         if turns:
             self.turn = turns[-1].number
-        return Part(tuple(tuple(turn) for turn in turns), stands, tuple(counts), stamps.untold, alone_ms, without)
+        return Part(tuple(tuple(turn) for turn in turns), stands, tuple(counts), stamps.untold, **more)
 
 
 def checked(part: Part) -> tuple[list[Turn], list[tuple[Key, int]]]:
     """Its turns and counts. Raises Senseless."""
-    if len(part.turns) > TURNS_TOLD or len(part.counts) > COUNTS_TOLD or len(part.stands) > STANDS_TOLD or part.untold < 0 or part.without not in ("", OPEN, CLOSED) or not 0 <= part.alone_ms < 1e15:
+    if len(part.turns) > TURNS_TOLD or len(part.counts) > COUNTS_TOLD or len(part.stands) > STANDS_TOLD or part.untold < 0 or part.without not in ("", OPEN, CLOSED) or not 0 <= part.alone_ms < 1e15 or part.zone < 0 \
+            or len(part.takes) > len(KINDS) or part.came[0] < 0 or max(map(len, (*part.came[1:], part.trouble))) > TEXT_MOST:
         raise Senseless("more than a director holds")
     turns = [Turn(*turn) for turn in part.turns]
     if any(turn.number < 1 or not 0 <= turn.at_ms < 1e15 for turn in turns) or [t.number for t in turns] != sorted({t.number for t in turns}):
--- a/laddergw/fleet/versions.py
+++ b/laddergw/fleet/versions.py
@@ -8,6 +8,7 @@
 
 PROGRAM, HOUSE, KEYS, LIMITS, RULES, LIST, PLAN = "program", "file", "keys", "limits", "rules", "list", "plan"
 KINDS = (PROGRAM, HOUSE, KEYS, LIMITS, RULES, LIST, PLAN)
+CAN_BE_WANTED = (LIMITS,)               # kinds that are the same for all directors, and of which a running one takes a file over
 HASH_DIGITS, ID_DIGITS = 16, 12        # hexadecimal: 64 bits of a version, 48 of a stand: among thousands none meet by chance
 
 
--- a/laddergw/lab/fleet_processes.py
+++ b/laddergw/lab/fleet_processes.py
@@ -1,28 +1,35 @@
 """rehearse fleet on loopback: edges, planners, racks and viewers as processes; the lines between edges and planners go through us and fail, planners are
-killed, also both at once, and stopped; the limits file that all watch changes. The judge asks the planner for its counts, and each edge for its own."""
+killed, also both at once, and stopped. In the first part the limits file that each watches changes; in the second the planners take wanted versions out, one of
+three of which no edge takes. The judge asks the planner for its counts, and each edge for its own.
+"""
 import json
-import os
 import re
 import signal
 
+from laddergw.director.limits_file import replaced
+from laddergw.fleet import versions
 from laddergw.http.client import Pool
 from laddergw.lab import fleet_check
 from laddergw.lab.apart_processes import PLANNERS, ApartProcesses
 from laddergw.lab.fleet_check import Tally
-from laddergw.lab.fleet_stage import BACK_MS, BOTH_DIE, STOP_MS, STOPS
+from laddergw.lab.fleet_stage import BACK_MS, BOTH_DIE, STOP_MS, STOPS, WANTS_FROM
 from laddergw.lab.line_script import LineFault, schedule
-from laddergw.lab.limits import sound
+from laddergw.lab.limits import broken, sound
 from laddergw.lab.lines import Lines
 from laddergw.lab.plant import Plant, between
 from laddergw.lab.script import Trouble
 from laddergw.lab.stage_processes import HOST
 from laddergw.lab.viewers_stand_in import LIMITS
+from laddergw.lab.wanting import BAD_EACH, SOAK_MS, TEXTS, WANT_MS
 from laddergw.loop.tls import Secure, client_context
 from laddergw.planner import wire
+from laddergw.planner.audit_side import limits_text
 from laddergw.planner.peer import Peer
 from laddergw.terms import house as houses
+from laddergw.terms.loading import load
 
 SWITCH_MS = 5_000.0        # between versions: each edge searches each of them in a process beside it
+TAKEN_MS = 30_000.0        # the last rollout has gone to all by then: its steps, and checks of 12 edges on one machine
 ASK_MS = 10_000.0          # the judge waits so long for any one answer
 ANSWERS = re.compile(r'laddergw_answers_total\{answer="(\w+)",product="([^"]+)"\} (\d+)')
 
@@ -35,15 +42,19 @@
         super().__init__(plant, script, kills, folder, level)
         self.lines = Lines(self.loop, self.record, plant.seed)
         self.read_house = houses.read(plant.house(0, (HOST, 1), (HOST, 1), plant.seed))
-        self.limits, self.switches, self.verdict, self.facts = self.file("limits.terms"), 0, ["the judge was never asked"], {}
+        self.switches, self.wants, self.wanting, self.verdict, self.facts = 0, 0, False, ["the judge was never asked"], {}
         ends = [f"d{n}" for n in range(plant.directors)], [f"p{n}" for n in range(PLANNERS)]
         self.faults = schedule(plant.seed, *ends, plant.crowd.seconds * 1000) if faults is None else faults
         self.write_limits()
 
     def write_limits(self) -> None:
-        with open(self.limits + ".new", "w") as stream:
-            stream.write(sound(self.plant.seed, self.switches % 4, self.read_house))
-        os.replace(self.limits + ".new", self.limits)
+        """By hand, at each edge."""
+        text = sound(self.plant.seed, self.switches % 4, self.read_house).encode()
+        for number in range(self.plant.directors):
+            replaced(self.limits(number), text)
+
+    def limits(self, number: int) -> str:
+        return self.file(f"limits.{number}.terms")
 
     def house_text(self, number: int) -> str:
         """Its planners are reached through lines of ours."""
@@ -55,7 +66,7 @@
         return text
 
     def director_command(self, file: str, source: str) -> list[str]:
-        return super().director_command(file, source) + ["--limits", self.limits]
+        return super().director_command(file, source) + ["--limits", self.limits(int(source[1:].partition(".")[0]))]
 
     def let_them_come(self) -> None:
         super().let_them_come()
@@ -69,6 +80,7 @@
         for stop in range(STOPS):
             self.loop.after(between(self.plant.seed, 0, seconds, "stop", stop), lambda stop=stop: self.stop_planner(stop))
         self.loop.after(SWITCH_MS, self.switch)
+        self.loop.after(WANTS_FROM * seconds, self.want)
 
     def strike(self, fault: LineFault) -> None:
         line = self.lines.by_ends.get((fault.source, fault.target))
@@ -85,11 +97,24 @@
         self.loop.after(between(self.plant.seed, *STOP_MS, "stopped", stop), lambda: child.poll() is None and child.send_signal(signal.SIGCONT))
 
     def switch(self) -> None:
-        if not self.ending:
+        if not self.ending and not self.wanting:
             self.switches += 1
             self.write_limits()
             self.loop.after(SWITCH_MS, self.switch)
 
+    def want(self) -> None:
+        """Both are asked; the one that keeps the journal begins, or says that the last one goes on."""
+        self.wanting = True
+        if self.ending:
+            return
+        number = self.wants = self.wants + 1
+        bad = number % BAD_EACH == 0
+        data = (broken if bad else lambda *given: sound(*given, self.read_house))(self.plant.seed, number if bad else number % TEXTS).encode()
+        name = "f" * 16 if bad else versions.version(versions.LIMITS, limits_text(load(data, "wanted", self.read_house).limits)).hash
+        for planner in self.places:
+            self.asking(planner, wire.Ask("want", f"limits {name}", 0.0, data, {"soak_ms": SOAK_MS}), lambda found: None)
+        self.loop.after(WANT_MS, self.want)
+
     # The judge
 
     def before_end(self) -> None:
@@ -108,10 +133,18 @@
             self.verdict = [f"{len(asked)} planners keep the journal"]
             return
         (leader, journal), = asked.items()
+        rollout, latest = self.ask(leader, wire.Ask("stragglers", "limits")), self.loop.now + TAKEN_MS
+        while rollout.get("state") == "going" and self.loop.now < latest:
+            rollout = self.ask(leader, wire.Ask("stragglers", "limits"))
+        on = {}
+        for number in sorted(self.conductor.directors_up):
+            said = json.loads(self.fetch(number, "POST", "/v1/audit", b"{}"))
+            on[said["process"]] = next(one["hash"] for one in said["versions"] if one["kind"] == versions.LIMITS)
         rows = [tuple(row) for row in self.ask(leader, wire.Ask("counts"))["counts"]]
         rows = [row for row in rows if row[3] in ("playing", "declined", "failed")]
         self.verdict = fleet_check.judge([row for row in rows if row[0] in tallies], tallies, set(tallies)) + journal["faults"]
-        self.facts = {"edges": len(tallies), "answers": sum(sum(t.counts.values()) for t in tallies.values()), "switches": self.switches, "faults": len(self.faults),
+        self.verdict += fleet_check.judge_wanted(None if rollout.get("want") is None else (rollout["state"], rollout["want"]["hash"]), on)
+        self.facts = {"edges": len(tallies), "answers": sum(sum(t.counts.values()) for t in tallies.values()), "switches": self.switches, "wants": 0 if rollout.get("want") is None else rollout["want"]["number"], "faults": len(self.faults),
                       "records": journal["records"], "processes": len({row[0] for row in rows})}
 
     def tally(self, text: str) -> Tally:
@@ -134,14 +167,20 @@
 
     def ask(self, planner: int, question: wire.Ask) -> dict | None:
         """One question to a planner; None where it is not there."""
-        came, over = [], []
+        came: list = []
+        self.asking(planner, question, came.append)
+        self.wait(lambda: came, ASK_MS, f"planner {planner} answers")
+        return came[0]
+
+    def asking(self, planner: int, question: wire.Ask, done) -> None:
+        """`done` gets the answer, or None."""
+        came = []
 
         def told(peer: Peer, frame: wire.Frame) -> None:
             if isinstance(frame, wire.Answer):
                 came.append(json.loads(frame.body))
                 peer.end("answered")
-        peer = Peer(self.loop, wire.Hello(wire.VERSION, "d-operator", wire.OPERATOR, 0), told, lambda peer: peer.send(question), lambda peer, why: over.append(why))
+        peer = Peer(self.loop, wire.Hello(wire.VERSION, "d-operator", wire.OPERATOR, 0), told, lambda peer: peer.send(question),
+                    lambda peer, why: done(came[0] if came else None))
         host, port = self.places[planner]
         self.loop.dial((host, port), Secure(peer, client_context(*self.edge_papers), False, host), ASK_MS)
-        self.wait(lambda: over, ASK_MS, f"planner {planner} answers")
-        return came[0] if came else None
--- a/laddergw/lab/fleet_stage.py
+++ b/laddergw/lab/fleet_stage.py
@@ -1,7 +1,15 @@
-"""rehearse fleet, in memory: edges and two planners with lines between them that fail, planners killed, limits switched, and the audit held against it all."""
+"""rehearse fleet, in memory: edges and two planners with lines between them that fail, planners killed, and the audit held against it all.
+
+In its first part limits are switched at the directors by hand; in its second the planners take wanted versions out, one of three of which no director takes,
+and forbid those of before. The judge knows from the directors' own tallies under which text each play was let in, and when.
+"""
+import os
+
 from laddergw import interface as face
 from laddergw.director.director import Director
+from laddergw.director.limits_file import InPlace, LimitsFile
 from laddergw.fleet import answers, versions
+from laddergw.fleet.rights import CLOSED, OPEN
 from laddergw.fleet.stamps import LET_IN
 from laddergw.lab import fleet_check
 from laddergw.lab.apart import PORT, TWO, ApartStage
@@ -12,6 +20,7 @@
 from laddergw.lab.plant import Plant, between
 from laddergw.lab.script import Trouble
 from laddergw.lab.stage_memory import MemoryStage
+from laddergw.lab.wanting import Wanting
 from laddergw.planner.edge_side import EdgeSide
 from laddergw.store import ledger as ledgers
 from laddergw.terms import house as houses
@@ -23,9 +32,16 @@
 SPREAD_MS = 900.0          # directors go over to one within this of each other
 BOTH_DIE = 3               # moments at which both planners are killed: what only one had heard, and not written, was heard by nobody
 STOPS, STOP_MS = 4, (1_000.0, 6_000.0)     # planners that stand still (as by SIGSTOP), and for how long: past a silence and a lease
+EMPTY, OLD_EACH = b"(limits)", 4
+WANTS_FROM = 0.4           # part of the play after which versions are wanted, and no more switched by hand
 BACK_MS = 9_000.0          # after all is whole again: a takeover, a line dialled anew, a record of the journal, twice
 
 
+def old(number: int) -> bool:
+    """Directors of an older program, which take no file over the line."""
+    return number % OLD_EACH == OLD_EACH - 1
+
+
 class Tallied(Director):
     """Counts what it does by itself, for the judge."""
 
@@ -52,6 +68,7 @@
 
     def admit(self, ply) -> None:
         self.tally.did(ply.request.product, "let in")
+        self.tally.let_in(self.loop.now)
         super().admit(ply)
 
 
@@ -68,19 +85,33 @@
         self.faults = schedule(plant.seed, *ends, plant.crowd.seconds * 1000) if faults is None else faults
         self.verdict: list = ["the judge was never asked"]
         self.facts: dict[str, int] = {}
+        self.wanting = Wanting(self)
 
     def start_director(self, number: int) -> None:
         MemoryStage.start_director(self, number)
         director, places = self.directors[number], []
+        director.house = director.house._replace(without_planner=CLOSED if number % 2 else OPEN)
+        director.tally.began, director.tally.stays_open = self.world.now, not number % 2
         for planner in range(self.count):
             ends = f"d{number}", f"p{planner}"
             line = self.lines.by_ends.get(ends) or self.lines.line(*ends, ("relay", RELAY_PORT + 10 * number + planner), lambda planner=planner: (f"p{planner}", PORT))
             places.append(line.address)
-        self.sides[number] = EdgeSide(director, tuple(places), self.keys())
+        side = self.sides[number] = EdgeSide(director, tuple(places), self.keys())
+        if not old(number):
+            side.audit.brings(LimitsFile(director.loop, self.limits_of(number), InPlace(director.house), director.change_limits, director.limits_refused, EMPTY).bring)
         self.tallies[director.name] = director.tally
 
+    def limits_of(self, number: int) -> str:
+        """The file that a director watches; its disk outlives its processes."""
+        path = os.path.join(self.folder, f"limits.{number}")
+        if not os.path.exists(path):
+            with open(path, "wb") as stream:
+                stream.write(EMPTY)
+        return path
+
     def run(self) -> list[tuple]:
         start = self.world.now + 3_000
+        self.wanting.begin(start + WANTS_FROM * self.plant.crowd.seconds * 1000)
         for fault in self.faults:
             self.loop.at(start + fault.at, lambda fault=fault: self.strike(fault))
         self.loop.at(start, self.switch)
@@ -112,7 +143,7 @@
         line.fault("heal")
 
     def switch(self) -> None:
-        if self.done:
+        if self.done or self.wanting.on:
             return
         self.switches += 1
         text = sound(self.plant.seed, self.switches % 4, self.house)     # (of four, so that versions come back)
@@ -128,9 +159,13 @@
         if not self.done:
             for line in self.lines.by_ends.values():
                 self.heal(line)
-            self.loop.at(self.world.now + BACK_MS, self.judge)
+            self.wanting.over = True
+            self.loop.at(self.world.now + BACK_MS, lambda: self.judge(self.world.now + BACK_MS))
 
-    def judge(self) -> None:
+    def judge(self, latest: float) -> None:
+        """Once no rollout goes on any more, or it is too late for that."""
+        if self.wanting.ask("stragglers").get("state") == "going" and self.world.now < latest:
+            return self.loop.at(self.world.now + 500.0, lambda: self.judge(latest))
         self.done = True
         leader = next((p for p in self.planners.values() if p.standing.state == "leads" and p.store is not None), None)
         if leader is None:
@@ -148,6 +183,8 @@
         hash_of = lambda text: versions.version(versions.LIMITS, text.split("\n") if text else []).hash
         self.verdict = fleet_check.judge(rows, self.tallies, back) + fleet_check.judge_versions(of_version, self.tallies, back, hash_of)
         self.verdict += list(ledgers.verify(leader.store.db).faults)
+        self.verdict += fleet_check.judge_sentences(self.wanting.sentences, self.tallies, hash_of)
+        self.verdict += fleet_check.judge_wanted(self.wanting.at_the_end(leader), {d.name: hash_of(d.tally.limits) for n, d in self.directors.items() if d.name in back and not old(n)})
         self.facts = {"processes": len(self.tallies), "back": len(back), "switches": self.switches, "faults": len(self.faults),
                       "actions": sum(sum(t.counts.values()) for t in self.tallies.values()), "stands": len(book.stands),
-                      "turns kept": max((len(side.audit.stamps.turns) for side in self.sides.values()), default=0), "records": leader.auditing.ledger.count}
+                      "wants": self.wanting.wants, "halted": self.wanting.halted, "sentences": len(self.wanting.sentences), "turns kept": max((len(side.audit.stamps.turns) for side in self.sides.values()), default=0), "records": leader.auditing.ledger.count}
--- a/laddergw/planner/audit_side.py
+++ b/laddergw/planner/audit_side.py
@@ -5,17 +5,20 @@
 import json
 import pathlib
 from functools import cache
+from typing import Callable
 
 import laddergw
 from laddergw.director import frames
 from laddergw.director.tries import Try
 from laddergw.fleet import stamps as acts, versions
+from laddergw.fleet.bringing import Bringing, Fetch, Offer
 from laddergw.fleet.rights import Right
 from laddergw.fleet.stamps import Stamps
-from laddergw.fleet.telling import Part, Told
+from laddergw.fleet.telling import TEXT_MOST, Part, Told
 from laddergw.http.server import Exchange
 from laddergw.interface import DECLINED
 from laddergw.machines.door import Turned
+from laddergw.planner import wire
 from laddergw.terms.generations import flat
 
 CHANGES = {"limits changed": versions.LIMITS, "deployment changed": versions.HOUSE, "keys changed": versions.KEYS, "rules changed": versions.RULES}
@@ -29,6 +32,11 @@
     return versions.version(versions.PROGRAM, [part for file in files for part in (file.relative_to(root).as_posix(), file.read_bytes())])
 
 
+def limits_text(limits) -> list[str]:
+    """What a version of limits is made of."""
+    return [f"{key} = {value}" for key, value in flat(limits).items()]
+
+
 class AuditSide:
     """See the module. `side`: the director's line to its planners."""
 
@@ -42,8 +50,9 @@
         director, self.watched, self.changed = self.director, self.director.watch, self.director.fleet.changed
         director.watch, director.fleet.changed = self.told, self.listed
         director.pages["POST", "/v1/audit"] = self.page
-        self.right = Right(director.house.without_planner) if director.house.without_planner else None
+        self.right = Right(director.house.without_planner, self.loop.now) if director.house.without_planner else None
         self.named: frozenset = frozenset()
+        self.bringing, self.bring, self.trouble = Bringing(), None, ""
         if self.right is not None:
             director.shut = self.shut
         self.stand()
@@ -54,7 +63,7 @@
         """The version of a kind as the director has it now."""
         house = self.director.house
         if kind == versions.LIMITS:
-            texts = [f"{key} = {value}" for key, value in flat(self.director.limits).items()]
+            texts = limits_text(self.director.limits)
         elif kind == versions.HOUSE:
             texts = [*house.names, repr(house.deployment._replace(number=0, zone=0))]     # (what is a director's own place is no version)
         elif kind == versions.KEYS:
@@ -96,7 +105,10 @@
 
     def told(self, what: str, **facts) -> None:
         """What the director watches, stamped on its way."""
+        if what == "limits refused":
+            self.trouble = facts.get("first", "")[:TEXT_MOST]
         if what in CHANGES:
+            self.trouble = "" if what == "limits changed" else self.trouble
             self.read(CHANGES[what])
             self.stand()
         elif (ply := self.director.tries.get(facts.get("play"))) is not None:
@@ -128,8 +140,42 @@
 
     def part(self, told: Told) -> Part:
         since, self.alone_since = self.alone_since, None
-        return told.part(self.stamps, 0.0 if since is None else self.loop.now - since,
-                         self.director.house.without_planner)
+        return told.part(self.stamps, alone_ms=0.0 if since is None else self.loop.now - since, without=self.director.house.without_planner, over=self.director.stopping,
+                         zone=self.director.house.deployment.zone, takes=self.bringing.kinds, came=tuple(self.bringing.outcome), trouble=self.trouble)
+
+    # What is brought up
+
+    def brings(self, bring: Callable) -> None:
+        """Limits can be brought here: `bring(data, sure, done)` checks, puts in force and keeps on the disk (limits_file.py)."""
+        self.bring, self.bringing.kinds = bring, (versions.LIMITS,)
+
+    def offered(self, peer, frame: Offer) -> None:
+        before = self.bringing.outcome
+        self.answer(peer, self.bringing.offered(frame))
+        if self.bringing.outcome not in (before, before._replace(number=0)) and self.bringing.outcome.number:
+            self.director.watch("offer at odds", why=self.bringing.outcome.why)
+
+    def piece(self, peer, number: int, offset: int, data: bytes) -> None:
+        """A piece came; the last one: the whole is checked like any file, held against what was wanted, and in force at one moment."""
+        found = self.bringing.piece(number, offset, data)
+        if not isinstance(found, bytes):
+            return self.answer(peer, found)
+
+        def done(faults: list[str]) -> None:
+            self.bringing.checked(number, faults)
+            self.director.watch("file brought up", number=number, refused=faults)
+        return self.bring(found, self.not_it(self.bringing.offer.hash), done)
+
+    def answer(self, peer, ask: Fetch | None) -> None:
+        if ask is not None:
+            peer.send(wire.Fetch(*ask))
+
+    def not_it(self, wanted: str) -> Callable:
+        """What speaks against limits that were read: they are another version than the one that is wanted."""
+        def against(limits) -> str | None:
+            found = versions.version(versions.LIMITS, limits_text(limits)).hash
+            return None if found == wanted else f"its content is version {found[:8]}, {wanted[:8]} is wanted"
+        return against
 
     def page(self, exchange: Exchange) -> None:
         """A play's way, by its viewer's key; without one, where this director stands."""
--- a/laddergw/planner/auditing.py
+++ b/laddergw/planner/auditing.py
@@ -10,10 +10,12 @@
 import msgspec
 
 from laddergw.fleet import answers
-from laddergw.fleet.book import SILENT_MS, Book
+from laddergw.fleet.book import DECLARED, SILENT_MS, Book
 from laddergw.fleet.rights import LEASE_MS, Floors
 from laddergw.fleet.telling import Senseless
+from laddergw.fleet.wanted import HALTED
 from laddergw.planner import wire
+from laddergw.planner.rollouts import Rollouts
 from laddergw.store.keeper import Store
 from laddergw.store.ledger import Ledger
 
@@ -23,19 +25,23 @@
 
 
 FLOORS = "floors"          # of a record that names the forbidden versions, all of them
+WANT = "want"              # of one that tells of a wanted version and its rollout; the first of it has its bytes, too
 
 
 def fold(records: Iterator[bytes]) -> bytes:
     """Records of the journal as one: for each process what holds by then, its oldest turns as counts alone."""
-    book, floors = Book(), []
+    book, floors, wants = Book(), [], {}
     for record in records:
         for one in read(record):
             if FLOORS in one:
                 floors = [one]
                 continue
+            if WANT in one:
+                wants[one[WANT][0]] = wants.get(one[WANT][0], {}) | one
+                continue
             book.restore(one)
             book.bound(book.processes[one["process"]])
-    return encode(floors + [book.record(name, 0.0, whole=True) for name in sorted(book.processes)])
+    return encode(floors + list(wants.values()) + [book.record(name, 0.0, whole=True) for name in sorted(book.processes)])
 
 
 def read(record: bytes) -> list[dict]:
@@ -48,21 +54,27 @@
     def __init__(self, loop, guarded: Callable[[Callable[[], None]], bool], wall: Callable[[], float] = lambda: time.time() * 1000):
         self.loop, self.guarded, self.wall = loop, guarded, wall
         self.book, self.ledger, self.floors = Book(), None, Floors()
+        self.rollouts = Rollouts(self)
 
     def opened(self, store: Store) -> None:
         """The store is ours: what it holds is read, what it lacks of what we heard is written with the next records."""
         self.ledger = Ledger(store)
-        disk, forbidden = Book(), []
+        disk, forbidden, wants = Book(), [], {}
         for record in self.ledger.records():
             for one in read(record):
                 if FLOORS in one:
                     forbidden = one[FLOORS]
                     continue
+                if WANT in one:
+                    wants[one[WANT][0]] = wants.get(one[WANT][0], {}) | one
+                    continue
                 disk.restore(one)
                 self.book.restore(one)
                 disk.bound(disk.processes[one["process"]])
         self.floors.taken_over((tuple(version) for version in forbidden), self.loop.now)
+        self.rollouts.taken_over(wants)
         for name, process in self.book.processes.items():
+            process.heard_ms = min(process.heard_ms, self.loop.now)      # (another machine's clock may be ahead)
             known = disk.processes.get(name)
             folded = known.folded_to if known else 0
             turns = {number for number in process.turns if number > folded and (known is None or number not in known.turns)}
@@ -78,7 +90,8 @@
         """Raises Malformed for a part that makes no sense: its connection ends."""
         try:
             if frame.audit is not None:
-                self.book.merge(peer.other.name, frame.audit, frame.at_ms, self.loop.now)
+                self.book.merge(peer.other.name, frame.audit, frame.at_ms, self.loop.now, frame.number)
+                self.rollouts.told(peer.other.name, frame.audit)
                 if frame.audit.without and self.keeps():
                     peer.send(wire.Right(frame.number, self.ledger.store.epoch, LEASE_MS, tuple(sorted(self.floors.since))))
         except Senseless as error:
@@ -128,15 +141,8 @@
         if frame.question != "floors":
             if len(meant) != 1:
                 return {"refused": f"{len(meant)} known versions of {kind!r} begin with {begins!r}"}
-            before = dict(self.floors.since)
-            if frame.question == "allow":
-                why = None if self.floors.allow(meant[0]) else "it is not forbidden"
-            else:
-                why = self.floors.forbid(meant[0], self.book.seen(), self.loop.now, SILENT_MS)
-            if why is None and not self.guarded(lambda: self.ledger.append([encode([{FLOORS: sorted(self.floors.since)}])])):
-                why = "it could not be written"
+            why = self.allow(meant[0]) if frame.question == "allow" else self.forbid(meant[0])
             if why is not None:
-                self.floors.since = before
                 return {"refused": why}
         rows = []
         for (kind, name), since in sorted(self.floors.since.items()):
@@ -144,6 +150,40 @@
             rows.append({"kind": kind, "version": name, "since_wall_ms": self.wall() - (self.loop.now - since), "nobody_acts_on_it": nobody, "may_still": may})
         return {"floors": rows, "not_known": answers.unknown(self.book, self.loop.now)}
 
+    def forbid(self, version: tuple[str, str]) -> str | None:
+        """Why not, where it is refused. A version that is wanted is not forbidden."""
+        rollout = self.rollouts.going.get(version[0])
+        if rollout is not None and rollout.want.hash == version[1] and rollout.state != HALTED:
+            return "it is wanted: halt its rollout first"
+        before = dict(self.floors.since)
+        return self.floors.forbid(version, self.book.seen(), self.loop.now, SILENT_MS) or self.keep_floors(before)
+
+    def allow(self, version: tuple[str, str]) -> str | None:
+        before = dict(self.floors.since)
+        return self.keep_floors(before) if self.floors.allow(version) else "it is not forbidden"
+
+    def keep_floors(self, before: dict) -> str | None:
+        if self.floors.since == before or self.guarded(lambda: self.ledger.append([encode([{FLOORS: sorted(self.floors.since)}])])):
+            return None
+        self.floors.since = before
+        return "it could not be written"
+
+    def gone(self, name: str) -> dict:
+        """An operator says that a silent process is no more: nobody else can know. First on the disk; a process that is heard again takes it back."""
+        process = self.book.processes.get(name)
+        if not self.keeps():
+            return {"refused": "this planner does not keep the journal: ask the one that does"}
+        if process is None:
+            return {"refused": f"no process {name[:60]!r} was ever heard of"}
+        if self.loop.now - process.heard_ms < SILENT_MS:
+            return {"refused": f"{name} spoke {answers.seconds(self.loop.now - process.heard_ms)} ago"}
+        before = process.gone
+        self.book.ends(process, before or DECLARED)
+        if not self.write([self.book.record(name, self.wall())]):
+            process.gone = before
+            return {"refused": "it could not be written"}
+        return {"gone": name, "not_known": answers.unknown(self.book, self.loop.now)}
+
     def ask(self, frame: wire.Ask) -> bytes:
         book, now, wall = self.book, self.loop.now, self.wall()
         if frame.question == "versions":
@@ -156,6 +196,10 @@
             found = {"counts": [[*key, count] for key, count in sorted(answers.counted(book).items())], "not_known": answers.unknown(book, now)}
         elif frame.question in ("forbid", "allow", "floors"):
             found = self.change_floors(frame)
+        elif frame.question in ("want", "halt", "stragglers"):
+            found = self.rollouts.asked(frame)
+        elif frame.question == "gone":
+            found = self.gone(frame.name)
         elif frame.question == "verify":
             verdict = self.ledger.verify() if self.keeps() else None
             found = {"kept": verdict is not None} | (verdict._asdict() if verdict is not None else {"why": "this planner does not keep the journal: it stands by, was fenced out, or has no store"})
--- a/laddergw/planner/edge_side.py
+++ b/laddergw/planner/edge_side.py
@@ -16,10 +16,11 @@
 from laddergw.planner.peer import Peer
 from laddergw.planner.plan import Keys, Obeyed, Sent
 from laddergw.planner.sketch import Sketch
+from laddergw.fleet.book import DIGEST_MS
+from laddergw.fleet.bringing import Offer
 from laddergw.fleet.telling import Told
 from laddergw.planner.trust import Trust
 
-DIGEST_MS = 250.0          # between digests
 WHOLE_EACH = 40            # a whole one each ten seconds, whatever was sent before
 REDIAL_MS, DIAL_MS = 500.0, 1_000.0
 
@@ -153,6 +154,10 @@
             self.base = None
         elif isinstance(frame, wire.Kept):
             self.side.audit.stamps.kept_by_planner(frame.turn)
+        elif isinstance(frame, wire.Offer):
+            self.side.audit.offered(peer, Offer(*(getattr(frame, name) for name in Offer._fields)))
+        elif isinstance(frame, wire.Piece):
+            self.side.audit.piece(peer, frame.number, frame.offset, frame.data)
         elif isinstance(frame, wire.Right) and self.side.audit.right is not None:
             self.side.audit.right.granted(frame.number, frame.epoch, frame.lease_ms, frame.forbidden)
 
--- /dev/null
+++ b/laddergw/planner/rollouts.py
@@ -0,0 +1,176 @@
+"""A planner's side of wanted versions: keeps what the rollout decided, offers, sends pieces, answers operators. Decisions lie in fleet/wanted.py.
+
+Only the planner that keeps the journal offers anything. What it decided is on the disk before a director is told; one that takes over goes on where the
+journal stands, a rollout's step from its beginning.
+"""
+import hashlib
+from typing import NamedTuple
+
+import msgspec
+
+from laddergw.fleet import answers, wanted
+from laddergw.fleet.bringing import PIECE_BYTES, SIZE_MOST, Offer
+from laddergw.fleet.telling import Part
+from laddergw.fleet.versions import CAN_BE_WANTED, HASH_DIGITS
+from laddergw.fleet.wanted import Answers, Rollout, Want
+from laddergw.planner import wire
+
+LOOK_MS = 250.0            # between looks: directors tell as often
+IN_HAND = 16               # directors that are sent to at a time: 16 pieces of 16 kB are some ms of the planner, and checks do not come all together
+IN_HAND_MS = 10_000.0      # then another gets the place of one that asked for nothing more
+encode = msgspec.msgpack.Encoder().encode
+
+
+class Hand(NamedTuple):
+    """A director that is sent to."""
+    kind: str
+    asked_ms: float
+    peer: object             # its connection: one that comes on another is offered again at once
+
+
+class Rollouts:
+    """See the module. `auditing`: book, journal, floors and the planner's way to write."""
+
+    def __init__(self, auditing):
+        self.auditing, self.loop = auditing, auditing.loop
+        self.going: dict[str, Rollout] = {}
+        self.content: dict[str, bytes] = {}
+        self.base: dict[str, tuple[Answers, Answers]] = {}       # when it began, or was taken over
+        self.hands: dict[str, Hand] = {}
+        self.highest = 0                                         # number that any director told
+
+    def taken_over(self, wants: dict[str, dict]) -> None:
+        """As the journal has them."""
+        self.going, self.content, self.hands = {}, {}, {}
+        for kind, one in sorted(wants.items()):
+            self.begin(Rollout(Want(*one["want"]), self.loop.now, one["step"], one["state"], one["why"], one["sent"], one["crashed"]), one["data"])
+
+    def begin(self, rollout: Rollout, data: bytes) -> None:
+        want = rollout.want
+        self.going[want.kind], self.content[want.kind] = rollout, data
+        self.base[want.kind] = self.auditing.book.answers(want.kind, want.hash)
+        self.highest = max(self.highest, want.number)
+
+    def write(self, rollout: Rollout, **more) -> bool:
+        return self.auditing.guarded(lambda: self.auditing.ledger.append([encode([rollout.kept() | more])]))
+
+    # Time
+
+    def look(self, peers) -> None:
+        """What is decided is kept, then carried out."""
+        if not self.going or not self.auditing.keeps():
+            return
+        for kind, rollout in self.going.items():
+            before = rollout.kept()
+            base, now = self.base[kind], self.auditing.book.answers(kind, rollout.want.hash)
+            step = rollout.look(self.seats(rollout), *(Answers(*(max(0, b - a) for a, b in zip(*pair))) for pair in zip(base, now)), self.loop.now)
+            if step.keep and not self.write(rollout):
+                self.back_to(rollout, before)
+                continue
+            for name in step.forbid:             # as an operator would, under the same guards
+                self.auditing.forbid((kind, name))
+            self.offer(rollout, set(step.offer), peers)
+
+    def back_to(self, rollout: Rollout, before: dict) -> None:
+        """What could not be written did not happen."""
+        rollout.step, rollout.state, rollout.why, rollout.crashed = before["step"], before["state"], before["why"], set(before["crashed"])
+
+    def seats(self, rollout: Rollout) -> list[wanted.Seat]:
+        return self.auditing.book.seats(rollout.want.kind, rollout.want.number, self.loop.now)
+
+    def offer(self, rollout: Rollout, names: set[str], peers) -> None:
+        """To those whose turn it is, so many at a time."""
+        now, want = self.loop.now, rollout.want
+        there = {peer.other.name: peer for peer in peers if peer.other is not None and peer.other.role == wire.EDGE}
+        self.hands = {name: hand for name, hand in self.hands.items()
+                      if now - hand.asked_ms < IN_HAND_MS and there.get(name) is hand.peer and (hand.kind != want.kind or name in names)}
+        for name in sorted(names & there.keys()):
+            if name not in self.hands:
+                if len(self.hands) >= IN_HAND:
+                    return
+                self.hands[name] = Hand(want.kind, now, there[name])
+                there[name].send(wire.Offer(self.auditing.ledger.store.epoch, want.kind, want.number, want.hash, want.sha, want.size))
+
+    # Directors
+
+    def told(self, process: str, part: Part) -> None:
+        self.highest = max(self.highest, part.came[0])
+        if part.over:
+            for rollout in self.going.values():
+                rollout.stopped(process.partition("-")[0])
+        if part.came[2]:
+            self.hands.pop(process, None)
+
+    def fetch(self, peer, frame: wire.Fetch) -> None:
+        """A piece of a want that still goes on, to whom it was offered; else nothing: the director is offered again."""
+        name, hand = peer.other.name, self.hands.get(peer.other.name)
+        rollout = self.going.get(hand.kind) if hand is not None else None
+        if rollout is None or rollout.state == wanted.HALTED or frame.number != rollout.want.number or not 0 <= frame.offset < rollout.want.size or not self.auditing.keeps():
+            return
+        data = self.content[hand.kind][frame.offset:frame.offset + PIECE_BYTES]
+        self.hands[name] = hand._replace(asked_ms=self.loop.now)
+        if frame.offset + len(data) == rollout.want.size:        # on the disk first: whoever crashes on it twice is not sent it a third time
+            rollout.whole_sent(name)
+            if not self.write(rollout):
+                return
+        peer.send(wire.Piece(frame.number, frame.offset, data))
+
+    # Operators
+
+    def asked(self, frame: wire.Ask) -> dict:
+        if not self.auditing.keeps():
+            return {"refused": "this planner does not keep the journal: ask the one that does"}
+        kind, _, rest = frame.name.partition(" ")
+        if kind not in CAN_BE_WANTED:
+            return {"refused": f"{', '.join(CAN_BE_WANTED)} can be wanted, not {kind[:40]!r}"}
+        if frame.question == "want":
+            why = self.want(kind, rest, frame)
+        elif frame.question == "halt":
+            why = self.halt(kind)
+        else:
+            why = None
+        return {"refused": why} if why is not None else self.stragglers(kind)
+
+    def want(self, kind: str, name: str, frame: wire.Ask) -> str | None:
+        """Begins a rollout; why not, where it is refused."""
+        before = self.going.get(kind)
+        if before is not None and before.state == wanted.GOING:
+            return f"the rollout of {before.want.hash[:8]} (number {before.want.number}) goes on: halt it first"
+        if not 0 < len(frame.data) <= SIZE_MOST or len(name) != HASH_DIGITS:
+            return f"a file of {len(frame.data)} bytes, 1 to {SIZE_MOST}, and its version's hash are needed"
+        if (kind, name) in self.auditing.floors.since:
+            return f"{kind} {name[:8]} must not be used any more: allow it first"
+        want = Want(kind, self.highest + 1, name, hashlib.sha256(frame.data).hexdigest(), len(frame.data), max(0.0, frame.figures.get("soak_ms", wanted.SOAK_MS)),
+                    max(0.0, frame.figures.get("by_ms", 0.0)))
+        rollout = Rollout(want, self.loop.now)
+        if not self.write(rollout, data=frame.data):
+            return "it could not be written"
+        self.hands = {name: hand for name, hand in self.hands.items() if hand.kind != kind}
+        return self.begin(rollout, frame.data)
+
+    def halt(self, kind: str) -> str | None:
+        rollout = self.going.get(kind)
+        if rollout is None or rollout.state == wanted.HALTED:
+            return "nothing goes on"
+        before = rollout.kept()
+        rollout.state, rollout.why = wanted.HALTED, "an operator said so"
+        if not self.write(rollout):
+            self.back_to(rollout, before)
+            return "it could not be written"
+        return None
+
+    def stragglers(self, kind: str) -> dict:
+        """The rollout, and each director that is not on what is wanted, with its cause."""
+        rollout, now, book = self.going.get(kind), self.loop.now, self.auditing.book
+        if rollout is None:
+            return {"want": None, "behind": [], "not_known": answers.unknown(book, now)}
+        seats, behind = self.seats(rollout), []
+        for seat in seats:
+            if (cause := rollout.cause(seat, now)) is not None:
+                behind.append({"process": seat.process, "on": seat.on, "cause": cause[0], "detail": cause[1], "wants_an_eye": cause[0] in wanted.BEHIND})
+        not_known = answers.unknown(book, now)
+        if self.highest > rollout.want.number:
+            not_known.append(f"directors were offered number {self.highest}, here {rollout.want.number} is the last: this journal was set back; want it anew")
+        return {"want": rollout.want._asdict(), "step": rollout.step + 1, "steps": len(wanted.SHARES), "state": rollout.state, "why": rollout.why,
+                "on_it": sum(seat.on == rollout.want.hash and seat.heard for seat in seats), "directors": len(seats), "behind": behind, "not_known": not_known}
+
--- a/laddergw/planner/server.py
+++ b/laddergw/planner/server.py
@@ -14,6 +14,7 @@
 from laddergw.planner.forecast import Forecast
 from laddergw.planner.leader import Leader
 from laddergw.planner.peer import Peer
+from laddergw.planner.rollouts import LOOK_MS
 from laddergw.planner.plan import Keys, Plan
 from laddergw.planner.sketch import Hot, Sketch
 from laddergw.planner.standby import LEADS, Standing
@@ -62,7 +63,7 @@
         self.listener = loop.listen(address, accepting(self.accept, tls))
         self.address = self.listener.address
         self.links = [Leader(self, other) for other in others]
-        for ms, call in (PLAN_MS, self.plan_due), (KEEP_MS, self.keep_due), (AGE_MS, self.age_due), (TURN_MS, self.turn):
+        for ms, call in (PLAN_MS, self.plan_due), (KEEP_MS, self.keep_due), (AGE_MS, self.age_due), (TURN_MS, self.turn), (LOOK_MS, lambda: self.auditing.rollouts.look(self.peers)):
             self.every(ms, call)
 
     def every(self, ms: float, call: Callable[[], None]) -> None:
@@ -152,6 +153,8 @@
     def told(self, peer: Peer, frame: wire.Frame) -> None:
         if isinstance(frame, wire.Ask) and peer.other.role == wire.OPERATOR:
             return peer.send(wire.Answer(self.auditing.ask(frame)))
+        if isinstance(frame, wire.Fetch) and peer.other.role == wire.EDGE:
+            return self.auditing.rollouts.fetch(peer, frame)
         if not isinstance(frame, wire.DigestFrame) or peer.other.role != wire.EDGE:
             return peer.end("only edges tell digests, and operators ask")
         edge = peer.other.name
--- a/laddergw/planner/wire.py
+++ b/laddergw/planner/wire.py
@@ -7,7 +7,10 @@
     credit   plans                               edge -> planner: so many more may come
     kept     turn                                planner -> edge: its audit before that turn is on the disk
     right    number, epoch, lease, forbidden     planner -> edge: it may let plays in, counted from when it sent that digest
-    ask      question, name, time                operator -> planner: of the fleet's audit
+    offer    epoch, kind, number, hash, size     planner -> edge: a file that is wanted there
+    fetch    number, offset                      edge -> planner: the next piece of it
+    piece    number, offset, bytes               planner -> edge
+    ask      question, name, time, content       operator -> planner: of the fleet's audit
     answer   body                                planner -> operator: JSON
     beat     at_ms                               both ways, while nothing else is sent
 
@@ -81,17 +84,39 @@
     forbidden: tuple[tuple[str, str], ...]       # kinds and hashes of versions
 
 
+class Offer(msgspec.Struct, tag="offer", frozen=True):
+    epoch: int
+    kind: str
+    number: int
+    hash: str                                    # of the version, as stands name it
+    sha: str                                     # of its bytes
+    size: int
+
+
+class Fetch(msgspec.Struct, tag="fetch", frozen=True):
+    number: int
+    offset: int
+
+
+class Piece(msgspec.Struct, tag="piece", frozen=True):
+    number: int
+    offset: int
+    data: bytes
+
+
 class Ask(msgspec.Struct, tag="ask", frozen=True):
     question: str
     name: str = ""
     at_wall_ms: float = 0.0
+    data: bytes = b""                            # of a file that is wanted
+    figures: dict[str, float] = {}
 
 
 class Answer(msgspec.Struct, tag="answer", frozen=True):
     body: bytes
 
 
-Frame = Hello | DigestFrame | Again | PlanFrame | Credit | Beat | Kept | Right | Ask | Answer
+Frame = Hello | DigestFrame | Again | PlanFrame | Credit | Beat | Kept | Right | Offer | Fetch | Piece | Ask | Answer
 encoder, decoder = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder(Frame)
 
 
--- a/tests/test_fleet_planner.py
+++ b/tests/test_fleet_planner.py
@@ -10,8 +10,10 @@
 
 from laddergw.fleet import answers, versions
 from laddergw.fleet.book import Book
+from laddergw.fleet.rights import Right
 from laddergw.fleet.stamps import LET_IN, Key, Stamps
 from laddergw.fleet.telling import Part, Told
+from laddergw.fleet.wanted import Rollout
 from laddergw.edge.front import Front
 from laddergw.lab import fleet_stage
 from laddergw.lab.plant import plant
@@ -185,9 +187,9 @@
         logging.disable(logging.CRITICAL)
         self.addCleanup(logging.disable, logging.NOTSET)
 
-    def play(self, seed=1):
-        the_plant = plant(seed, directors=4, nodes=12, rate=12, seconds=12)
-        stage = fleet_stage.FleetStage(the_plant, bad_day(the_plant), kills=5)
+    def play(self, seed=1, seconds=12, kills=5):
+        the_plant = plant(seed, directors=4, nodes=12, rate=12, seconds=seconds)
+        stage = fleet_stage.FleetStage(the_plant, bad_day(the_plant), kills=kills)
         stage.run()
         return stage
 
@@ -226,6 +228,9 @@
             if self.ledger is not None and self.ledger.number % 3 == 1:
                 self.ledger.store.db.execute("DELETE FROM ledger WHERE number = (SELECT max(number) FROM ledger)")
             yield from keep(self, peers)
+        for seed, target, name, mistake in ((3, Right, "why_shut", lambda right, stand, now: None), (2, Rollout, "why_halt", lambda *given: None)):
+            with self.subTest(name), mock.patch.object(target, name, mistake):
+                self.assertNotEqual(self.play(seed, 36, 3).verdict, [])
         for target, name, mistake in ((Book, "merge", doubled), (Told, "part", unheard), (auditing.Auditing, "keep", hasty), (auditing.Auditing, "keep", forgetful)):
             with self.subTest(mistake.__name__), mock.patch.object(target, name, mistake):
                 self.assertNotEqual(self.play().verdict, [])
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -1,6 +1,7 @@
 """The fleet's audit with processes of the program and faults between them: edges, planners, lines of ours, and the command that asks."""
 import json
 import logging
+import pathlib
 import shutil
 import signal
 import subprocess
@@ -10,6 +11,7 @@
 
 from laddergw.lab import audit
 from laddergw.lab.fleet_processes import FleetProcesses
+from laddergw.lab.limits import sound
 from laddergw.lab.plant import plant
 from laddergw.lab.script import Trouble
 from laddergw.lab.stage_processes import CouldNotRun
@@ -48,6 +50,7 @@
         self.command("audit", "--play", key)
         self.key, self.program = key, found["program"]
         self.shut_out()
+        self.take_out()
         for child in self.planners.values():
             child.kill()
             child.wait()
@@ -64,6 +67,10 @@
         self.write_limits()
         self.until(lambda: others() and old not in others(), "the others go over")
         self.command("forbid", "limits", old[:10])
+        self.killed = next(name for name in map(lambda row: row["process"], self.ask(leader, wire.Ask("director", "d2"))["processes"])
+                           if name != json.loads(self.fetch(2, "POST", "/v1/audit", b"{}"))["process"])
+        self.command("gone", "d0-00000000")
+        self.command("gone", self.killed)          # it stays open without planners, and nobody else knows that it is dead
         asked = self.call(1, "GET", "/healthz", b"")
         self.until(lambda: self.ask(leader, wire.Ask("floors"))["floors"][0]["nobody_acts_on_it"], "nobody acts on it")
         self.command("floors")
@@ -78,6 +85,24 @@
             return came[0].status == 200
         self.until(open_again, "it goes over, too, and opens")
 
+    def take_out(self) -> None:
+        """A version that the operator wants, its planner killed as it begins: the other goes on, and each edge has it on its disk."""
+        text = sound(self.plant.seed, 9, self.read_house)
+        with open(self.file("wanted.terms"), "w") as stream:
+            stream.write(text)
+        self.command("want", "--soak", "0.5", "limits", self.file("wanted.terms"))
+        leader = next(planner for planner in self.places if (self.ask(planner, wire.Ask("verify")) or {}).get("kept"))
+        self.planners[leader].kill()
+        self.planners[leader].wait()
+        self.start_planner(leader, True)
+
+        def all_on_it() -> bool:
+            asked = [found for planner in self.planners if (found := self.ask(planner, wire.Ask("stragglers", "limits"))) and "want" in found]
+            return bool(asked) and asked[0]["want"] is not None and asked[0]["state"] == "done" and not asked[0]["behind"]
+        self.until(all_on_it, "all are on what is wanted")
+        self.command("stragglers")
+        self.kept = [pathlib.Path(self.limits(number)).read_text() == text for number in range(self.plant.directors)]
+
     def until(self, done, what: str) -> None:
         """Asks again until it is so, a little later each time."""
         latest = self.loop.now + COMMAND_MS
@@ -121,9 +146,13 @@
         status, said = stage.answers[next(words for words in stage.answers if words.startswith("forbid"))]
         self.assertEqual((status, "some may still" in said), (0, True), said)
         self.assertIn("nobody lets plays in under it any more", stage.answers["floors"][1])
+        self.assertEqual([stage.answers[f"gone {name}"][0] for name in ("d0-00000000", stage.killed)], [1, 0])
         self.assertTrue(stage.still)
         self.assertEqual(stage.woke[0], 503, stage.woke)
         self.assertIn(b"no planner has granted", stage.woke[1])
+        self.assertEqual([stage.answers[words][0] for words in stage.answers if words.startswith(("want", "stragglers"))], [0, 0])
+        self.assertIn("3 of 3 directors on it", stage.answers["stragglers"][1])
+        self.assertEqual(stage.kept, [True] * 3)
         self.assertEqual(stage.answers["verify --json"][0], 2, stage.answers["verify --json"])
 
 
--- a/tests/test_fleet_rights.py
+++ b/tests/test_fleet_rights.py
@@ -1,19 +1,11 @@
 """Rights and forbidden versions: leases counted from the asking, guards, every order of losses and takeovers, and directors behind lines that fail."""
-import json
-import os
-import tempfile
 import unittest
 
 from laddergw.fleet import rights_check, versions
 from laddergw.fleet.rights import ASKED_KEPT, CLOSED, LEASE_MS, MARGIN_MS, OPEN, Floors, Right, Seen
 from laddergw.fleet.rights_check import TICK_MS, Rules, check
-from laddergw.lab.lines import Line
-from laddergw.planner import wire
-from laddergw.planner.edge_side import EdgeSide
-from laddergw.planner.server import Planner
-from laddergw.store.keeper import Store
 from laddergw.terms.loading import load
-from tests.town import Town
+from tests.fleet_town import FleetTown
 
 V, W = ("limits", "v" * 16), ("limits", "w" * 16)
 
@@ -74,33 +66,9 @@
                 self.assertIn("lets plays in under V", check(rules).broken)
 
 
-class Behind(unittest.TestCase):
+class Behind(FleetTown):
     """Two directors that close without planners, one of them on a version of its own."""
 
-    def setUp(self):
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        self.path = os.path.join(folder.name, "store")
-        self.town = Town(directors=2, bounds="(without-planner closed)")
-        self.planners = 0
-        self.start_planner()
-        self.lines, self.sides = [], []
-        for number, director in self.town.directors.items():
-            line = Line(self.town.world.host(f"relay{number}"), f"d{number}>p0", (f"relay{number}", 1), lambda: ("p0", 8300), self.town.record)
-            self.lines.append(line)
-            self.sides.append(EdgeSide(director, (line.address,)))
-        self.town.run(1_500)
-
-    def start_planner(self):
-        self.planners += 1
-        self.planner = Planner(self.town.world.host("p0"), f"p0.{self.planners}", ("p0", 8300), Store(self.path), (("k", b"key-of-the-small-town"),), clock=lambda: self.town.world.now)
-        self.addCleanup(self.planner.store.db.close)
-
-    def ask(self, number, **facts):
-        ask = self.town.ask(number, key=f"v{self.town.world.now}", **facts)
-        self.town.run(400)
-        return ask.answer, ask.lines[0][1].get("reason")
-
     def own_version(self):
         """The second director goes over to a file of its own; how its hash begins."""
         director, host = self.town.directors[1], self.town.world.hosts["d1"]
@@ -109,9 +77,6 @@
         self.town.run(1_500)
         return self.sides[1].audit.held[versions.LIMITS].hash[:8]
 
-    def question(self, what, name=""):
-        return json.loads(self.planner.auditing.ask(wire.Ask(what, name)))
-
     def test_shut_out_and_back(self):
         self.assertEqual([self.ask(number)[0] for number in (0, 1)], ["playing", "playing"])
         name = f"limits {self.own_version()}"
--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -18,7 +18,7 @@
 
 
 def file_with(deployment="", top="", product=""):
-    text = FILE.format(number=0, bounds=top)
+    text = FILE.format(number=0, bounds=top, fleet=2)
     return text.replace("(reports x0 x1)", "(reports x0 x1) " + deployment).replace("(importance 1)", "(importance 1) " + product)
 
 
--- a/tests/town.py
+++ b/tests/town.py
@@ -11,7 +11,7 @@
 from laddergw.loop.memory import Memory
 
 FILE = """(director (number {number}) (listen "d{number}" 80) (list "list" 80) (key k "key-of-the-small-town") {bounds}
- (deployment (directors 2) (cells 2) (racks 2) (ladder 100 200 400) (rung-worth 0.3 0.6 1) (link-unit-kb 9000) (rack-kb 40000)
+ (deployment (directors {fleet}) (cells 2) (racks 2) (ladder 100 200 400) (rung-worth 0.3 0.6 1) (link-unit-kb 9000) (rack-kb 40000)
   (streams 20) (cold-from 0.5) (warm-ms 4000) (fall-multiple 2) (seen-after-ms 500) (allocations 3) (reports x0 x1)
   (product safe (importance 1)) (product paid (importance 2) (repeat paid) (floor 1))))"""
 
@@ -52,7 +52,7 @@
             self.start_node(number, cold)
         self.viewer = self.world.host("viewer")
         self.pools, self.directors = {}, {}
-        self.bounds, self.director_class = bounds, director_class
+        self.bounds, self.director_class, self.count = bounds, director_class, directors
         for number in range(directors):
             self.start_director(number)
             self.pools[number] = Pool(self.viewer, (f"d{number}", 80), LIMITS)
@@ -62,7 +62,7 @@
         self.records.append((now, what, facts))
 
     def start_director(self, number):
-        text = FILE.format(number=number, bounds=self.bounds)
+        text = FILE.format(number=number, bounds=self.bounds, fleet=max(2, self.count))
         self.directors[number] = self.director_class(self.world.host(f"d{number}"), read(text), wall=lambda: self.world.now,
                                                      tap=tap(f"d{number}.1", self.record))
 
