--- a/laddergw/fleet/wanted.py
+++ b/laddergw/fleet/wanted.py
@@ -18,6 +18,7 @@
 WORSE_BY, WORSE_Z, ANSWERS_LEAST = 0.05, 3.0, 50      # answers that are no play: a share so much higher, by so many standard errors, of so many answers
 GRACE_MS = 15_000.0        # from its turn on: then a director that is not on it is called behind
 STILL_TOLD_MS = 60_000.0   # so long a stand-still is given as the cause
+NUMBERS_OF_EPOCH = 1_000   # wants of one epoch; more run into the next one's, which are above them anyway
 GOING, HALTED, DONE = "going", "halted", "done"
 UNREACHABLE, REFUSED, CRASHED, OLD, STILL, FILE, TURN, COMING = ("cannot be reached", "refused it", "was brought up and is not on it", "its program does not know the form",
                                                                 "stood still", "its own file is at fault", "waits for its turn", "is being brought up")
@@ -67,6 +68,11 @@
     forbid: tuple[str, ...] = ()
 
 
+def next_number(epoch: int, highest: int) -> int:
+    """Of a new want. The epoch is in it, so that a journal that was set back does not give a number again that may still be on its way to somebody."""
+    return max(epoch * NUMBERS_OF_EPOCH, highest) + 1
+
+
 def in_turn(want: Want, seats: Iterable[Seat]) -> list[Seat]:
     """Directors in the order in which they get it: drawn within each zone by the version, zones one after the other."""
     found, places = [], {}
--- a/laddergw/planner/program.py
+++ b/laddergw/planner/program.py
@@ -5,6 +5,7 @@
 
 Keys sign plans and are the directors'. A planner without (leads) stands by. docs/planner.md tells the rest.
 """
+import gc
 import os
 import signal
 import sys
@@ -21,6 +22,7 @@
 from laddergw.terms.reading import Faults, Reader, only_form, text_of
 from laddergw.terms.sexpr import Refused
 
+COLLECT_MS = 600_000.0     # between collections of cycles: only ended connections leave any; left to itself, the collector walks over the audit's book all the time
 EXIT_GOOD, EXIT_FAILED, EXIT_FILE = 0, 1, 2
 
 
@@ -78,6 +80,8 @@
     for number in signal.SIGTERM, signal.SIGINT:
         loop.on_signal(number, planner.stop)
     loop.on_signal(signal.SIGHUP, lambda: read_again(path, planner, log))
+    gc.disable()
+    planner.every(COLLECT_MS, gc.collect)
     log.info("planner runs", address=planner.address, leads=office.leads, epoch=planner.standing.epoch)
     sys.stdout.write(f"ready {planner.address[0]} {planner.address[1]}\n")
     sys.stdout.flush()
--- a/laddergw/planner/rollouts.py
+++ b/laddergw/planner/rollouts.py
@@ -140,7 +140,7 @@
             return f"a file of {len(frame.data)} bytes, 1 to {SIZE_MOST}, and its version's hash are needed"
         if (kind, name) in self.auditing.floors.since:
             return f"{kind} {name[:8]} must not be used any more: allow it first"
-        want = Want(kind, self.highest + 1, name, hashlib.sha256(frame.data).hexdigest(), len(frame.data), max(0.0, frame.figures.get("soak_ms", wanted.SOAK_MS)),
+        want = Want(kind, wanted.next_number(self.auditing.ledger.store.epoch, self.highest), name, hashlib.sha256(frame.data).hexdigest(), len(frame.data), max(0.0, frame.figures.get("soak_ms", wanted.SOAK_MS)),
                     max(0.0, frame.figures.get("by_ms", 0.0)))
         rollout = Rollout(want, self.loop.now)
         if not self.write(rollout, data=frame.data):
--- a/tests/test_fleet_wanted.py
+++ b/tests/test_fleet_wanted.py
@@ -3,9 +3,10 @@
 import os
 import unittest
 
-from laddergw.fleet import bringing, wanted
+from laddergw.fleet import bringing, wanted, wanted_check
 from laddergw.fleet.bringing import PIECE_BYTES, Bringing, Fetch, Offer
 from laddergw.fleet.wanted import Answers, Rollout, Seat, Want
+from laddergw.fleet.wanted_check import Rules, check
 
 GOOD, OTHER = b"(limits (defaults (attempts 2)))", b"(limits (defaults (attempts 1)))"
 
@@ -108,5 +109,22 @@
         self.assertEqual(self.made.outcome.what, bringing.REFUSED)
 
 
+class Checked(unittest.TestCase):
+    """Every order of offers, losses, takeovers, journals set back and processes that begin anew, as far as is looked."""
+
+    def test_no_break_in_the_states_looked_at(self):
+        self.assertEqual(check(most=60_000), wanted_check.Outcomes(60_000, None, ()))
+
+    def test_mistakes_are_found(self):
+        def any_epoch(made, offer):
+            made.epoch = min(made.epoch, offer.epoch)
+            return Bringing.offered(made, offer)
+        few = {"directors": 1, "flying": 1, "epochs": 1, "wants": 1}
+        for found, rules in (("a third time", Rules(may_try=lambda rollout, seat: True, **few)), ("obeys epoch 1 after 2", Rules(offered=any_epoch, fenced=False, lives=1)),
+                             ("two contents", Rules(number=lambda epoch, highest: highest + 1, flying=1, lives=1))):    # a journal set back while an offer was on its way
+            with self.subTest(found):
+                self.assertIn(found, check(rules).broken)
+
+
 if __name__ == "__main__":
     unittest.main()
