Further allocations as one budget of the whole fleet: granted by leases, never over the whole

Change: `(scope fleet)` in the limits, `(budget NAME (whole N))` in planners' files, `(issuer STORE)` in directors'. fleet/grants.py is a director's side, fleet/issuing.py charges each process with the most that it may have spent or may spend within any window, fleet/dividing.py divides max-min by need; planner/budgeting.py carries. Who takes over believes no record and waits out leases, margin and window; what a director holds is renewed meanwhile. docs/budgets.md has the argument, options, figures.

Checked: a checker that knows nothing of grants counts true times of spends.

--- a/laddergw/cli/fleet_rollouts.py
+++ b/laddergw/cli/fleet_rollouts.py
@@ -1,4 +1,4 @@
-"""laddergw fleet want, halt, stragglers: a version taken out over the fleet, and who is not on it."""
+"""laddergw fleet want, halt, stragglers: a version taken out over the fleet, and who is not on it; budgets: what of the fleet's is granted to whom."""
 from pathlib import Path
 from typing import Annotated
 
@@ -56,3 +56,27 @@
     """Who is not on the wanted version, and why. Ends with 1 where the rollout is halted, or a cause will not pass by itself."""
     from laddergw.planner import wire
     rollout_asked(house, as_json, wire.Ask("stragglers", kind))
+
+
+def shares(found: dict) -> list[str]:
+    """Budgets in lines."""
+    lines = [f"granted by the planners of store {found['issuer']}: directors' files name it as (issuer \"{found['issuer']}\")"]
+    for row in found["budgets"]:
+        waits = f"; nobody is granted more for {row['waits_ms'] / 1000:.1f} s, until what a planner of before granted is over" if row["waits_ms"] else ""
+        lines.append(f"{row['budget']}: {row['charged']} of {row['whole']} charged in {row['window_ms'] / 1000:g} s, floors {row['floors']} of {row['reserve']}"
+                     + (f", {row['unknown']} may be out unknown" if row["unknown"] else "") + f"; {row['divided']}{waits}")
+        lines += [f"    {one['process']:14} charged {one['charged']:6} floor {one['floor']:4} spent {one['spent']:6} needs {one['needs']:6} wants {one['wants']:6}" + ("  silent" if one["silent"] else "")
+                  for one in row["held"]]
+    return lines
+
+
+@app.command()
+def budgets(house: House, name: Annotated[str, typer.Option(help="only this one")] = "", as_json: AsJson = False) -> None:
+    """Budgets of the fleet: the whole, what is charged to whom, what they need, the last division and why. Ends with 1 where no planner grants any."""
+    from laddergw.planner import wire
+    found, = ask(house, wire.Ask("budgets"))
+    if "refused" in found:
+        typer.echo(f"refused: {found['refused']}", err=True)
+        raise typer.Exit(1)
+    found["budgets"] = [row for row in found["budgets"] if name in ("", row["budget"])]
+    say(found, as_json, shares)
--- a/laddergw/cli/rehearsing.py
+++ b/laddergw/cli/rehearsing.py
@@ -41,6 +41,9 @@
     if name == "fleet" and day is None:
         from laddergw.cli.rehearsing_fleet import fleet
         return fleet(seed, plant.plant(seed, directors or 12, nodes or 24, rate or 24.0, seconds or 60.0), report, memory, keep, log, kills, lines)
+    if name == "budgets" and day is None:
+        from laddergw.cli.rehearsing_fleet import budgets
+        return budgets(seed, plant.plant(seed, directors or 12, nodes or 24, rate or 24.0, seconds or 60.0), report, memory, keep, log, kills, lines)
     if name in ("limits", "move") and day is None:
         return switching(importlib.import_module(f"laddergw.lab.{name}"), seed, usual(), report, memory, keep, log)
     if name == "stitched" and day is None:
--- a/laddergw/cli/rehearsing_fleet.py
+++ b/laddergw/cli/rehearsing_fleet.py
@@ -29,3 +29,25 @@
     for line in said + [f"broken: audit: {broken}" for broken in stage.verdict[:20]]:
         typer.echo(line)
     conclude(the_plant, the_script, records, stage.conductor.missed, "in memory" if memory else "on loopback", began, seed, said, report, bool(stage.verdict))
+
+
+def budgets(seed: int, the_plant, report: Path | None, memory: bool, keep: Path | None, log: str, kills: int, lines: Path | None = None) -> None:
+    """A bad day on which edges share further allocations; lines, planners and edges fail. The most that any window held is counted from the edges' own taps."""
+    from laddergw.lab import line_script, script
+    from laddergw.lab.budget_processes import BudgetProcesses, storms
+    from laddergw.terms.sexpr import Refused
+    if memory:
+        typer.echo("rehearse budgets plays as processes; in memory it is tests and benchmarks/budgets_use.py", err=True)
+        raise typer.Exit(EXIT_COULD_NOT)
+    began, the_script = time.monotonic(), sorted(script.bad_day(the_plant) + storms(the_plant))
+    try:
+        faults = line_script.read_file(str(lines)) if lines is not None else None
+    except Refused as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(EXIT_COULD_NOT) from None
+    stage = BudgetProcesses(the_plant, the_script, kills, str(keep) if keep else None, log, faults)
+    records = played(stage)
+    said, over = stage.judged(records)
+    for line in said:
+        typer.echo(line)
+    conclude(the_plant, the_script, records, stage.conductor.missed, "on loopback", began, seed, said, report, over or bool(stage.verdict))
--- a/laddergw/lab/apart_processes.py
+++ b/laddergw/lab/apart_processes.py
@@ -28,6 +28,7 @@
         authority = Authority(self.folder)
         self.papers = {f"p{number}": authority.issue(f"p{number}") for number in range(PLANNERS)}
         self.edge_papers = authority.issue("d")
+        self.planner_more = ""               # of each planner's file
         self.planners: dict[int, subprocess.Popen] = {}
         self.places: dict[int, tuple[str, int]] = {}
         self.logs = open(self.file("planners.log"), "wb")
@@ -52,7 +53,7 @@
         path = self.file(f"p{number}.planner")
         with open(path, "w") as stream:
             stream.write(f'(planner (name p{number}) (listen "{host}" {port}) (store "{self.file("planner.store")}") (key lab "rehearsal-key-of-{self.plant.seed:08d}") '
-                         f'{"(leads)" if leads else ""} {others} {self.tls(self.papers[f"p{number}"])} (seed {self.plant.seed + self.names}))')
+                         f'{"(leads)" if leads else ""} {self.planner_more} {others} {self.tls(self.papers[f"p{number}"])} (seed {self.plant.seed + self.names}))')
         child = self.loop.spawn([sys.executable, "-m", "laddergw.cli", "planner", path, "--log", "debug"], lambda status: None, stdout=subprocess.PIPE, stderr=self.logs)
         self.planners[number] = child
 
--- a/laddergw/machines/windows.py
+++ b/laddergw/machines/windows.py
@@ -51,6 +51,7 @@
         self.taken: dict[str, Window] = {}
         self.further: dict[str, Window] = {}
         self.allowed: dict[str, Allowed] = {}
+        self.fleet = None                      # grants of budgets that are the whole fleet's (fleet/grants.py)
 
     def set(self, allowed: dict[str, Allowed]) -> None:
         for name, one in allowed.items():
@@ -70,11 +71,13 @@
     def may(self, names: Iterable[str], now: float) -> str | None:
         """Counts a further allocation and returns None, or the name of the first budget that is spent, and counts nothing. One lowered
         below what is spent lets nothing through until its window has passed."""
-        held = [name for name in names if name in self.allowed]
+        held, drawn = [name for name in names if name in self.allowed], set()
         for name in held:
             one = self.allowed[name]
             if self.further[name].most(now) + 1 > one.free + one.share * self.taken[name].least(now):
-                return name
+                if self.fleet is None or not self.fleet.may(name, now):
+                    return name
+                drawn.add(name)
         for name in held:
-            self.further[name].add(now)
+            self.fleet.took(name, now) if name in drawn else self.further[name].add(now)
         return None
--- a/laddergw/planner/auditing.py
+++ b/laddergw/planner/auditing.py
@@ -15,6 +15,7 @@
 from laddergw.fleet.telling import Senseless
 from laddergw.fleet.wanted import HALTED
 from laddergw.planner import wire
+from laddergw.planner.budgeting import BUDGETS, Budgeting
 from laddergw.planner.rollouts import Rollouts
 from laddergw.store.keeper import Store
 from laddergw.store.ledger import Ledger
@@ -30,7 +31,7 @@
 
 def fold(records: Iterator[bytes]) -> bytes:
     """Records of the journal as one: for each process what holds by then, its oldest turns as counts alone."""
-    book, floors, wants = Book(), [], {}
+    book, floors, wants, budgets = Book(), [], {}, []
     for record in records:
         for one in read(record):
             if FLOORS in one:
@@ -39,9 +40,12 @@
             if WANT in one:
                 wants[one[WANT][0]] = wants.get(one[WANT][0], {}) | one
                 continue
+            if BUDGETS in one:
+                budgets = [one]
+                continue
             book.restore(one)
             book.bound(book.processes[one["process"]])
-    return encode(floors + list(wants.values()) + [book.record(name, 0.0, whole=True) for name in sorted(book.processes)])
+    return encode(floors + budgets + list(wants.values()) + [book.record(name, 0.0, whole=True) for name in sorted(book.processes)])
 
 
 def read(record: bytes) -> list[dict]:
@@ -54,12 +58,12 @@
     def __init__(self, loop, guarded: Callable[[Callable[[], None]], bool], wall: Callable[[], float] = lambda: time.time() * 1000):
         self.loop, self.guarded, self.wall = loop, guarded, wall
         self.book, self.ledger, self.floors = Book(), None, Floors()
-        self.rollouts = Rollouts(self)
+        self.rollouts, self.budgeting = Rollouts(self), Budgeting(self)
 
     def opened(self, store: Store) -> None:
         """The store is ours: what it holds is read, what it lacks of what we heard is written with the next records."""
         self.ledger = Ledger(store)
-        disk, forbidden, wants = Book(), [], {}
+        disk, forbidden, wants, budgets = Book(), [], {}, []
         for record in self.ledger.records():
             for one in read(record):
                 if FLOORS in one:
@@ -68,11 +72,15 @@
                 if WANT in one:
                     wants[one[WANT][0]] = wants.get(one[WANT][0], {}) | one
                     continue
+                if BUDGETS in one:
+                    budgets = one[BUDGETS]
+                    continue
                 disk.restore(one)
                 self.book.restore(one)
                 disk.bound(disk.processes[one["process"]])
         self.floors.taken_over((tuple(version) for version in forbidden), self.loop.now)
         self.rollouts.taken_over(wants)
+        self.budgeting.taken_over(budgets)
         for name, process in self.book.processes.items():
             process.heard_ms = min(process.heard_ms, self.loop.now)      # (another machine's clock may be ahead)
             known = disk.processes.get(name)
@@ -92,6 +100,8 @@
             if frame.audit is not None:
                 self.book.merge(peer.other.name, frame.audit, frame.at_ms, self.loop.now, frame.number)
                 self.rollouts.told(peer.other.name, frame.audit)
+            self.budgeting.told(peer, frame)
+            if frame.audit is not None:
                 if frame.audit.without and self.keeps():
                     peer.send(wire.Right(frame.number, self.ledger.store.epoch, LEASE_MS, tuple(sorted(self.floors.since))))
         except Senseless as error:
@@ -198,6 +208,8 @@
             found = self.change_floors(frame)
         elif frame.question in ("want", "halt", "stragglers"):
             found = self.rollouts.asked(frame)
+        elif frame.question == "budgets":
+            found = self.budgeting.shown()
         elif frame.question == "gone":
             found = self.gone(frame.name)
         elif frame.question == "verify":
--- a/laddergw/planner/edge_side.py
+++ b/laddergw/planner/edge_side.py
@@ -18,8 +18,10 @@
 from laddergw.planner.sketch import Sketch
 from laddergw.fleet.book import DIGEST_MS
 from laddergw.fleet.bringing import Offer
+from laddergw.fleet.grants import Holding
 from laddergw.fleet.telling import Told
 from laddergw.planner.trust import Trust
+from laddergw.terms.generations import of_the_fleet
 
 WHOLE_EACH = 40            # a whole one each ten seconds, whatever was sent before
 REDIAL_MS, DIAL_MS = 500.0, 1_000.0
@@ -39,6 +41,12 @@
         self.lines = [Line(self, tuple(address)) for address in planners]
         director.observer = self
         self.audit = AuditSide(self)
+        self.holding = Holding(director.house.issuer) if director.house.issuer else None
+        if self.holding is not None:
+            self.holding.set(of_the_fleet(director.limits))
+            director.budgets.fleet, self.watched, director.watch = self.holding, director.watch, self.watch
+            if director.tap is not None:
+                self.holding.drawn = lambda name, now: director.tap("budget drawn", now, {"budget": name})
         self.loop.after(DIGEST_MS, self.tell)
 
     @property
@@ -63,6 +71,11 @@
         if plan is not None and entry is not None and node in plan.nodes:
             self.trust.compare(asked * entry.weight * self.director.house.deployment.link_unit, plan.nodes[node][0])
 
+    def watch(self, what: str, **facts) -> None:
+        if what == "limits changed":
+            self.holding.set(of_the_fleet(self.director.limits))
+        self.watched(what, **facts)
+
     # Digests
 
     def digest(self) -> Digest:
@@ -81,8 +94,9 @@
         self.titles = Sketch()                   # hot titles are told once, the planner adds them up
         self.sent.told(digest.number, digest.nodes)
         self.audit.asks(digest.number)
+        budgets = self.holding.asks(digest.number, self.loop.now, self.director.stopping) if self.holding is not None else ()
         for line in self.lines:
-            line.tell(digest)
+            line.tell(digest, budgets)
         self.loop.after(DIGEST_MS, self.tell)
 
     # Plans
@@ -137,13 +151,13 @@
         owner = self.peer if side.tls is None else Secure(self.peer, side.tls(), False, self.address[0])
         side.loop.dial(self.address, owner, DIAL_MS)
 
-    def tell(self, digest: Digest) -> None:
+    def tell(self, digest: Digest, budgets: tuple = ()) -> None:
         if self.peer is None or self.peer.other is None:
             return
         base = None if digest.number % WHOLE_EACH == 0 else self.base
         obeyed, plan = self.side.obeyed, self.side.obeyed.plan
         age = self.side.loop.now - obeyed.came_ms if plan is not None else 0.0
-        self.peer.send(wire.as_frame(digest, base, 0 if plan is None else plan.epoch, age, obeyed.seen[0], self.side.audit.part(self.audit)))
+        self.peer.send(wire.as_frame(digest, base, 0 if plan is None else plan.epoch, age, obeyed.seen[0], self.side.audit.part(self.audit), budgets))
         self.base = wire.Base(digest.number, digest.nodes)
 
     def told(self, peer: Peer, frame: wire.Frame) -> None:
@@ -154,6 +168,8 @@
             self.base = None
         elif isinstance(frame, wire.Kept):
             self.side.audit.stamps.kept_by_planner(frame.turn)
+        elif isinstance(frame, wire.Granted) and self.side.holding is not None:
+            self.side.holding.granted(frame.number, frame.epoch, frame.issuer, frame.grants, self.side.loop.now)
         elif isinstance(frame, wire.Offer):
             self.side.audit.offered(peer, Offer(*(getattr(frame, name) for name in Offer._fields)))
         elif isinstance(frame, wire.Piece):
--- a/laddergw/planner/program.py
+++ b/laddergw/planner/program.py
@@ -13,6 +13,7 @@
 
 from laddergw.terms.house import signing_keys, take_planners, take_tls
 from laddergw.director.watching import logger
+from laddergw.fleet.issuing import Budget
 from laddergw.loop import held
 from laddergw.loop.sockets import SocketLoop
 from laddergw.loop.tls import client_context, server_context
@@ -36,6 +37,7 @@
     others: tuple[tuple[str, int], ...]
     tls: tuple[str, str, str] | None
     seed: int
+    budgets: tuple[Budget, ...] = ()
 
 
 def read_file(path: str) -> Office:
@@ -43,16 +45,27 @@
     faults = Faults()
     top = Reader(only_form(text_of(path), os.path.basename(path), "planner"), faults)
     office = Office(top.word("name") or "", top.address("listen"), top.word("store", None), signing_keys(top), top.atoms("leads", None, 0, 0) is not None,
-                    take_planners(top, "other"), take_tls(top), top.whole("seed", 1, 0, 2 ** 63))
+                    take_planners(top, "other"), take_tls(top), top.whole("seed", 1, 0, 2 ** 63), take_budgets(top))
     top.no_others()
     faults.settle()
     return office
 
 
+def take_budgets(top: Reader) -> tuple[Budget, ...]:
+    """Budgets of the fleet: (budget "tenant basin" (whole 40) (window-ms 10000))."""
+    found = []
+    for one in top.each("budget"):
+        found.append(Budget(one.title, one.whole("whole", 0, 0, 1_000_000_000) or 0, one.number("window-ms", 10_000.0, 100, 3_600_000)))
+        one.no_others()
+    return tuple(found)
+
+
 def read_again(path: str, planner: Planner, log) -> None:
-    """At SIGHUP: the file's keys hold from the next plan on; a refused file changes nothing, the rest waits for a restart."""
+    """At SIGHUP: the file's keys hold from the next plan on, its budgets from the next division; a refused file changes nothing, the rest waits for a restart."""
     try:
-        planner.keys = read_file(path).keys
+        office = read_file(path)
+        planner.keys = office.keys
+        planner.auditing.budgeting.set(office.budgets)
         log.info("keys changed", signs=planner.keys[0][0], taken=[name for name, _ in planner.keys])
     except Refused as error:
         log.error("file refused", faults=[str(fault) for fault in error.faults])
@@ -77,6 +90,7 @@
         log.error("cannot start", error=str(error))
         return EXIT_FAILED
     planner.store_path = office.store
+    planner.auditing.budgeting.set(office.budgets)
     for number in signal.SIGTERM, signal.SIGINT:
         loop.on_signal(number, planner.stop)
     loop.on_signal(signal.SIGHUP, lambda: read_again(path, planner, log))
--- a/laddergw/planner/wire.py
+++ b/laddergw/planner/wire.py
@@ -7,6 +7,7 @@
     credit   plans                               edge -> planner: so many more may come
     kept     turn                                planner -> edge: its audit before that turn is on the disk
     right    number, epoch, lease, forbidden     planner -> edge: it may let plays in, counted from when it sent that digest
+    granted  number, epoch, issuer, grants       planner -> edge: budgets of the fleet, counted from when it sent that digest
     offer    epoch, kind, number, hash, size     planner -> edge: a file that is wanted there
     fetch    number, offset                      edge -> planner: the next piece of it
     piece    number, offset, bytes               planner -> edge
@@ -20,6 +21,7 @@
 
 import msgspec
 
+from laddergw.fleet.grants import Grant, Row
 from laddergw.fleet.telling import Part, Senseless
 from laddergw.planner.digests import Digest
 from laddergw.planner.sketch import Hot
@@ -54,6 +56,7 @@
     obeys: int                                   # epoch of the last plan that came
     age_ms: float                                # since it came
     seen: int                                    # highest epoch of all that came
+    budgets: tuple[Row, ...] = ()                # of the fleet: what it holds of them, spent, and wants
     audit: Part | None = None                    # what changed of its stands and counts; peers of before know nothing of it, nor need to
 
 
@@ -84,6 +87,13 @@
     forbidden: tuple[tuple[str, str], ...]       # kinds and hashes of versions
 
 
+class Granted(msgspec.Struct, tag="granted", frozen=True):
+    number: int                                  # of the digest that it answers
+    epoch: int
+    issuer: str                                  # identity of the store
+    grants: tuple[Grant, ...]
+
+
 class Offer(msgspec.Struct, tag="offer", frozen=True):
     epoch: int
     kind: str
@@ -116,7 +126,7 @@
     body: bytes
 
 
-Frame = Hello | DigestFrame | Again | PlanFrame | Credit | Beat | Kept | Right | Offer | Fetch | Piece | Ask | Answer
+Frame = Hello | DigestFrame | Again | PlanFrame | Credit | Beat | Kept | Right | Granted | Offer | Fetch | Piece | Ask | Answer
 encoder, decoder = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder(Frame)
 
 
@@ -159,7 +169,7 @@
     nodes: dict[int, tuple[float, int]]
 
 
-def as_frame(digest: Digest, base: Base | None, obeys: int = 0, age_ms: float = 0.0, seen: int = 0, audit: Part | None = None) -> DigestFrame:
+def as_frame(digest: Digest, base: Base | None, obeys: int = 0, age_ms: float = 0.0, seen: int = 0, audit: Part | None = None, budgets: tuple[Row, ...] = ()) -> DigestFrame:
     """Whole, or what changed since a base; with what the edge obeys, and its part of the audit."""
     nodes, gone, since = digest.nodes, (), 0
     if base is not None:
@@ -167,7 +177,7 @@
         nodes = {node: told for node, told in digest.nodes.items() if base.nodes.get(node) != told}
         gone = tuple(node for node in base.nodes if node not in digest.nodes)
     return DigestFrame(digest.number, since, digest.at_ms, nodes, gone, digest.arrivals, tuple(tuple(hot) for hot in digest.hot), digest.failures, digest.drains, obeys, age_ms, seen,
-                       audit)
+                       budgets, audit)
 
 
 def as_digest(edge: str, frame: DigestFrame, known: Digest | None) -> Digest | None:
--- a/laddergw/store/keeper.py
+++ b/laddergw/store/keeper.py
@@ -4,6 +4,7 @@
 elsewhere, and virtual files by which tests cut it at every write). Taken: the last. Each record carries a checksum, so a flipped bit ends the history there and is told;
 two snapshots are kept, so a broken one costs the time between them. Whoever opens the store takes the next epoch; a write under an older one is refused.
 """
+import os
 from typing import Iterable, NamedTuple
 from zlib import crc32
 
@@ -67,6 +68,8 @@
         self.set_fact("format", FORMAT)
         self.epoch = (self.fact("epoch") or 0) + 1
         self.set_fact("epoch", self.epoch)
+        self.identity = self.fact("identity") or int.from_bytes(os.urandom(7), "big")      # of this store, whoever opens it
+        self.set_fact("identity", self.identity)
 
     def fact(self, name: str) -> int | None:
         row = self.db.execute("SELECT value FROM facts WHERE name = ?", (name,)).fetchone()
--- a/laddergw/terms/generations.py
+++ b/laddergw/terms/generations.py
@@ -59,7 +59,13 @@
 
 
 def as_allowed(budget: Budget) -> Allowed:
-    return Allowed(budget.free, budget.share, budget.window_ms)
+    """Of a fleet's budget the share of its own plays is the director's; the rest is granted."""
+    return Allowed(0.0 if budget.fleet else budget.free, budget.share, budget.window_ms)
+
+
+def of_the_fleet(limits: Limits) -> dict[str, float]:
+    """Windows of budgets that planners grant, ms, by name."""
+    return {row.name: row.budget.window_ms for row in [row for _, row in limits.routes] + list(limits.tenants.values()) if row.budget is not None and row.budget.fleet}
 
 
 def changes(old: Limits, new: Limits) -> list[str]:
@@ -93,7 +99,7 @@
             if told is not None:
                 found[f"{name}: {key}"] = show(told.value)
         if row.budget is not None:
-            found[f"{name}: budget"] = show(row.budget[:3])
+            found[f"{name}: budget"] = show(row.budget[:3]) + (" of the fleet" if row.budget.fleet else "")
         if row.tenant is not None:
             found[f"{name}: tenant"] = row.tenant
     return found
--- a/laddergw/terms/house.py
+++ b/laddergw/terms/house.py
@@ -28,6 +28,7 @@
     planners: tuple[tuple[str, int], ...] = ()
     tls: tuple[str, str, str] | None = None # files: own certificate, its key, the authority's certificate
     peers: tuple[tuple[int, tuple[str, int]], ...] = ()    # other directors by number
+    issuer: str = ""                        # identity of the store whose planners grant budgets of the fleet; empty: none are taken
     without_planner: str = ""               # "open" or "closed": what it does whose right to let plays in has ended; empty: it asks for none
 
 
@@ -58,7 +59,8 @@
     if told is not None and told.directors is not None and number >= told.directors:
         top.fault(top.places.get("number", form.place), "number", f"{number} of {told.directors} directors: counts from 0")
     house = House(number, top.whole("seed", 1, 0, 2 ** 63), top.address("listen"), top.address("list"), keys,
-                  rows, told, read_bounds, retired, take_planners(top, "planner"), take_tls(top), peers, top.word("without-planner", "", among=("open", "closed")))
+                  rows, told, read_bounds, retired, take_planners(top, "planner"), take_tls(top), peers, top.word("issuer", ""),
+                  top.word("without-planner", "", among=("open", "closed")))
     top.no_others()
     faults.settle()
     return house
--- a/laddergw/terms/limits.py
+++ b/laddergw/terms/limits.py
@@ -17,8 +17,7 @@
 from laddergw.terms.routes import At, RouteTrie
 from laddergw.terms.sexpr import Place
 
-BUILT_IN = Place("built in", 0, 0)
-LONGEST_MS = 600_000.0
+BUILT_IN, LONGEST_MS = Place("built in", 0, 0), 600_000.0
 KEPT_ROUTES = 20_000       # whose values are remembered: past that they are looked up again
 
 
@@ -56,6 +55,7 @@
     share: float
     window_ms: float
     place: Place = BUILT_IN
+    fleet: bool = False                # `free` is the planners' to grant: budgets.md
 
 
 class Row(NamedTuple):
@@ -217,7 +217,7 @@
                 read.fault(read.places["products"], "products", f"no product {product!r}; the director has {', '.join(names)}")
         row = row._replace(products=products, tenant=read.word("tenant", None))
     if kind in ("route", "tenant"):
-        row = row._replace(budget=take_budget(read))
+        row = row._replace(budget=take_budget(read, ("director", "fleet")))
     if kind == "product":
         row = row._replace(floor=take_number(read, "floor", 0, 100, True), seats=take_number(read, "seats", 0, 1_000_000, True))
     read.no_others()
@@ -236,11 +236,11 @@
     return None if value is None else Told(value, read.places[key], source)
 
 
-def take_budget(read: Reader) -> Budget | None:
-    under = read.under("budget", None)
-    if under is None:
+def take_budget(read: Reader, scopes: tuple[str, ...] = ("director",)) -> Budget | None:
+    if (under := read.under("budget", None)) is None:
         return None
-    budget = Budget(under.number("free", 0.0, 0, 1e9), under.number("share", 0.0, 0, 100), under.number("window-ms", 10_000.0, 100, 3_600_000), under.form.place)
+    budget = Budget(under.number("free", 0.0, 0, 1e9), under.number("share", 0.0, 0, 100), under.number("window-ms", 10_000.0, 100, 3_600_000), under.form.place,
+                    under.word("scope", "director", among=scopes) == "fleet")
     under.no_others()
     return budget
 
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -12,7 +12,7 @@
 from laddergw.lab import audit
 from laddergw.lab.fleet_processes import FleetProcesses
 from laddergw.lab.limits import sound
-from laddergw.lab.plant import plant
+from laddergw.lab.plant import WARES, plant
 from laddergw.lab.script import Trouble
 from laddergw.lab.stage_processes import CouldNotRun
 from laddergw.planner import wire
@@ -132,7 +132,7 @@
         self.addCleanup(logging.disable, logging.NOTSET)
         folder = tempfile.mkdtemp(prefix="laddergw-fleet-")
         self.addCleanup(shutil.rmtree, folder, True)
-        the_plant = plant(3, directors=3, nodes=6, rate=10, seconds=6)
+        the_plant = plant(3, directors=3, nodes=6, rate=10, seconds=6, wares=tuple(ware._replace(length_ms=(2_000, 6_000)) for ware in WARES))
         stage = Asking(the_plant, [Trouble(2_000, "freeze", 1, 2_500.0), Trouble(3_000, "kill", 2), Trouble(4_000, "start", 2)], 2, folder)
         records = stage.run()
         judged = audit.audit(the_plant, records)
