A director that stops says so at once; a gone process's word, kept and taken back, has a test

Seen by a test of the word 'gone': a director that holds no play ends in the turn in which it is told to, before its next digest, so a planner went on naming it among who may still act (director.py, turn_ends; edge_side.py, tell). It tells one digest as it begins to stop.

--- a/benchmarks/budgets_use.py
+++ b/benchmarks/budgets_use.py
@@ -111,8 +111,8 @@
         holding.set(names)
     spent, longest = 0.0, 0.0
     for step in range(1, 21):
-        now = 250.0 * step
         for number, holding in enumerate(fleet):
+            now = 250.0 * step + number          # (digests come spread over their pace)
             holding.spend("b1", now)
             rows = holding.asks(step, now)
             began = time.perf_counter()
--- a/laddergw/planner/audit_side.py
+++ b/laddergw/planner/audit_side.py
@@ -41,7 +41,7 @@
     """See the module. `side`: the director's line to its planners."""
 
     def __init__(self, side):
-        self.director, self.loop, self.stamps = side.director, side.loop, Stamps()
+        self.side, self.director, self.loop, self.stamps = side, side.director, side.loop, Stamps()
         self.alone_since: float | None = self.loop.now
         self.held = {versions.PROGRAM: program()}
         for kind in CHANGES.values():
@@ -119,6 +119,8 @@
             elif what == "ended" and ply.playing:
                 self.did(ply, acts.ENDED)
         self.watched(what, **facts)
+        if what == "stopping":                   # at once: one that holds no play ends with this turn
+            self.side.say()
 
     # Rights
 
--- a/laddergw/planner/edge_side.py
+++ b/laddergw/planner/edge_side.py
@@ -88,8 +88,12 @@
         return Digest(director.name, self.number, self.loop.now, nodes, dict(self.arrivals), tuple(self.titles.top(HOT_TOLD)), dict(self.failures), drains)
 
     def tell(self) -> None:
-        if not self.loop.running:
-            return
+        if self.loop.running:
+            self.say()
+            self.loop.after(DIGEST_MS, self.tell)
+
+    def say(self) -> None:
+        """One digest to all planners."""
         digest = self.digest()
         self.titles = Sketch()                   # hot titles are told once, the planner adds them up
         self.sent.told(digest.number, digest.nodes)
@@ -97,7 +101,6 @@
         budgets = self.holding.asks(digest.number, self.loop.now, self.director.stopping) if self.holding is not None else ()
         for line in self.lines:
             line.tell(digest, budgets)
-        self.loop.after(DIGEST_MS, self.tell)
 
     # Plans
 
--- a/tests/test_fleet_rights.py
+++ b/tests/test_fleet_rights.py
@@ -120,6 +120,31 @@
         self.town.run(3_000)
         self.assertIn("must not be used", self.ask(1)[1])
 
+    def test_who_stays_open_and_is_gone(self):
+        """A silent process that stays open may act on a forbidden version until somebody who knows says that it ended; one that speaks takes that back."""
+        for side in self.sides.values():
+            side.audit.right.alone = OPEN
+            side.director.house = side.director.house._replace(without_planner=OPEN)
+        name, old = f"limits {self.own_version()}", self.town.directors[1].name
+        self.question("forbid", name)
+        self.strike(1, "hole")
+        self.town.run(LEASE_MS + MARGIN_MS + 500)
+        self.assertEqual(self.question("floors")["floors"][0]["may_still"], [old])
+        self.assertIn("spoke", self.question("gone", self.town.directors[0].name)["refused"])
+        self.assertIn("no process", self.question("gone", "d9-1")["refused"])
+        self.assertEqual(self.question("gone", old)["gone"], old)
+        self.assertTrue(self.question("floors")["floors"][0]["nobody_acts_on_it"])
+        self.kill_planner()                                              # the word is in the journal
+        self.start_planner()
+        self.town.run(LEASE_MS + MARGIN_MS + 500)
+        self.assertTrue(self.question("floors")["floors"][0]["nobody_acts_on_it"])
+        self.strike(1, "heal")
+        self.town.run(3_000)
+        self.assertEqual(self.question("floors")["floors"][0]["may_still"], [old])
+        self.town.world.hosts["d1"].tell(self.town.world.now, self.town.directors[1].stop)
+        self.town.run(LEASE_MS)                                          # it told that it stops
+        self.assertTrue(self.question("floors")["floors"][0]["nobody_acts_on_it"])
+
     def test_a_stand_still_past_the_lease(self):
         """It wakes to a heap of old grants and a viewer's request, all in one turn: the request is declined."""
         name = f"limits {self.own_version()}"
