--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -20,7 +20,8 @@
     "waiting out leases without windows": (3, 3), "only the latest grant is charged": (0, 60), "a share moves and its past is forgotten": (2, 2),
     "more than is left": (2, 2), "granted, and not charged": (2, 2), "the whole to each": (1, 1), "the floor lent twice": (2, 2),
     "unknown floors are not counted": (3, 15), "a charge ends with the lease": (2, 2), "it tells a grant as obeyed that is not": (3, 91),
-    "floors are charged no longer than leases": (3, 3), "the lease counts from the answer": (3, 115)}
+    "floors are charged no longer than leases": (3, 3), "the lease counts from the answer": (3, 115),
+    "an ended charge counts again": (3, 75)}
 
 
 class Divided(unittest.TestCase):
