One breadth-first search for the fleet's model checkers; a rollout halted by hand has a test

Seen on reading the change: wanted_check.py had written rights_check.py's search again, and fleet halt was promised and shown by nothing.

--- a/laddergw/fleet/rights_check.py
+++ b/laddergw/fleet/rights_check.py
@@ -5,9 +5,9 @@
 
 What must hold: once the planner that keeps the journal says that nobody lets plays in under V, no director that closes does.
 """
-from collections import deque
 from typing import Callable, Iterator, NamedTuple
 
+from laddergw.fleet.breadth import Outcome, search
 from laddergw.fleet.rights import CLOSED, LEASE_MS, MARGIN_MS, Floors, Right, Seen
 
 TICK_MS = 1_500.0          # a lease is three to four ticks
@@ -35,13 +35,6 @@
     flying: tuple
 
 
-class Outcome(NamedTuple):
-    """What a check came to."""
-    states: int
-    broken: str | None
-    steps: tuple[str, ...]
-
-
 def start() -> State:
     return State(0, (1, False), ((1, None), (0, None)), ((True, 2 * TICK_MS, (1, 0), False, ()),), ())
 
@@ -116,25 +109,4 @@
 
 def check(rules: Rules = Rules(), most: int = 60_000) -> Outcome:
     """Breadth first, up to so many states; what broke first, with the steps to it."""
-    first = start()
-    came: dict[State, tuple] = {first: ()}
-    waiting = deque([first])
-    while waiting:
-        state = waiting.popleft()
-        if (told := broken(state, rules)) is not None:
-            return Outcome(len(came), told, path(came, state))
-        for step, then in moves(state, rules):
-            if then not in came:
-                if len(came) >= most:
-                    return Outcome(len(came), None, ())
-                came[then] = (step, state)
-                waiting.append(then)
-    return Outcome(len(came), None, ())
-
-
-def path(came: dict, state: State) -> tuple[str, ...]:
-    steps = []
-    while came[state]:
-        step, state = came[state]
-        steps.append(step)
-    return tuple(reversed(steps))
+    return search(start(), lambda state: moves(state, rules), lambda state: broken(state, rules), most)
--- a/laddergw/fleet/wanted_check.py
+++ b/laddergw/fleet/wanted_check.py
@@ -4,10 +4,10 @@
 What must hold in every state: a number is one content wherever it came in force; nobody obeys a planner of an epoch before one that it obeyed; no director is
 sent the whole of a want a third time; and nothing of a want that was halted comes in force that was not on its way by then. Mistakes handed in with `Rules` must be found.
 """
-from collections import deque
 from hashlib import sha256
 from typing import Callable, Iterator, NamedTuple
 
+from laddergw.fleet import breadth
 from laddergw.fleet.bringing import IN_FORCE, Bringing, Offer, Outcome
 from laddergw.fleet.wanted import GOING, HALTED, NUMBERS_OF_EPOCH, SENT_MOST, Rollout, Seat, Want, next_number
 
@@ -37,13 +37,6 @@
     broken: str = ""
 
 
-class Outcomes(NamedTuple):
-    """What a check came to."""
-    states: int
-    broken: str | None
-    steps: tuple[str, ...]
-
-
 def start(rules: Rules = Rules()) -> State:
     return State((1, None), ((1, None), (0, None)), ((1, 0, None, False, Outcome(), None),) * rules.directors, ())
 
@@ -158,27 +151,6 @@
     return state.broken or (f"number {twice[0]} is two contents" if twice else None)
 
 
-def check(rules: Rules = Rules(), most: int = 60_000) -> Outcomes:
+def check(rules: Rules = Rules(), most: int = 60_000) -> breadth.Outcome:
     """Breadth first, up to so many states; what broke first, with the steps to it."""
-    first = start(rules)
-    came: dict[State, tuple] = {first: ()}
-    waiting = deque([first])
-    while waiting:
-        state = waiting.popleft()
-        if (told := broken(state)) is not None:
-            return Outcomes(len(came), told, path(came, state))
-        for step, then in moves(state, rules):
-            if then not in came:
-                if len(came) >= most:
-                    return Outcomes(len(came), None, ())
-                came[then] = (step, state)
-                waiting.append(then)
-    return Outcomes(len(came), None, ())
-
-
-def path(came: dict, state: State) -> tuple[str, ...]:
-    steps = []
-    while came[state]:
-        step, state = came[state]
-        steps.append(step)
-    return tuple(reversed(steps))
+    return breadth.search(start(rules), lambda state: moves(state, rules), broken, most)
--- a/tests/test_fleet_rollouts.py
+++ b/tests/test_fleet_rollouts.py
@@ -74,6 +74,18 @@
         self.want(GOOD)
         self.assertEqual(self.until_done()["want"]["number"], 1_003)
 
+    def test_an_operator_halts_it_and_goes_on_with_another(self):
+        self.assertIn("nothing goes on", self.question("halt", "limits")["refused"])
+        self.want(GOOD, soak_ms=5_000.0)
+        self.town.run(1_500)
+        self.assertEqual(self.question("halt", "limits")["state"], "halted")
+        self.kill_planner()                                                          # the word is in the journal
+        self.start_planner()
+        self.town.run(12_000)
+        self.assertEqual((self.stragglers()["state"], len(self.on_it())), ("halted", 2))
+        self.assertNotIn("refused", self.want(OTHER))
+        self.until_done()
+
     def test_a_line_that_stalls_and_breaks_in_the_middle_of_the_file(self):
         data = GOOD + b"\n; " + b"x" * 12 * PIECE_BYTES
         offsets, fetch = [], rollouts.Rollouts.fetch
--- a/tests/test_fleet_wanted.py
+++ b/tests/test_fleet_wanted.py
@@ -3,7 +3,7 @@
 import os
 import unittest
 
-from laddergw.fleet import bringing, wanted, wanted_check
+from laddergw.fleet import breadth, bringing, wanted
 from laddergw.fleet.bringing import PIECE_BYTES, Bringing, Fetch, Offer
 from laddergw.fleet.wanted import Answers, Rollout, Seat, Want
 from laddergw.fleet.wanted_check import Rules, check
@@ -113,7 +113,7 @@
     """Every order of offers, losses, takeovers, journals set back and processes that begin anew, as far as is looked."""
 
     def test_no_break_in_the_states_looked_at(self):
-        self.assertEqual(check(most=60_000), wanted_check.Outcomes(60_000, None, ()))
+        self.assertEqual(check(most=60_000), breadth.Outcome(60_000, None, ()))
 
     def test_mistakes_are_found(self):
         def any_epoch(made, offer):
