Who has left is heard before anything is sent for it

Seen: a viewer that sends a set-up and closes, resets or half-closes at once got an allocation: SETUP, then TEARDOWN, on the node's open connection (tests/test_orders_leaving.py, real sockets, every time). The term is that none begins over 0.1 s after it has gone. Checked: with a fresh dial the set-up was taken back in time by luck of the order in which the selector tells events; told the other way round it left too. A batch of 30 plays at 30 ms each was decided in one turn: an allocation began 870 ms after its viewer had left. Ruled out: the desk and the module; both drop a play at once when they are told. Lines at fault: Stream.ready read once a turn, so the end behind the last bytes was seen a turn later; SocketLoop.turn told connections and queues before what peers had said; Hosting.decide placed everything that waited in one turn. Mended there: a stream is read until nothing is left, 64 KB a turn at most, and says when there is `more`; the module is asked for a play once its connection has been read so far (Desk.take_in); a turn tells what is to be read first; decisions go one by one and after 20 ms of a turn the sockets are read again. What cannot be sent is told in a next turn that waits for nothing (it came up to 100 ms late). `redo` and its rounds are gone. Without the mends all of the five tests but one fail (an end that comes with a node's refusal was harmless and keeps its test). test_what_is_told_as_never_sent_never_leaves ends its turn by the director's own call now, since set-ups are taken in there.

--- a/laddergw/control/controller.py
+++ b/laddergw/control/controller.py
@@ -40,8 +40,8 @@
         self.allocations.taken.append(now)
         return self.done(self.pending.append(ply))
 
-    def decide(self, now):       # places what waits, when all that came with it is known: a drain, a leaving
-        waiting, self.pending = self.pending, []
+    def decide(self, now, most=None):   # places what waits, when all that came with it is known: a drain, a leaving
+        waiting, self.pending = self.pending[:most], self.pending[most:] if most else []
         return self.done([verdict for ply in waiting for verdict in self.run(now, ply)])
 
     def seen(self, now, node_id, others):            # a planner's view: what others ask, kB a second
--- a/laddergw/director/carrying.py
+++ b/laddergw/director/carrying.py
@@ -159,7 +159,6 @@
             self.finish(ply, *ply.life.final(self.chance()), reason=TRIES_OVER)
         over = ply.left or ply.answered
         self.feed(self.controller.ended, self.loop.now, ply.id, a.number, outcome, a.node, over, report)
-        self.redo = True
         if not over:
             return
         if ply.playing:
--- a/laddergw/hosting.py
+++ b/laddergw/hosting.py
@@ -8,16 +8,17 @@
 
 from laddergw.interface import Verdict
 
-ROUNDS = 8                 # of decide in one turn: a play has fewer allocations than that
+SLICE_MS = 20.0            # decisions of one turn take so long, then the sockets are read: who left meanwhile gets no allocation.
+                           # A fifth of the 100 ms after which none may begin for a viewer that has left
 
 log = logging.getLogger("laddergw.hosting")
 
 
 class Hosting:
-    """See the module. `redo` is set by what ends an allocation within a turn: the module may have more to say."""
+    """See the module."""
     loop: Any
     controller: Any
-    broken = redo = False
+    broken = False
     wake_at: float | None = None
     waker: Any = None
 
@@ -53,10 +54,9 @@
         self.feed(self.controller.wake, self.loop.now)
 
     def decide(self) -> None:
-        """At a turn's end: what verdicts bring at once is decided again, a few rounds at most."""
-        for _ in range(ROUNDS):
-            self.redo = False
-            self.feed(self.controller.decide, self.loop.now)
-            if not self.redo:
+        """At a turn's end, one play after the other; what is left when the slice is over comes in the next turn, which waits for nothing."""
+        while not self.broken and self.controller.pending:
+            self.feed(self.controller.decide, self.loop.now, 1)
+            if self.loop.reading() - self.loop.now >= SLICE_MS:
+                self.loop.after(0, lambda: None)
                 return
-        self.loop.after(0, lambda: None)     # what is left comes in the next turn
--- a/laddergw/loop/memory_streams.py
+++ b/laddergw/loop/memory_streams.py
@@ -36,6 +36,7 @@
 
 class Stream(Outgoing):
     """One end of a connection in memory; the same calls and counts as a real one."""
+    more = False               # what has come is read at once
 
     def __init__(self, host: "Host", owner: Owner | None, peer, number: int, delay: float):
         self.loop, self.owner, self.peer, self.number, self.delay = host, owner, peer, number, delay
--- a/laddergw/loop/sockets.py
+++ b/laddergw/loop/sockets.py
@@ -184,10 +184,12 @@
         self.now = self.clock()
         self.lagged(max(0.0, self.now - before - wait - 1.0), self.now - before)
         self.begin_turn()
-        for key, mask in events:
-            if key.data is not None:
-                self.guarded(key.data.ready, mask)
-                self.run_calls()
+        # Peers are heard before connections come up and queues move on: what one of them took back must not leave in this turn
+        for wanted in selectors.EVENT_READ, selectors.EVENT_WRITE:
+            for key, mask in events:
+                if key.data is not None and mask & wanted:
+                    self.guarded(key.data.ready, mask & wanted)
+                    self.run_calls()
         self.run_calls()
         self.run_timers()
         self.end_turn()
--- a/laddergw/loop/streams.py
+++ b/laddergw/loop/streams.py
@@ -11,19 +11,20 @@
 if TYPE_CHECKING:
     from laddergw.loop.sockets import SocketLoop
 
-READ_BYTES = 65_536        # one read of one stream in a turn: the others get theirs
+READ_BYTES = 65_536        # read of one stream in a turn: the others get theirs
 
 
 class Stream(Outgoing):
-    """A connected socket. `taken` counts the bytes that the kernel took, `asked` those that we were given to write."""
+    """A connected socket. `taken` counts the bytes that the kernel took, `asked` those that we were given to write. `more`: the
+    last turn's read stopped at its bound, so its peer may have said more, or have left."""
     __slots__ = ("loop", "sock", "owner", "peer", "out", "queued", "asked", "taken", "reading", "ending", "open", "mask",
-                 "limit", "fd")
+                 "limit", "fd", "more")
 
     def __init__(self, loop: "SocketLoop", sock: socket.socket, owner: Owner, peer):
         self.loop, self.sock, self.owner, self.peer, self.fd = loop, sock, owner, peer, sock.fileno() if sock else -1
         self.out: deque = deque()
         self.queued = self.asked = self.taken = self.mask = 0
-        self.reading, self.ending, self.open, self.limit = True, False, False, None
+        self.reading, self.ending, self.open, self.limit, self.more = True, False, False, None, False
 
     def write(self, data: bytes) -> None:
         """Writes what the kernel takes now and keeps the rest. Nothing is written once the stream has closed."""
@@ -85,21 +86,28 @@
         if self.sock is None:                # closed by an event told earlier in this turn
             return
         if not self.open:
-            return self.connected()
+            return self.connected() if events & selectors.EVENT_WRITE else None
         if events & selectors.EVENT_WRITE:
             self.flush()
             self.watch()
-        if events & selectors.EVENT_READ and self.sock is not None and self.reading:
+        if events & selectors.EVENT_READ:
+            self.read()
+
+    def read(self) -> None:
+        """Reads all that has come, within the bound: a peer's end stands behind its last bytes, and is seen in the turn that reads those."""
+        left = READ_BYTES
+        while left > 0 and self.sock is not None and self.reading:
             try:
-                data = self.sock.recv(READ_BYTES)
+                data = self.sock.recv(left)
             except (BlockingIOError, InterruptedError):
-                return
+                break
             except OSError as error:
                 return self.lose(str(error.strerror or error))
-            if data:
-                self.owner.got(self, data)
-            else:
-                self.lose(None)
+            if not data:
+                return self.lose(None)
+            left -= len(data)
+            self.owner.got(self, data)
+        self.more = left <= 0
 
     def connected(self) -> None:
         if self.limit is not None:
--- a/laddergw/platform/allocating.py
+++ b/laddergw/platform/allocating.py
@@ -24,7 +24,7 @@
         node = ply.node = self.director.nodes.by_number.get(verdict.node)
         line = None if node is None or node.gone or verdict.timeout_ms <= 0 else node.free_line()
         if line is None:
-            self.director.loop.soon(lambda: self.tell_end(ply, face.NEVER_SENT))
+            self.director.loop.after(0, lambda: self.tell_end(ply, face.NEVER_SENT))   # in the next turn, which waits for nothing
             return
         r = ply.request
         node.open[ply.session], ply.line = ply, line
@@ -132,4 +132,3 @@
         over = ply.stands or ply.session not in self.director.open
         self.director.feed(self.director.controller.ended, self.director.loop.now, ply.id, ply.number, outcome,
                            ply.node.number if ply.node else 0, over, report)
-        self.director.redo = True
--- a/laddergw/platform/desk.py
+++ b/laddergw/platform/desk.py
@@ -22,6 +22,7 @@
 
     def __init__(self, director):
         self.director, self.count = director, director.count
+        self.fresh: list[Play] = []          # plays that the module has not been asked for yet
 
     def heard(self, viewer: Viewer, message: binary.Message) -> None:
         if message.kind == binary.SET_UP:
@@ -54,9 +55,22 @@
             return viewer.refuse(session, DECLINED, self.away(self.director.assignment.deployment.retry_max_ms))
         self.director.count("asked")
         ply = self.director.open[session] = viewer.plays[session] = Play(request, session, viewer)
-        wait = max(0.0, request.ask.wait_ms - self.director.loop.stalled - EARLY_MS)
-        ply.guard = self.director.loop.after(wait + GUARD_MS, lambda: self.overdue(ply))
-        return self.director.feed(self.director.controller.asked, self.director.loop.now, request.ask._replace(wait_ms=wait))
+        ply.limit = self.director.loop.now + max(0.0, request.ask.wait_ms - self.director.loop.stalled - EARLY_MS)
+        ply.guard = self.director.loop.at(ply.limit + GUARD_MS, lambda: self.overdue(ply))
+        return self.fresh.append(ply)
+
+    def take_in(self) -> None:
+        """At a turn's end: asks for the plays that came in it. One whose connection has more to read waits for that: it may have been
+        taken back there, or its viewer have left."""
+        fresh, self.fresh = self.fresh, []
+        for ply in fresh:
+            if self.director.open.get(ply.session) is not ply:
+                continue
+            if ply.viewer.stream.more:
+                self.fresh.append(ply)
+            else:
+                ask = ply.request.ask._replace(wait_ms=max(0.0, ply.limit - self.director.loop.now))
+                self.director.feed(self.director.controller.asked, self.director.loop.now, ask)
 
     def takes_over(self, message: binary.Message) -> bool:
         return b"at:" in (message.parameters or {}).get(binary.FIGURES, b"")
--- a/laddergw/platform/director.py
+++ b/laddergw/platform/director.py
@@ -130,6 +130,7 @@
         self.end_all()
 
     def turn_ends(self) -> None:
+        self.desk.take_in()
         self.decide()
         if self.stopping is not None and not (self.open or self.standing or self.door.unheard) and self.loop.now - self.stopping >= STOP_LEAST_MS:
             self.loop.stop()
--- a/laddergw/platform/plays.py
+++ b/laddergw/platform/plays.py
@@ -15,6 +15,7 @@
         self.line: Line | None = None            # where its set-up is open
         self.number, self.sent_at = -1, 0.0      # of its allocation
         self.timer = self.guard = None
+        self.limit = 0.0                         # when its viewer stops waiting for its answer, by the loop's clock
         self.stands = False
 
     def stop_timers(self) -> None:
--- /dev/null
+++ b/tests/test_orders_leaving.py
@@ -0,0 +1,104 @@
+"""A viewer that has gone, by any way and at any moment: no allocation begins for it. Real connections, the bad order every time."""
+import socket
+import unittest
+
+from laddergw.signalling import binary
+from tests.platform_town import answer, set_up
+from tests.sockets_town import Town
+
+GONE_MS = 100.0            # after this no attempt may begin for who has left: the users' term
+RELEASE = binary.encode(binary.RELEASE, f"{2:016x}", (222, b"\x10"))
+WAYS = {
+    "closed": lambda viewer: viewer.close(),
+    "reset": lambda viewer: viewer.reset(),
+    "half closed": lambda viewer: viewer.sock.shutdown(socket.SHUT_WR),
+    "cancelled": lambda viewer: viewer.write(RELEASE),
+}
+
+
+class Leaving(unittest.TestCase):
+    def test_left_behind_its_set_up(self):
+        """The set-up and the viewer's end lie there together; the node has an open connection: nothing may go out on it."""
+        for way, leave in WAYS.items():
+            with self.subTest(way):
+                town = Town(self)
+                _, line = town.idle_line()
+                viewer = town.viewer()
+                viewer.write(set_up(2))
+                leave(viewer)
+                town.turns()
+                self.assertEqual([m.method for _, m in town.nodes["a"].hear()], [])
+                self.assertEqual((len(town.director.open), len(town.director.controller.plays)), (0, 0))
+
+    def test_left_behind_more_than_one_read(self):
+        """Hundreds of set-ups and the viewer's end behind them: the first of them were read turns before that end."""
+        for way in "closed", "half closed":
+            with self.subTest(way):
+                town = Town(self)
+                town.idle_line()
+                viewer = town.viewer()
+                viewer.sock.setblocking(True)
+                viewer.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1 << 20)
+                viewer.write(b"".join(set_up(n) for n in range(2, 900)))
+                WAYS[way](viewer)
+                town.turns(40)
+                self.assertEqual([m.method for _, m in town.nodes["a"].hear()], [])
+                self.assertEqual((len(town.director.open), len(town.director.controller.plays)), (0, 0))
+
+    def test_left_as_the_connection_to_the_node_comes_up(self):
+        """Both are told in one turn, the connection first: the set-up that waited on it may not leave before the end is read."""
+        for way, leave in WAYS.items():
+            with self.subTest(way):
+                town = Town(self)
+                town.connections_first()
+                viewer = town.viewer()
+                viewer.write(set_up(2))
+                town.until(lambda: town.director.nodes.lines())
+                leave(viewer)
+                town.turns()
+                self.assertEqual([m.method for _, m in town.nodes["a"].hear()], [])
+                self.assertEqual(len(town.director.open), 0)
+
+    def test_left_while_others_are_decided(self):
+        """Each decision takes 30 ms of this clock; viewers leave while the others' are made. Reading has its turn between them."""
+        now, begun, left = [0.0], {}, {}
+        town = Town(self, now=lambda: now[0])
+        viewers = {n: town.viewer() for n in range(1, 31)}
+        town.turns(3)
+        for n, viewer in viewers.items():
+            viewer.write(set_up(n))
+        decide, allocate = town.director.controller.decide, town.director.allocating.allocate
+
+        def slow(*args):
+            plays = len(town.director.controller.pending) if len(args) < 2 else 1
+            for n in [n for n in viewers if n not in left and n % 2 and n not in begun][:1]:
+                left[n] = now[0]
+                viewers[n].close()
+            now[0] += 30.0 * plays if town.director.controller.pending else 0.0
+            return decide(*args)
+
+        def allocated(ply, verdict):
+            begun[int(ply.session, 16)] = now[0]
+            return allocate(ply, verdict)
+        town.director.controller.decide, town.director.allocating.allocate = slow, allocated
+        town.turns(60)
+        self.assertGreater(len(begun), 5)
+        self.assertEqual({n: begun[n] - left[n] for n in left if begun.get(n, 0) - left[n] > GONE_MS}, {})
+
+    def test_left_while_its_next_try_is_due(self):
+        """The node is full; the end of the viewer comes in the same turn as that answer: nobody is asked a second time."""
+        for way, leave in WAYS.items():
+            with self.subTest(way):
+                town = Town(self, nodes=("a", "b"))
+                viewer = town.viewer()
+                viewer.write(set_up(2))
+                node = town.until(lambda: next((name for name in town.nodes if (heard := town.nodes[name].hear()) and
+                                                heard[0][0].write(answer(heard[0][1].session, 453, b"")) is None), None))
+                leave(viewer)
+                town.turns()
+                self.assertEqual([m.method for _, m in town.nodes["b" if node == "a" else "a"].hear()], [])
+                self.assertEqual(len(town.director.open), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_platform_nodes.py
+++ b/tests/test_platform_nodes.py
@@ -118,7 +118,7 @@
                     town.director.desk.heard(town.director_side(), message(set_up(1, product="paid")))
                     if shared:
                         town.director.desk.heard(town.director_side(), message(set_up(2, product="paid")))
-                    town.director.decide()
+                    town.director.turn_ends()
                     line, = town.director.nodes.by_id["a"].lines
                     self.assertEqual((line.up, len(line.plays)), (False, 1 + shared))
                     town.director.controller.fleet.nodes[2].rest, town.director.nodes.most = 0.0, 22
