What ends takes nothing along: all that came is answered, what was said arrives

Seen, each on real sockets and every time (tests/test_orders_stopping.py): a set-up that came in the turn that ended the loop, or stood in the listener's backlog, got no answer; a connection closed beside unread bytes was reset, at viewers (a refusal before a close) and at nodes (TEARDOWN behind which the node's 200 lay unread); a TEARDOWN that waited for its connection never left when the viewer had already heard; a close of a viewer that does not read waited for ever and left it in the table, over the bound on descriptors. Lines at fault: Director.turn_ends and leave stopped the loop at once, SocketLoop.close lost every stream with its queue, Stream.close closed the socket in the same call, Viewer.close waited for what is queued without a limit. Mended: a stream that we close ends its side, then lingers, read and dropped, until its peer ends too, 500 ms and 16 connections at the most; who does not read is reset. The director's end waits until what it told nodes has left, accepts its backlog, reads and answers what lies there, ends every connection in order and goes when the peers have ended, 100 ms at the most (350 of the 700 ms that are left). Tests of starts hold their ports now: a free port that was let go had been given to another process ("Address already in use", once).

--- a/laddergw/loop/base.py
+++ b/laddergw/loop/base.py
@@ -46,6 +46,7 @@
         self.now, self.timers, self.calls = now, HeapTimers(now), deque()
         self.ends: list[Callable[[], None]] = []
         self.stalled = self.worst_lag = 0.0
+        self.lingering: dict = {}            # of real sockets: closed ones whose peers have not ended yet, oldest first
         self.running = True
         self.may_call, self.mark, self.slow = MOST_CALLS, now, []   # of this turn: calls left, when the last ended, long ones
 
--- a/laddergw/loop/memory_streams.py
+++ b/laddergw/loop/memory_streams.py
@@ -27,6 +27,9 @@
                 call()
             stream.early.clear()
 
+    def accept_waiting(self) -> None:
+        self.ready()
+
     def close(self) -> None:
         self.host.world.ports.pop(self.address, None)
         for stream in self.waiting:
@@ -112,6 +115,9 @@
         if not self.ending:
             self.owner.got(self, data)
 
+    def read_now(self) -> None:
+        """Nothing lies unread here."""
+
     def pause(self) -> None:
         self.reading = False
 
--- a/laddergw/loop/sockets.py
+++ b/laddergw/loop/sockets.py
@@ -10,7 +10,7 @@
 
 from laddergw.loop import held
 from laddergw.loop.base import REFUSED, SHORT, BaseLoop, Owner, wait_ms
-from laddergw.loop.streams import Stream
+from laddergw.loop.streams import Lingering, Stream
 
 if TYPE_CHECKING:
     import subprocess
@@ -22,6 +22,8 @@
 TURNS_MOST, REST_MS = 500, 1.0   # after so many turns in a row without a wait the loop rests so long: whatever keeps it
                            # busy, others on its core get theirs. At 0.1 ms a turn, the shortest with work in it, 2% of its time
 ACCEPT_REST_MS = 50.0      # a listener that finds no descriptor rests so long: its socket would stay readable all the while
+LINGERS = 16               # closed connections that still wait for their peers' ends; one more, and the oldest is cut off: a flood of
+                           # connections that we close must not hold descriptors
 NO_ROOM = errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM
 
 
@@ -37,21 +39,28 @@
         self.address = sock.getsockname()[:2]
         loop.selector.register(sock, selectors.EVENT_READ, self)
 
-    def ready(self, events: int) -> None:
+    def ready(self, events: int = 0) -> bool:
+        """Whether more may wait."""
         for _ in range(ACCEPTS):
             if self.sock is None:
-                return
+                return False
             try:
                 sock, peer = self.sock.accept()
             except (BlockingIOError, InterruptedError):
-                return
+                return False
             except OSError as error:           # out of descriptors: the others in the backlog wait a little
                 self.loop.failed_accepts += 1
                 self.loop.last_error = str(error)
                 if error.errno in NO_ROOM:
                     self.rest()
-                return
+                return False
             self.loop.adopt(sock, peer, self.accept)
+        return True
+
+    def accept_waiting(self) -> None:
+        """All of the backlog, at the end: what is not accepted when the listener closes is reset."""
+        while self.ready():
+            pass
 
     def rest(self) -> None:
         self.loop.selector.unregister(self.sock)
@@ -95,7 +104,7 @@
         super().__init__(clock())
         self.clock, self.selector, self.sleep = clock, selector or selectors.DefaultSelector(), sleep
         self.open_streams = self.failed_accepts = self.unwaited = 0   # unwaited: turns in a row
-        self.last_error, self.signals, self.wakeup = None, {}, None
+        self.last_error, self.signals, self.wakeup, self.over = None, {}, None, False
 
     def reading(self) -> float:
         return self.clock()
@@ -123,6 +132,8 @@
 
     def dial(self, address: tuple[str, int], owner: Owner, limit_ms: float) -> Stream:
         """Connects; the owner is told `opened`, or `closed` with the reason, never within this call."""
+        if self.over:                          # asked for as a connection ends with the loop
+            return Stream(self, None, owner, address)
         try:
             sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
         except OSError as error:               # this connection does not come up, nothing else is harmed
@@ -145,6 +156,16 @@
         stream.watch()
         return stream
 
+    def linger(self, sock: socket.socket) -> None:
+        """Takes over a socket that is closed for good, until its peer has ended too."""
+        try:
+            sock.shutdown(socket.SHUT_WR)
+        except OSError:                        # the peer has reset it
+            return sock.close()
+        self.lingering[Lingering(self, sock)] = None
+        if len(self.lingering) > LINGERS:
+            next(iter(self.lingering)).close()
+
     def on_signal(self, number: int, call: Callable[[], None]) -> None:
         if self.wakeup is None:
             ours, theirs = socket.socketpair()
@@ -203,6 +224,9 @@
             self.turn()
 
     def close(self) -> None:
+        if self.over:
+            return
+        self.over = True
         ours = self.wakeup[0].fd if self.wakeup is not None else None
         for key in list(self.selector.get_map().values()):
             if isinstance(key.data, Stream):
--- a/laddergw/loop/streams.py
+++ b/laddergw/loop/streams.py
@@ -11,6 +11,7 @@
 if TYPE_CHECKING:
     from laddergw.loop.sockets import SocketLoop
 
+LINGER_MS = 500.0          # a connection that we have closed is read for so long: its peer, a few round trips away, ends its side
 READ_BYTES = 65_536        # read of one stream in a turn: the others get theirs
 
 
@@ -63,7 +64,7 @@
         if self.sock is None:
             return
         if self.ending:
-            self.lose(None)
+            self.part()
         else:
             self.owner.emptied(self)
 
@@ -91,9 +92,9 @@
             self.flush()
             self.watch()
         if events & selectors.EVENT_READ:
-            self.read()
+            self.read_now()
 
-    def read(self) -> None:
+    def read_now(self) -> None:
         """Reads all that has come, within the bound: a peer's end stands behind its last bytes, and is seen in the turn that reads those."""
         left = READ_BYTES
         while left > 0 and self.sock is not None and self.reading:
@@ -130,14 +131,23 @@
         self.watch()
 
     def close(self) -> None:
-        """Ends after what is queued; nothing more is read."""
+        """Ends after what is queued, which a peer that does not read is given LINGER_MS for; nothing more is read."""
         if self.sock is None or self.ending:
             return
         self.ending = True
         if not self.out:
-            self.lose(None)
+            self.part()
         else:
             self.pause()
+            if self.open:
+                self.limit = self.loop.after(LINGER_MS, lambda: self.lose("what was queued is not read"))
+
+    def part(self) -> None:
+        """Its owner is told that it has ended; the socket itself lingers until the peer has ended too."""
+        if not self.open:
+            return self.lose(None)
+        self.loop.linger(self.leave_loop())
+        self.owner.closed(self, None)
 
     def abort(self) -> None:
         """Ends at once with a reset; what is queued is dropped."""
@@ -145,15 +155,49 @@
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
             self.lose("aborted")
 
-    def lose(self, why: str | None) -> None:
-        if self.sock is None:
-            return
+    def leave_loop(self) -> socket.socket:
+        """Its socket, which the loop does not look at any more."""
         if self.limit is not None:
             self.limit.cancel()
         if self.mask:
             self.loop.selector.unregister(self.sock)
         sock, self.sock, self.mask = self.sock, None, 0
-        sock.close()
         self.out.clear()
         self.loop.open_streams -= 1
-        self.owner.closed(self, why)
+        return sock
+
+    def lose(self, why: str | None) -> None:
+        if self.sock is not None:
+            self.leave_loop().close()
+            self.owner.closed(self, why)
+
+
+class Lingering:
+    """A socket that we have closed for good: our end is told, what its peer still sends is read and dropped until it ends too.
+    Closed at once beside bytes that lie unread, or come, the system resets it, and the peer loses what we sent last."""
+
+    def __init__(self, loop: "SocketLoop", sock: socket.socket):
+        self.loop, self.sock = loop, sock
+        self.limit = loop.after(LINGER_MS, self.close)
+        loop.selector.register(sock, selectors.EVENT_READ, self)
+
+    def ready(self, events: int) -> None:
+        left = READ_BYTES
+        try:
+            while left > 0 and self.sock is not None:
+                data = self.sock.recv(left)
+                if not data:
+                    return self.close()
+                left -= len(data)
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError:
+            self.close()
+
+    def close(self) -> None:
+        if self.sock is not None:
+            self.limit.cancel()
+            self.loop.selector.unregister(self.sock)
+            self.sock.close()
+            self.sock = None
+            self.loop.lingering.pop(self, None)
--- a/laddergw/platform/director.py
+++ b/laddergw/platform/director.py
@@ -25,7 +25,8 @@
 STOP_LEAST_MS = 1_000.0    # viewers come for 0.7 s after the order to stop
 STOP_AFTER_MS = 350.0      # past the longest time limit all is released; the process is killed 0.7 s past it,
 STOP_LIMIT_MS = 3_000.0    # a longer limit counting as this
-HEAR_MS, HEAR_LOOK_MS = 250.0, 10.0   # its end waits so long for viewers to hear their releases; pace of looking
+HEAR_MS, HEAR_LOOK_MS = 250.0, 10.0   # its end waits so long until its releases have gone out and are heard; pace of looking
+PART_MS = 100.0            # then so long for its peers to end their sides: a few round trips
 TELL_MS = 10_000.0         # pace of the line of counts in the log
 
 log = logging.getLogger("laddergw.platform")
@@ -41,6 +42,7 @@
         self.open: dict[str, Play] = {}              # plays that wait for their answer, by session
         self.standing: dict[str, Play] = {}
         self.stopping: float | None = None           # since when
+        self.leaving = False                         # all is over but its connections' ends
         self.controller = Controller(assignment.deployment, assignment.seed, loop.now)
         self.desk, self.allocating = Desk(self), Allocating(self)
         self.nodes = Nodes(loop, self.allocating, int(NODES_PART * assignment.sockets), assignment.connect_ms)
@@ -111,6 +113,8 @@
             self.loop.after(min(self.assignment.longest_ms, STOP_LIMIT_MS) + STOP_AFTER_MS, self.end_all)
 
     def end_all(self) -> None:
+        if self.leaving:
+            return
         for ply in list(self.open.values()):
             self.desk.finish(ply, FAILED)
         for ply in list(self.standing.values()):
@@ -120,11 +124,22 @@
         self.leave(self.loop.now + HEAR_MS)
 
     def leave(self, latest: float) -> None:
-        """Ends the process once its releases are heard: a connection that ends with something unread takes them along."""
-        if not self.door.unheard or self.loop.now >= latest:
-            self.loop.stop()
-        else:
+        """Ends the process once what it has said is heard: a connection that ends with something unread takes that along."""
+        self.leaving = True
+        if (self.door.unheard or self.nodes.unsent()) and self.loop.now < latest:
             self.loop.after(HEAR_LOOK_MS, lambda: self.leave(latest))
+        else:
+            self.follower.stop()
+            self.door.shut()
+            self.nodes.shut()
+            self.part(self.loop.now + PART_MS)
+
+    def part(self, latest: float) -> None:
+        """Its connections are closed; the process goes when its peers have read to their ends."""
+        if (self.loop.open_streams or self.loop.lingering) and self.loop.now < latest:
+            self.loop.after(HEAR_LOOK_MS, lambda: self.part(latest))
+        else:
+            self.loop.stop()
 
     def collapse(self) -> None:
         self.end_all()
@@ -132,8 +147,9 @@
     def turn_ends(self) -> None:
         self.desk.take_in()
         self.decide()
-        if self.stopping is not None and not (self.open or self.standing or self.door.unheard) and self.loop.now - self.stopping >= STOP_LEAST_MS:
-            self.loop.stop()
+        idle = not (self.open or self.standing or self.door.unheard or self.leaving)
+        if self.stopping is not None and idle and self.loop.now - self.stopping >= STOP_LEAST_MS:
+            self.leave(self.loop.now + HEAR_MS)
 
     # Verdicts
 
--- a/laddergw/platform/following.py
+++ b/laddergw/platform/following.py
@@ -35,6 +35,10 @@
         self.address, self.pause = address, AGAIN_MS[0]
         self.again("another address")
 
+    def stop(self) -> None:
+        self.address = None
+        self.again("the director ends")
+
     def again(self, why: str) -> None:
         """Ends the connection, if there is one, and begins another after a pause."""
         stream, self.stream = self.stream, None
--- a/laddergw/platform/nodes.py
+++ b/laddergw/platform/nodes.py
@@ -198,6 +198,16 @@
         oldest.stream.close()
         return True
 
+    def unsent(self) -> bool:
+        return any(line.stream.queued for node in self.by_number.values() for line in node.lines)
+
+    def shut(self) -> None:
+        """The process's end: what was said to nodes goes out, then every connection ends in good order."""
+        for node in self.by_number.values():
+            lines, node.lines = node.lines, []
+            for line in lines:
+                line.stream.close()
+
     def test_name(self) -> str:
         self.tests += 1
         return f"{self.tests:016x}"
--- a/laddergw/platform/viewers.py
+++ b/laddergw/platform/viewers.py
@@ -58,7 +58,7 @@
         if self.stream is not None:
             self.door.desk.count("closed: " + why.partition(" of ")[0])
             log.debug("viewers' connection closed: %s; %.0f ms old, idle %.0f", why, self.door.loop.now - self.since, self.door.loop.now - self.used)
-            self.stream.close()
+            self.stream.abort() if self.stream.queued else self.stream.close()   # who does not read would hold it open
 
     def closed(self, stream, why: str | None) -> None:
         self.stream = None
@@ -84,6 +84,17 @@
             # What a new one has to say may lie unread: closed then, its set-up would be lost
             min(idle, key=lambda v: (v.proven or self.loop.now - v.since < FRESH_MS, v.used)).close("too many")
 
+    def shut(self) -> None:
+        """The process's end: all who have come are accepted, what they have said is answered, then every connection ends."""
+        self.listener.accept_waiting()
+        self.listener.close()
+        for viewer in list(self.viewers):
+            if viewer.stream is not None:
+                viewer.stream.read_now()
+        for viewer in list(self.viewers):
+            if viewer.stream is not None:
+                viewer.stream.close()
+
     def leave(self, viewer: Viewer) -> None:
         self.viewers.pop(viewer, None)
         self.again(lambda carrier: carrier is viewer)
--- a/tests/sockets_town.py
+++ b/tests/sockets_town.py
@@ -44,11 +44,12 @@
         return found
 
     def close(self):
+        self.ended = "closed"
         self.sock.close()
 
     def reset(self):
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
-        self.sock.close()
+        self.close()
 
 
 class Node:
--- /dev/null
+++ b/tests/test_orders_stopping.py
@@ -0,0 +1,178 @@
+"""The end of a director and of its connections: what came is answered, what was said arrives. Real connections, the bad order every time."""
+import unittest
+
+from laddergw.platform.director import HEAR_MS, PART_MS, STOP_LEAST_MS
+from laddergw.signalling import binary
+from tests.platform_town import answer, set_up
+from tests.sockets_town import Town
+
+TEST = binary.encode(binary.TEST, "0" * 16, (222, b"\0"))
+AWAY, BROKEN, PASSED = 42, 41, 1     # causes
+
+
+class Stopping(unittest.TestCase):
+    def setUp(self):
+        self.now = [0.0]
+        self.town = Town(self, now=lambda: self.now[0])
+
+    def to_the_end(self):
+        """Turns of 10 ms of the handed-in clock until the director has ended, then what its process does last; the time it took."""
+        began = self.now[0]
+        while self.town.loop.running:
+            self.now[0] += 10.0
+            self.town.turn()
+            self.assertLess(self.now[0] - began, 20_000)
+        self.town.loop.close()
+        return self.now[0] - began
+
+    def in_the_last_turn(self, act):
+        """Does something when all of the last turn's reading is over."""
+        leave, done = self.town.director.leave, []
+
+        def last(latest):
+            if not done:
+                done.append(act())
+            return leave(latest)
+        self.town.director.leave = last
+
+    def causes(self, viewer):
+        return [(m.session[-1], m.parameters[binary.CAUSE][0]) for m in viewer.hear() if m.kind == binary.RELEASE]
+
+    def test_what_comes_in_the_very_last_turn_is_answered(self):
+        """On an open connection, on one that waits to be accepted, and on hundreds that do."""
+        open_one, late = self.town.viewer(), []
+        open_one.write(TEST)
+        self.town.until(open_one.hear)
+
+        def act():
+            open_one.write(set_up(2))
+            for _ in range(300):
+                late.append(self.town.viewer())
+                late[-1].write(set_up(3))
+        self.town.director.door.most = 1000
+        self.in_the_last_turn(act)
+        self.town.director.stop()
+        self.to_the_end()
+        self.assertEqual((self.causes(open_one), open_one.ended), ([("2", AWAY)], "end"))
+        # (300 sessions of one name: the first is turned away as all are, none is open)
+        self.assertEqual([(self.causes(one), one.ended) for one in late], [([("3", AWAY)], "end")] * 300)
+
+    def test_an_answer_beside_bytes_that_are_not_read(self):
+        """The last thing said to a viewer is not taken from it by a reset, though it goes on talking."""
+        viewer = self.town.viewer()
+        self.town.turns(3)
+        self.town.director.stop()
+        viewer.write(set_up(2))
+        self.town.turns(3)
+        part = self.town.director.part
+        self.town.director.part = lambda latest: (viewer.write(TEST * 5), part(latest))
+        self.to_the_end()
+        self.assertEqual((self.causes(viewer), viewer.ended), ([("2", AWAY)], "end"))
+
+    def test_what_a_node_is_told_last_leaves(self):
+        """The viewer has heard of the end of its play at once; the connection on which its node is to hear of it is still coming up."""
+        viewer = self.town.viewer()
+        viewer.write(set_up(1))
+        line, message = self.town.come("a")
+        line.write(answer(message.session))
+        self.town.until(viewer.hear)
+        line.close()
+        self.town.director.stop()
+        self.in_the_last_turn(lambda: self.town.director.door.heard(message.session))
+        say, node = self.town.director.allocating.say, self.town.director.nodes.by_id["a"]
+
+        def told(where, data):
+            for line in list(node.lines):        # the node has just closed it
+                node.lines.remove(line)
+                line.stream.abort()
+            return say(where, data)
+        self.town.director.allocating.say = told
+        self.to_the_end()
+        self.assertEqual([m.method for _, m in self.town.nodes["a"].hear() if m.method != "OPTIONS"], ["TEARDOWN"])
+
+    def test_a_viewer_that_does_not_read_holds_nobody_up(self):
+        viewer = self.town.viewer()
+        viewer.write(set_up(1))
+        line, message = self.town.come("a")
+        line.write(answer(message.session))
+        self.town.turns(5)
+        stream = next(iter(self.town.director.door.viewers)).stream
+        while not stream.queued:
+            stream.write(b"\0\x09\x06" + b"\0" * 8)      # progress, which means nothing
+        self.town.director.stop()
+        self.assertLess(self.to_the_end(), 3_000 + 350 + HEAR_MS + PART_MS + 50)
+        self.assertIn("TEARDOWN", [m.method for _, m in self.town.nodes["a"].hear()])
+
+    def test_signals_together(self):
+        """SIGTERM twice, SIGHUP during a stop, SIGTERM in the turn of a SIGHUP: one end, at the first order's time."""
+        director = self.town.director
+        for orders in ("stop", "stop"), ("stop", "change", "stop"), ("change", "stop"):
+            with self.subTest(orders):
+                self.setUp()
+                director = self.town.director
+                for order in orders:
+                    director.stop() if order == "stop" else director.change(director.assignment._replace(changelog=("127.0.0.1", 9)))
+                    self.now[0] += 100.0
+                    self.town.turns(2)
+                took = self.to_the_end()
+                self.assertLess(abs(took - (STOP_LEAST_MS - 100.0 * sum(1 for _ in orders[orders.index("stop"):]))), PART_MS + 50)
+
+    def test_a_node_that_answers_as_its_set_up_is_given_up(self):
+        """Its answer lies unread as we give the set-up up: it is told so, and no reset takes that from it."""
+        viewer = self.town.viewer()
+        viewer.write(set_up(1, product="paid"))
+        line, message = self.town.come("a")
+        drop = self.town.director.allocating.drop_set_up
+
+        def act(ply, fact):
+            line.write(answer(message.session))
+            return drop(ply, fact)
+        self.town.director.allocating.drop_set_up = act
+        viewer.close()
+        self.town.turns()
+        self.assertEqual(([m.method for m in line.hear()], line.ended), (["TEARDOWN"], "end"))
+        line.close()
+        self.town.turns(3)
+        self.assertEqual(len(self.town.loop.lingering), 0)
+
+
+class Closing(unittest.TestCase):
+    def test_a_refusal_before_a_close_arrives(self):
+        """A viewer that sends on behind what cannot be read hears its refusal all the same, then the end."""
+        town = Town(self)
+        viewer = town.viewer()
+        viewer.write(set_up(2, product="none") + b"\xff" * 50)
+        town.director.door.desk.heard, heard = lambda *what: (heard(*what), viewer.write(b"\xff" * 50)), town.director.door.desk.heard
+        town.turns()
+        found = viewer.hear()
+        self.assertEqual(([m.parameters[binary.CAUSE][0] for m in found], viewer.ended), ([95], "end"))
+
+    def test_closed_connections_hold_few_descriptors(self):
+        """Peers that never end their side, by hundreds: the oldest are cut off; the last ones too, in time."""
+        now = [0.0]
+        town = Town(self, now=lambda: now[0])
+        for n in range(200):
+            town.viewer().write(b"\xff" * 50)
+            town.turns(2)
+        self.assertLessEqual(len(town.loop.lingering), 16)
+        self.assertEqual(town.director.door.viewers, {})
+        now[0] += 1_000.0
+        town.turns(2)
+        self.assertEqual(len(town.loop.lingering), 0)
+
+    def test_a_viewer_that_does_not_read_is_closed_at_once(self):
+        """It held its connection, and its plays, for as long as it liked: a close waited for what was queued."""
+        town = Town(self)
+        viewer = town.viewer()
+        town.turns(2)
+        side = next(iter(town.director.door.viewers))
+        while not side.stream.queued:
+            side.write(binary.PROGRESS, "0" * 16)
+        side.close("too many")
+        self.assertEqual((side.stream, len(town.director.door.viewers)), (None, 0))
+        self.assertEqual(town.loop.lingering, {})
+        viewer.hear()
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_platform_start.py
+++ b/tests/test_platform_start.py
@@ -23,10 +23,12 @@
 PATIENCE_S = 60.0          # of the test, for any one word
 
 
-def free_port():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+def held_port():
+    """A socket that holds a free port, bound and not listening: nobody else is given it, and a listener that reuses addresses may have it."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind(("127.0.0.1", 0))
+    return sock
 
 
 def masks(process):
@@ -48,7 +50,8 @@
 
     def __init__(self, folder, name):
         self.name, self.path, self.log, self.at = name, folder / f"{name}.json", "", None
-        self.port = free_port()
+        self.held = held_port()
+        self.port = self.held.getsockname()[1]
         self.write(4001)
         run = RUN.replace(".venv/bin/python", sys.executable)
         self.process = subprocess.Popen(["/bin/sh", "-c", run], cwd=ROOT, stdin=subprocess.DEVNULL, stderr=subprocess.PIPE,
@@ -66,6 +69,7 @@
             self.process.kill()
         self.process.wait()
         self.process.stderr.close()
+        self.held.close()
 
 
 class Starts(unittest.TestCase):
