A cold node's ramp holds for the sum over all directors: its planned set-ups are numbered

Checked: each director kept its pace. What it did not use it kept: its one turn stayed its own until a play came, so that at 30 directors over half of them held one 8 s after a start, and a rush spent them together; drawn first turns clump besides. Ruled out: skewed traffic (a director sends one a turn however many ask), lists told late, restarts (each under the bound). Lines at fault: Holders.turn, which let a director send whenever its last set-up lay a gap back. Mended there: all directors count the same plan from the node's start, which the list tells, and each planned set-up is one director's, by its number (settings: Ordinal, Siblings) and the node's mark; without a play for it it lapses. In any span come the ones planned in it and those still live: under N + root of N + 2. `fall_ms` is read from the settings (Rules.Fall); without it one turn is live at a time. After our own start and after a failure, where no start is told, the old part of the pace holds as before. The trace `turns` gives its directors their numbers now; before, all eight were number 0 and drew.

--- a/laddergw/control/accounts.py
+++ b/laddergw/control/accounts.py
@@ -47,7 +47,7 @@
         self.state, self.rack, self.started, self.shared = face.GONE, None, None, Counter()   # streams
         self.ill, self.rest, self.settle, self.room = 0, 0.0, 0.0, 0.0
         self.pace, self.early, self.cold, self.last_send, self.short = pace, 1.0, *[-math.inf] * 3
-        self.heard, self.asked, self.next_up, self.roomed = -math.inf, *[None] * 3
+        self.mark, self.heard, self.asked, self.next_up, self.roomed = line.mark, -math.inf, *[None] * 3
 
     def hear(self, now, others):     # told of more than is ever asked, it gives less: a sag, a stand-still
         known, told = self.links - self.known.now(now), min(others, MOST * self.links) - self.told.now(now)
@@ -178,8 +178,7 @@
         node.shared[key] -= sign < 0
         self.carry(now, node, sign * self.adds(ply, node, ply.rung))
         node.shared[key] += sign > 0
-        if not node.shared[key]:
-            del node.shared[key]
+        node.shared[key] or node.shared.pop(key)
 
     def carry(self, now, node, change):
         change = max(change, -node.own)
--- a/laddergw/control/controller.py
+++ b/laddergw/control/controller.py
@@ -26,21 +26,19 @@
         self.ask_at = now + (RETRY_MS if self.fleet.d.must_ask else math.inf)
         return self.done()
 
-    def retold(self, now, deployment):               # at start or switched: plays keep their terms
-        if deployment.must_ask and not (self.fleet.d and self.fleet.d.must_ask):
-            self.ask_at = now
-        if self.fleet.retold(now, deployment):
-            self.rungs.shorts = {}
-        new = [Fading(FORECAST_MS, now) for _ in deployment.products[len(self.prices.demand):]]
-        return self.done(self.prices.demand.extend(new))
+    def retold(self, now, told):                     # at start or switched: plays keep their terms
+        self.ask_at = now if told.must_ask and not (self.fleet.d and self.fleet.d.must_ask) else self.ask_at
+        self.rungs.shorts = {} if self.fleet.retold(now, told) else self.rungs.shorts
+        more = told.products[len(self.prices.demand):]
+        return self.done(self.prices.demand.extend(Fading(FORECAST_MS, now) for _ in more))
 
     def asked(self, now, ask):
         self.prices.hinted(ask)
         ply = self.plays[ask.play] = Play(ask, self.fleet.d, now)
-        self.allocations.taken.append(now)
+        self.allocations.taken.extend([now] * (self.fleet.d.budget_free is not None))
         return self.done(self.pending.append(ply))
 
-    def decide(self, now, most=None):   # places what waits, when all that came with it is known: a drain, a leaving
+    def decide(self, now, most=None):   # when all that came together is known: a drain, a leaving
         waiting, self.pending = self.pending[:most], self.pending[most:] if most else []
         return self.done([verdict for ply in waiting for verdict in self.run(now, ply)])
 
@@ -58,15 +56,13 @@
         return self.done()
 
     def playing(self, now, play, number, delay, node_id):
-        ply = self.plays.get(play)
-        if ply and ply.out == number + 1:
+        if (ply := self.plays.get(play)) and ply.out == number + 1:
             self.allocations.answered(now, ply, delay)
         return self.done()
 
     def ended(self, now, play, number, outcome, node_id, over, report):
         node, ply = self.fleet.nodes.get(node_id), self.plays.get(play)
-        if node and report:
-            self.rungs.reported(now, node, report)
+        node and report and self.rungs.reported(now, node, report)
         if ply and ply.sends - 1 == number and ply not in self.pending:
             for _, back in reversed(self.chain):
                 back and back(now, ply, node or ply.node, outcome)
@@ -84,8 +80,7 @@
         self.pending += self.holders.waited(lambda p: p.asks is node)
         return self.done(out)
 
-    def mail(self, now, sender, loads, shares):
-        return self.done(self.rungs.mail(now, loads, shares))
+    def mail(self, now, sender, loads, shares): return self.done(self.rungs.mail(now, loads, shares))
 
     def note(self, now, play, node_id, kind, value):
         return self.done(self.rungs.note(now, self.plays.get(play), node_id, kind, value))
@@ -102,10 +97,8 @@
         if now >= self.next_look:
             self.next_look = now + LOOK_MS
             self.rungs.try_more(now, self.plays)
-            if self.fleet.blind:
-                out.append(face.Verdict(probe=self.rungs.look_up(now, self.plays)))
-            if self.rungs.loads or self.rungs.shorts:
-                out.append(self.rungs.tell())
+            out += [face.Verdict(probe=self.rungs.look_up(now, self.plays))] if self.fleet.blind else []
+            out += [self.rungs.tell()] if self.rungs.loads or self.rungs.shorts else []
         return self.done([v for v in out if v.follow or v.probe or v.tell])
 
     def done(self, verdicts=None):
--- a/laddergw/control/holders.py
+++ b/laddergw/control/holders.py
@@ -40,11 +40,28 @@
                 n.draw = crc32(b"%d %d" % (n.id, ply.ask.title)) * MIX % 2 ** 32
         ply.holders.sort(key=lambda n: (fleet.crossing(n), -n.rank, n.draw))
 
-    def turn(self, now, node):       # a cold node's, at the pace of all; the first drawn, or all came at once
-        d = self.fleet.d
-        paced = COLD_PART * max(d.fall_multiple, 1) * node.streams * self.fleet.warmth(now, node.pace)
-        gap = d.directors * d.warm_ms / max(paced, 1e-6)
-        return now - max(node.last_send, node.pace - node.early * gap) >= gap
+    def turn(self, now, node):       # a cold node's, or of one that may be: after our start, or its failure
+        d, since = self.fleet.d, now - node.pace
+        gap = d.directors / max(self.pace(node) * self.fleet.warmth(now, node.pace), 1e-9)   # the first drawn
+        free = since >= d.warm_ms or node.pace <= node.cold
+        free = free or now - max(node.last_send, node.pace - node.early * gap) >= gap
+        return free and (now - node.cold >= d.warm_ms or self.numbered(now, node))
+
+    def pace(self, node):            # set-ups a ms that all directors plan for it once it is warm
+        return COLD_PART * max(self.fleet.d.fall_multiple, 1) * node.streams / max(self.fleet.d.warm_ms, 1e-9)
+
+    def planned(self, node, at):     # from its start on
+        warmth = (self.fleet.d.cold_from + self.fleet.warmth(at, node.cold)) / 2
+        return self.pace(node) * warmth * max(at - node.cold, 0)
+
+    # Each planned set-up is one director's, in turn. With no play for it it lapses, or rushes find many:
+    # in any span come those planned in it and those still live, under N + root of N + 2 where N are allowed
+    def numbered(self, now, node):
+        d, plan, old = self.fleet.d, self.planned(node, now), self.planned(node, now - self.fleet.d.fall_ms)
+        since, span = (plan - d.number - node.mark) % d.directors, (plan - old) / COLD_PART
+        if not (since <= plan and since < (1 - COLD_PART) * span + span ** 0.5 + 1):
+            return False
+        return node.last_send < node.cold or self.planned(node, node.last_send) < plan - since
 
     def health(self, now, ply):    # skips who rests, had its share while cold, or (paid plays) failed lately
         ply.holders = [n for n in ply.holders if now >= n.rest and n.paced and not (
@@ -66,17 +83,15 @@
             node.ill = min(node.ill + 1, ILL_MOST)
 
     def inquire(self, now, ply):     # where load is told to probes only: asks the first holder first
-        # Guards against stand-stills: what left a probe unanswered comes last
         ply.holders.sort(key=lambda n: n.asked is not None and now - n.asked >= ECHO_WAIT_MS)
-        # (too near its time limit it is placed on what is known: the answer must be in time)
+        # What left a probe unanswered comes last, it may stand still; too near its limit a play does not ask
         node, late = ply.holders[0], ply.limit - now <= 2 * ECHO_WAIT_MS
         if not self.fleet.blind or ply.until is not None or late or now - node.heard <= FRESH_MS:
             return None
         ply.until, ply.asks, self.waiting[ply.id] = now + ECHO_WAIT_MS, node, ply
         return face.Verdict(ply.id, probe=probe(now, [node]))
 
-    def waited(self, done):                          # plays whose wait is over, as `done` tells
-        return [self.waiting.pop(p.id) for p in list(self.waiting.values()) if done(p)]
+    def waited(self, done): return [self.waiting.pop(p.id) for p in list(self.waiting.values()) if done(p)]
 
 
 def probe(now, nodes):
--- a/laddergw/control/prices.py
+++ b/laddergw/control/prices.py
@@ -40,8 +40,7 @@
         chosen, below, has = None, (0.0, 0.0), 0.0
         cross = fleet.crossing(node) * ply.product.importance * lk if held is None else 0.0
         if held is not None:                         # a play under way: what it has, and what a change costs
-            shared = ply.shares() and node.shared[ply.stream(held)] > 1
-            has = ply.rate(held) * (ply.d.join if shared else 1)
+            has = ply.rate(held) * (ply.d.join if ply.shares() and node.shared[ply.stream(held)] > 1 else 1)
             below = (ply.product.importance * (ply.d.rung_worth[held] * lk + fleet.d.step_cost_ms),
                      lk / 2 * (place + has * kb))
         for rung in range(ply.product.floor if held is None else held + 1, ply.highest() + 1):
--- a/laddergw/control/rungs.py
+++ b/laddergw/control/rungs.py
@@ -24,8 +24,7 @@
     def note(self, now, ply, node_id, kind, value):
         fleet, node = self.fleet, self.fleet.nodes.get(node_id)
         fresh = ply and ply.first and ply.started is not None and now - ply.started < 1
-        if node is None or not 0 <= value < ABSURD:  # also NaN and infinite: no note
-            kind = None
+        kind = kind if node and 0 <= value < ABSURD else None   # also NaN and infinite: no note
         if kind == face.RUNG_NOW and ply and ply.node is node:
             self.step(now, ply, min(int(value), len(ply.d.ladder) - 1))
             ply.changed = -math.inf                  # not our change: it may step up at once
@@ -138,20 +137,18 @@
         self.fleet.weigh(now, ply, 1)
         return face.Verdict(ply.id, rung=rung)
 
-    def may_rise(self, now, ply):
-        settled = now - ply.changed >= GAP * self.prices.length
-        return settled and ply.started is not None and ply.rung < ply.highest()
+    def may_rise(self, now, p):
+        return p.started is not None and p.rung < p.highest() and now - p.changed >= GAP * self.prices.length
 
     def look_up(self, now, plays):   # where no note tells of room: nodes to probe where a step up pays for it
         d, nodes = self.fleet.d, []
-        price = HOPE * d.probe_price * self.prices.length * max(row.importance for row in d.products)
+        cost = HOPE * d.probe_price * self.prices.length * max(row.importance for row in d.products)
         for node in {p.node.id: p.node for p in plays.values() if p.node and not p.out}.values():
             if node.next_up is None:                 # not all at once after a start
                 node.next_up = now + self.fleet.chance() * ECHO_GAP_MS
             if now < max(node.next_up, node.heard + ECHO_GAP_MS / 2) or node.state == face.GONE:
                 continue
-            able = [p for p in node.plays.values() if self.may_rise(now, p)]
-            if sum(p.gain(p.rung) * p.left(now) for p in able) > price:
+            if cost < sum(p.gain(p.rung) * p.left(now) for p in node.plays.values() if self.may_rise(now, p)):
                 node.next_up = now + ECHO_GAP_MS
                 nodes.append(node)
         return probe(now, nodes)
--- a/laddergw/director/fleet.py
+++ b/laddergw/director/fleet.py
@@ -95,7 +95,7 @@
         if known is None or known[0] != entry.incarnation:
             start = 0.0 if entry.age_ms is None else max(0.0, self.loop.now - entry.age_ms)
             known = self.started[entry.node] = entry.incarnation, start
-        return face.NodeLine(entry.node, entry.cell, entry.weight, entry.state, known[1], entry.kind, entry.zone)
+        return face.NodeLine(entry.node, entry.cell, entry.weight, entry.state, known[1], entry.kind, entry.zone, entry.node)
 
     def drop_unused(self, used: Callable[[int], bool]) -> None:
         """Closes the links of nodes that are gone and hold nothing of ours."""
--- a/laddergw/interface.py
+++ b/laddergw/interface.py
@@ -46,6 +46,7 @@
     cold_from: float
     warm_ms: float
     fall_multiple: float
+    fall_ms: float           # span in which all set-ups to a cold node are counted
     budget_free: float       # further allocations; None where they are not rationed
     budget_share: float
     budget_ms: float
@@ -71,6 +72,7 @@
     started_ms: float        # latest start; 0: long ago
     kind: int
     zone: int
+    mark: int = 0            # the same at every director, another at each node
 
 
 class Asked(NamedTuple):
--- a/laddergw/lab/plant.py
+++ b/laddergw/lab/plant.py
@@ -67,7 +67,7 @@
    (ladder {numbers(f"{kb:g}" for kb in self.ladder)}) (rung-worth {numbers(f"{w:g}" for w in self.worth)})
    (link-unit-kb {self.link_unit:g}) (rack-kb {self.rack_kb:g}) (streams {numbers(map(str, self.streams))})
    (step-cost-ms 500) (seen-after-ms {self.seen_after_ms:g}) (allocations {self.allocations})
-   (cold-from {self.cold_from:g}) (warm-ms {self.warm_ms:g}) (fall-multiple {self.fall_multiple:g})
+   (cold-from {self.cold_from:g}) (warm-ms {self.warm_ms:g}) (fall-multiple {self.fall_multiple:g}) (fall-ms {self.fall_ms:g})
    (reports x0 x1) {budget}
 {wares}))
 """
--- a/laddergw/platform/director.py
+++ b/laddergw/platform/director.py
@@ -6,6 +6,7 @@
 import logging
 import time
 from collections import Counter
+from zlib import crc32
 
 from laddergw import interface as face
 from laddergw.control import Controller
@@ -97,7 +98,8 @@
                 stopped.append(node)
             lines.append(face.NodeLine(node.number, member.cell, member.weight, STATES[member.state],
                                        member.since - self.epoch if member.since else 0.0,
-                                       self.assignment.kinds.get(member.kind, 0), self.assignment.zones.get(member.zone, 0)))
+                                       self.assignment.kinds.get(member.kind, 0), self.assignment.zones.get(member.zone, 0),
+                                       crc32(member.id.encode())))
         self.feed(self.controller.listed, self.loop.now, lines, event.whole)
         for node in stopped:                         # a set-up that has not left yet does not go there any more
             for ply in list(node.open.values()):
--- a/laddergw/settings.py
+++ b/laddergw/settings.py
@@ -128,7 +128,7 @@
         directors=int(read.number("Siblings", low=1)), max_allocations=int(read.number("Permissions.MaxAttempts", low=1)),
         retry_max_ms=read.ms("Permissions.MaxRetryAfter", 0.0) if read.flag("Permissions.RetryAfter", "true") else 0.0,
         cold_from=read.number("Rules.ColdFrom", 1.0), warm_ms=read.ms("Rules.WarmWithin", 0.0),
-        fall_multiple=read.number("Rules.FallMultiple", 1.0),
+        fall_multiple=read.number("Rules.FallMultiple", 1.0), fall_ms=read.ms("Rules.Fall", 0.0),
         budget_free=read.number("Rules.FreeResends", None), budget_share=read.number("Rules.ExtraRatio", 0.0),
         budget_ms=read.ms("Rules.CountedOver", 0.0), must_ask=read.word("Discovery", "pushed") == "on_request",
         reports=tuple(read.word("Reporting.Names", "").split(",")),
--- a/laddergw/terms/house.py
+++ b/laddergw/terms/house.py
@@ -170,7 +170,7 @@
         seen_after_ms=read.number("seen-after-ms", 0.0, 0, 60_000), directors=read.whole("directors", 1, 1, 10_000),
         max_allocations=read.whole("allocations", 3, 1, 100), retry_max_ms=read.number("retry-most-ms", 1_000.0, 0, 600_000),
         cold_from=read.number("cold-from", 1.0, 0, 1), warm_ms=read.number("warm-ms", 0.0, 0, 3_600_000),
-        fall_multiple=read.number("fall-multiple", 1.0, 0.01, 1_000), budget_free=free, budget_share=share or 0.0,
+        fall_multiple=read.number("fall-multiple", 1.0, 0.01, 1_000), fall_ms=read.number("fall-ms", 0.0), budget_free=free, budget_share=share or 0.0,
         budget_ms=window or 0.0, must_ask=read.word("list-comes", "pushed", ("pushed", "asked")) == "asked",
         reports=read.words("reports", ()), probes=read.word("probes", "no", YES_NO) == "yes",
         told_by=read.word("told-by", "answers", ("answers", "probe", "none")), probe_price=read.number("probe-price", 0.0, 0, 1),
--- a/laddergw/wirehost/__main__.py
+++ b/laddergw/wirehost/__main__.py
@@ -76,7 +76,7 @@
         if code == codec.REGISTRY:
             if f[1] == FORM_FAILED:
                 return c.list_failed(now)
-            lines = [face.NodeLine(e[6], e[0], e[1], STATES.get(e[2], face.GONE), e[3] / 1000, e[4], e[5])
+            lines = [face.NodeLine(e[6], e[0], e[1], STATES.get(e[2], face.GONE), e[3] / 1000, e[4], e[5], e[6])
                      for e in pages.get(f[3], ())]
             return c.listed(now, lines, f[1] != FORM_DELTA)
         if code == codec.ECHO:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -16,7 +16,7 @@
         products=tuple(face.Product(**{**PLAIN, **p}) for p in products), ladder=(100.0, 200.0, 400.0),
         rung_worth=(0.3, 0.6, 1.0), cells=4, racks=2, link_unit=9000.0, rack_kb=40000.0, streams=(20.0,), step_cost_ms=400.0,
         seen_after_ms=500.0, directors=2, max_allocations=3,
-        retry_max_ms=1000.0, cold_from=0.5, warm_ms=10_000.0, fall_multiple=2.0,
+        retry_max_ms=1000.0, cold_from=0.5, warm_ms=10_000.0, fall_multiple=2.0, fall_ms=1000.0,
         budget_free=None, budget_share=0.0, budget_ms=0.0, must_ask=False, reports=("x0",))
     return face.Deployment(**{**values, **changes})
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -141,10 +141,10 @@
     def test_directors_take_turns_at_a_node_that_started(self):
         d = None
         for seed in range(1, 9):
-            e = Drive(nodes=1, seed=seed, directors=8, streams=(25.0,))
+            e = Drive(nodes=1, seed=seed, directors=8, streams=(25.0,), number=seed - 1)
             e.lines = d.lines if d else e.lines
             d = e
-            d.say(f"director {seed} of 8 hears that node 1 just started: its first turn is at a time of its own")
+            d.say(f"director {seed} of 8 hears that node 1 just started: it sends when its number is up")
             d.listed(20_000, [d.line(1, started=20_000)])
             for now in (300, 2300, 4300):
                 d.ask(now, now)
