Names are read as told, and a new file keeps the numbers of what is held

Two causes: assignment.names took names from the flattened settings, which fold spaces and commas into words, so that zones and kinds with a space never matched the list either (all counted as the first); requests.text_of and rtsp.request knew ASCII only. Seen in tests/test_orders_files.py: a file read at SIGHUP that orders products, kinds or zones otherwise gave the numbers of the old ones another meaning: a play's product was looked up under another row's demand and seats, a node listed as one kind counted as another; limits of descriptors and the connect time were not taken over; an end at SIGTERM came by the new file's longest limit, before that of plays on the old one; a file with another address to listen at was taken in part. Mended: assignment.following gives a new file the numbers in force, what is new behind them; a product that is gone weighs nothing and takes nobody; Director.change refuses before it changes anything, and lists all nodes again where names changed meaning. Parts of descriptors are taken of what the process may really hold. Tests on sockets wait for the kernel's word that bytes or an end lie there, and peers do not hold bytes back (Nagle).

--- a/laddergw/loop/sockets.py
+++ b/laddergw/loop/sockets.py
@@ -162,6 +162,8 @@
             sock.shutdown(socket.SHUT_WR)
         except OSError:                        # the peer has reset it
             return sock.close()
+        if self.over:
+            return sock.close()
         self.lingering[Lingering(self, sock)] = None
         if len(self.lingering) > LINGERS:
             next(iter(self.lingering)).close()
--- a/laddergw/platform/__main__.py
+++ b/laddergw/platform/__main__.py
@@ -24,29 +24,31 @@
 def read_again(path: str, director: Director) -> None:
     """At SIGHUP. A file that is refused changes nothing."""
     try:
-        found = assignments.read_file(path)
+        found = with_descriptors(assignments.read_file(path))
+        director.change(found)
     except assignments.Refused as error:
         log.error("configuration refused, what is in force stays: %s", error)
-        return
-    log.info("configuration read again, change log at %s", found.changelog)
-    director.change(found)
+    else:
+        log.info("configuration read again, change log at %s", found.changelog)
 
 
-def raise_descriptors(most: int) -> None:
+def with_descriptors(found: assignments.Assignment) -> assignments.Assignment:
+    """Raises the process's limit to what the file tells, as far as it may; the parts are taken of what it may really hold."""
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-    if soft < most and (hard == resource.RLIM_INFINITY or hard > soft):
-        resource.setrlimit(resource.RLIMIT_NOFILE, (most if hard == resource.RLIM_INFINITY else min(most, hard), hard))
+    most = found.sockets if hard == resource.RLIM_INFINITY else min(found.sockets, hard)
+    if soft != resource.RLIM_INFINITY and soft < most:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (most, hard))
+    return found._replace(sockets=most)
 
 
 def main() -> int:
     logging.basicConfig(stream=sys.stderr, level=os.environ.get("LADDERGW_LOG", "INFO"), format="%(asctime)s %(levelname)s %(message)s")
     path = os.environ.get("PROXY_CONFIG", "")
     try:
-        found = assignments.read_file(path)
+        found = with_descriptors(assignments.read_file(path))
     except assignments.Refused as error:
         print(error, file=sys.stderr)
         return EXIT_FILE
-    raise_descriptors(found.sockets)
     loop = SocketLoop()
     try:
         director = Director(loop, found)
--- a/laddergw/platform/assignment.py
+++ b/laddergw/platform/assignment.py
@@ -22,6 +22,7 @@
     last: int                                # number of the last known event
     deployment: Deployment
     products: dict[str, int]                 # by the name that viewers use
+    all_products: dict[str, int]             # and those of earlier files
     kinds: dict[str, int]
     zones: dict[str, int]
     longest_ms: float                        # the longest time limit of a product
@@ -35,22 +36,30 @@
     return host.strip("[]"), int(port)
 
 
-def names(values: dict[str, str], key: str) -> dict[str, int]:
-    return {name: index for index, name in enumerate(values.get(key, "").split(","))}
+def names(found: Any) -> dict[str, int]:
+    """Names by their place, as they are told: with spaces, accents, whatever people write. Not from the flattened settings, which
+    fold them into words."""
+    told = [str(name) for name in found] if isinstance(found, list) else str(found or "").split(",")
+    if len(set(told)) < len(told):
+        raise Refused(f"a name is there twice: {told}")
+    if any(not name.isprintable() for name in told):
+        raise Refused(f"a name cannot be read: {told!a}")
+    return {name: index for index, name in enumerate(told)}
 
 
 def of(tree: Any) -> Assignment:
     """Checks a configuration whole: it holds, or it is refused and nothing changes."""
     try:
-        values = settings.flatten(tree["settings"])
+        told = tree["settings"]
+        values = settings.flatten(told)
         deployment, read = settings.decode(values), settings.Reader(values)
-        known = changes.known(tree["known"])
+        known, products = changes.known(tree["known"]), names([grade["Name"] for grade in told["Grades"]])
         grades = range(len(deployment.products))
         return Assignment(
             str(tree["name"]), address(tree["listen"]), int(str(tree.get("seed") or "0"), 16),
             int(tree.get("limits", {}).get("sockets", 1024)), address(tree["changelog"]) if tree.get("changelog") else None,
-            known, tree["known"]["seq"], deployment, {read.word(f"Grades.{i}.Name"): i for i in grades},
-            names(values, "Kinds"), names(values, "Zones"), max(read.ms(f"Grades.{i}.GiveUp") for i in grades),
+            known, tree["known"]["seq"], deployment, products, products,
+            names(told.get("Kinds")), names(told.get("Zones")), max(read.ms(f"Grades.{i}.GiveUp") for i in grades),
             read.ms("Permissions.ConnectTimeout", 250.0))
     except (settings.BadSetting, changes.Malformed) as error:
         raise Refused(str(error)) from None
@@ -58,6 +67,33 @@
         raise Refused(f"configuration: {error!r}") from None
 
 
+def numbered(before: dict[str, int], found: dict[str, int]) -> dict[str, int]:
+    """All names, the ones from before in their numbers, what is new behind them."""
+    return before | {name: len(before) + at for at, name in enumerate(name for name in found if name not in before)}
+
+
+def following(before: Assignment, found: Assignment) -> Assignment:
+    """The file read anew, in the numbers of the one in force: what is held, counted and listed under a number keeps its meaning,
+    however the new file orders its products, kinds and zones. Raises Refused for what cannot change while the director runs."""
+    if found.listen != before.listen:
+        raise Refused(f"listens at {before.listen}, and cannot at {found.listen} before it starts again")
+    products, kinds, zones = (numbered(old, new) for old, new in (
+        (before.all_products, found.products), (before.kinds, found.kinds), (before.zones, found.zones)))
+    old, new = before.deployment, found.deployment
+    # A product that is there no more is worth nothing to the decisions, and nobody is let in under its name
+    rows = [new.products[found.products[name]] if name in found.products else old.products[number]._replace(importance=0.0)
+            for name, number in products.items()]
+    streams = [streams_of(new, found.kinds[name]) if name in found.kinds else streams_of(old, number) for name, number in kinds.items()]
+    zone = next((name for name, number in found.zones.items() if number == new.zone), None)
+    return found._replace(
+        deployment=new._replace(products=tuple(rows), streams=tuple(streams), zone=zones.get(zone, new.zone)),
+        products={name: products[name] for name in found.products}, all_products=products, kinds=kinds, zones=zones)
+
+
+def streams_of(deployment: Deployment, kind: int) -> float:
+    return deployment.streams[min(kind, len(deployment.streams) - 1)]
+
+
 def read_file(path: str) -> Assignment:
     try:
         with open(path, "rb") as file:
--- a/laddergw/platform/director.py
+++ b/laddergw/platform/director.py
@@ -13,10 +13,10 @@
 from laddergw.hosting import Hosting
 from laddergw.platform import allocation as life
 from laddergw.platform.allocating import Allocating
-from laddergw.platform.assignment import Assignment
+from laddergw.platform.assignment import Assignment, following
 from laddergw.platform.desk import Desk
 from laddergw.platform.following import Follower
-from laddergw.platform.nodes import Nodes
+from laddergw.platform.nodes import Node, Nodes
 from laddergw.platform.plays import BROKEN, DECLINED, FAILED, Play
 from laddergw.platform.viewers import Door
 from laddergw.signalling import binary, changes, rtsp
@@ -67,16 +67,22 @@
     # The configuration, the list, and the process's end
 
     def change(self, assignment: Assignment) -> None:
-        """The file read anew: its list and change log hold at once, its terms for plays that come from now on."""
-        before, self.assignment = self.assignment, assignment
+        """The file read anew: its list, change log and bounds hold at once, its terms for plays that come from now on. Raises
+        Refused, with nothing changed, for what cannot be taken over."""
+        before, found = self.assignment, following(self.assignment, assignment)
+        self.assignment = found
+        if found.deployment != before.deployment:
+            self.feed(self.controller.retold, self.loop.now, found.deployment)
+        self.door.bound(int(VIEWERS_PART * found.sockets))
+        self.nodes.most, self.nodes.connect_ms = int(NODES_PART * found.sockets), found.connect_ms
+        if (found.kinds, found.zones) != (before.kinds, before.zones):     # a name that was not known has its meaning now
+            self.feed(self.controller.listed, self.loop.now, [self.line_of(node) for node in self.nodes.by_id.values()], False)
         for event in assignment.known:
             if event.number > self.follower.last:
                 self.follower.last = event.number
                 self.listed(event)
-        if assignment.changelog != before.changelog:
-            self.follower.switch(assignment.changelog)
-        if assignment.deployment != before.deployment:
-            self.feed(self.controller.retold, self.loop.now, assignment.deployment)
+        if found.changelog != before.changelog:
+            self.follower.switch(found.changelog)
 
     def listed(self, event: changes.Event) -> None:
         lines, stopped = [], []
@@ -96,23 +102,28 @@
             node.gone = member.state == "DELETED"
             if member.state != "SERVING":
                 stopped.append(node)
-            lines.append(face.NodeLine(node.number, member.cell, member.weight, STATES[member.state],
-                                       member.since - self.epoch if member.since else 0.0,
-                                       self.assignment.kinds.get(member.kind, 0), self.assignment.zones.get(member.zone, 0),
-                                       crc32(member.id.encode())))
+            node.member = member
+            lines.append(self.line_of(node))
         self.feed(self.controller.listed, self.loop.now, lines, event.whole)
         for node in stopped:                         # a set-up that has not left yet does not go there any more
             for ply in list(node.open.values()):
                 if ply.line is not None and ply.line.state(ply.session) == life.UNSENT:
                     self.allocating.drop_set_up(ply, life.TAKEN_BACK)
 
+    def line_of(self, node: Node) -> face.NodeLine:
+        """The module's line of a node, by the names in force. `mark`: by its id, which every director hears alike."""
+        m = node.member
+        return face.NodeLine(node.number, m.cell, m.weight, STATES[m.state], m.since - self.epoch if m.since else 0.0,
+                             self.assignment.kinds.get(m.kind, 0), self.assignment.zones.get(m.zone, 0), crc32(m.id.encode()))
+
     def stop(self) -> None:
         """Takes nothing new; what stands goes on while it may."""
         if self.stopping is None:
             self.stopping = self.loop.now
             log.info("stopping: open %d, standing %d", len(self.open), len(self.standing))
             self.loop.after(STOP_LEAST_MS, lambda: None)
-            self.loop.after(min(self.assignment.longest_ms, STOP_LIMIT_MS) + STOP_AFTER_MS, self.end_all)
+            longest = max([self.assignment.longest_ms, *(ply.limit - self.loop.now for ply in self.open.values())])   # on older terms too
+            self.loop.after(min(longest, STOP_LIMIT_MS) + STOP_AFTER_MS, self.end_all)
 
     def end_all(self) -> None:
         if self.leaving:
--- a/laddergw/platform/nodes.py
+++ b/laddergw/platform/nodes.py
@@ -101,7 +101,7 @@
 
     def __init__(self, fleet: "Nodes", number: int, member):
         self.fleet, self.number, self.id, self.address = fleet, number, member.id, (member.host, member.port)
-        self.since, self.gone, self.silent, self.lines = member.since, False, 0, []
+        self.member, self.since, self.gone, self.silent, self.lines = member, member.since, False, 0, []
         self.heard = fleet.loop.now
         self.held: dict[str, Any] = {}       # plays that stand there
         self.open: dict[str, Any] = {}       # plays whose set-up is open there
--- a/laddergw/platform/requests.py
+++ b/laddergw/platform/requests.py
@@ -33,6 +33,14 @@
     return value.decode("ascii")
 
 
+def product_of(message: binary.Message) -> str:
+    """As the settings name it: any text."""
+    try:
+        return message.parameters.get(binary.PRODUCT, b"").decode()
+    except UnicodeDecodeError:
+        raise Unusable("a product that is no text") from None
+
+
 def figure(text: str, name: str, low: float, high: float) -> float:
     if not FIGURE.fullmatch(text) or not low <= float(text) <= high:
         raise Unusable(f"{name}: {text[:40]!r}")
@@ -48,7 +56,7 @@
         if not mark or name in figures:
             raise Unusable(f"figures: {part[:40]!r}")
         figures[name] = value
-    product, title = text_of(message, binary.PRODUCT), text_of(message, binary.TITLE)
+    product, title = product_of(message), text_of(message, binary.TITLE)
     description = message.parameters.get(binary.DESCRIPTION, b"")
     if product not in assignment.products or not TITLE.fullmatch(title) or message.session == "0" * 16 or not (description or "at" in figures):
         raise Unusable(f"{product[:40]!r}, {title[:40]!r}, {message.session}, description of {len(description)}")
--- a/laddergw/platform/viewers.py
+++ b/laddergw/platform/viewers.py
@@ -79,10 +79,19 @@
 
     def come(self, viewer: Viewer) -> None:
         self.viewers[viewer] = None
-        if len(self.viewers) > self.most:            # who has said nothing goes first, then who was idle longest
-            idle = [v for v in self.viewers if not v.plays and v is not viewer] or [viewer]
-            # What a new one has to say may lie unread: closed then, its set-up would be lost
-            min(idle, key=lambda v: (v.proven or self.loop.now - v.since < FRESH_MS, v.used)).close("too many")
+        if len(self.viewers) > self.most:
+            self.close_one([v for v in self.viewers if not v.plays and v is not viewer] or [viewer])
+
+    def close_one(self, idle: list[Viewer]) -> None:
+        """Who has said nothing goes first, then who was idle longest. What a new one has to say may lie unread: closed then, its set-up
+        would be lost."""
+        min(idle, key=lambda v: (v.proven or self.loop.now - v.since < FRESH_MS, v.used)).close("too many")
+
+    def bound(self, most: int) -> None:
+        """Another bound, at once; who has plays open keeps its connection."""
+        self.most = most
+        while len(self.viewers) > most and (idle := [v for v in self.viewers if not v.plays]):
+            self.close_one(idle)
 
     def shut(self) -> None:
         """The process's end: all who have come are accepted, what they have said is answered, then every connection ends."""
--- a/laddergw/signalling/rtsp.py
+++ b/laddergw/signalling/rtsp.py
@@ -37,7 +37,7 @@
 def request(method: str, target: str, session: str, headers: tuple[tuple[str, str], ...] = (), body: bytes = b"") -> bytes:
     lines = [f"{method} rtsp://media/{target} RTSP/1.0", f"CSeq: {SEQUENCE.get(method, OTHER_SEQUENCE)}", f"Session: {session}"]
     lines += [f"{name}: {value}" for name, value in headers]
-    return "\r\n".join([*lines, f"Content-Length: {len(body)}", "", ""]).encode("ascii") + body
+    return "\r\n".join([*lines, f"Content-Length: {len(body)}", "", ""]).encode() + body
 
 
 def answer(status: int, reason: str, sequence: str, session: str) -> bytes:
--- a/tests/sockets_town.py
+++ b/tests/sockets_town.py
@@ -1,9 +1,14 @@
 """One real director on real sockets, turned by hand: peers are plain sockets that act between its turns, so that every order can be forced.
 
-Loopback hands bytes over within the call that writes them: what a peer did before a turn is there to be read in it.
+What a peer did before a turn must be there to be read in it: `lies_there` waits for that, by the kernel's own word.
 """
 import contextlib
+import fcntl
+import select
 import socket
+import struct
+import termios
+import time
 
 from laddergw.loop.sockets import SocketLoop, clock
 from laddergw.platform import assignment as assignments
@@ -11,7 +16,8 @@
 from laddergw.signalling import binary, rtsp
 from tests.platform_town import answer, event, member, release, set_up, tree
 
-TURNS = 400                # enough for anything that comes without a wait
+PATIENCE_S = 20.0          # of the test, for what is to come
+POLL_END = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
 class Peer:
@@ -20,6 +26,7 @@
     def __init__(self, sock, reader):
         self.sock, self.reader, self.ended = sock, reader, None
         sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)   # what is written leaves at once, also behind what is not acknowledged
 
     def write(self, *data):
         for part in data:
@@ -113,11 +120,28 @@
 
     def until(self, done):
         """Turns until something has come; what it found."""
-        for _ in range(TURNS):
-            if found := done():
-                return found
+        latest = time.monotonic() + PATIENCE_S
+        while not (found := done()):
+            if time.monotonic() > latest:
+                self.test.fail("did not come to its end")
             self.turn()
-        return self.test.fail("did not come to its end")
+        return found
+
+    def side(self, viewer):
+        """The director's end of a viewer's connection, once it is accepted."""
+        mine = viewer.sock.getsockname()
+        return self.until(lambda: next((v.stream for v in self.director.door.viewers if v.stream.peer == mine), None))
+
+    def lies_there(self, stream, size=None):
+        """Waits until so many bytes lie unread at the director's end of a connection, or, where no number is told, its peer's end."""
+        if size is None:
+            poll = select.poll()
+            poll.register(stream.sock, POLL_END)
+            return self.test.assertTrue(poll.poll(PATIENCE_S * 1000))
+        latest = time.monotonic() + PATIENCE_S
+        while struct.unpack("i", fcntl.ioctl(stream.sock, termios.FIONREAD, b"\0" * 4))[0] < size:
+            self.test.assertLess(time.monotonic(), latest)
+        return None
 
     def come(self, node):
         """Turns until a message has come to a node: (line, message)."""
--- /dev/null
+++ b/tests/test_orders_files.py
@@ -0,0 +1,208 @@
+"""A new file while plays are open and stand: what it changes, what it must leave alone. Real connections where something is said."""
+import json
+import pathlib
+import tomllib
+import unittest
+
+from laddergw import interface as face
+from laddergw.platform import assignment as assignments
+from laddergw.platform.director import NODES_PART, VIEWERS_PART
+from laddergw.signalling import binary
+from tests.platform_town import TREE, answer, member, release, set_up, tree
+from tests.sockets_town import Town
+
+SITES = pathlib.Path(__file__).parent.parent / "deploy/sites"
+# What the file may change while the director runs, and how: each field is here, so that a new one cannot be forgotten.
+TAKEN_OVER = {"sockets", "changelog", "known", "last", "deployment", "products", "all_products", "kinds", "zones", "longest_ms", "connect_ms"}
+OF_THE_START = {"name", "listen", "seed"}    # a file with another address is refused; name and seed are a process's own
+
+
+def terms(**changes):
+    return json.loads(json.dumps(TREE)) | changes
+
+
+def grades(*names):
+    rows = {"guide": TREE["Grades"][0], "paid": TREE["Grades"][1],
+            "live": {"Name": "live", "Points": 7.0, "Repeat": "pure", "GiveUp": 9_000_000}}
+    return [rows[name] for name in names]
+
+
+def found(**changes):
+    return assignments.of(tree(**{"listen": "127.0.0.1:1"} | changes))
+
+
+REPEATS = {"safe": ("pure", "safe"), "unsafe": ("side_effect", "paid")}
+
+
+def settings_of(site):
+    """A site's terms as a director's file tells them; of ranges the upper end."""
+    def most(value):
+        return value[-1] if isinstance(value, list) else value
+    allow, rules, fam, tier = site["allow"], site["rules"], site["fam"], site["tier"][0]
+    rungs = int(most(fam["rungs"]))
+    own = {"Grades": [{"Name": row["name"], "Points": row["worth"], "Repeat": REPEATS[row["effect"]][0], "GiveUp": row["deadline_ms"] * 1000}
+                      for row in site["class"]],
+           "Kinds": [kind["name"] for kind in tier["kind"]], "Zones": site["net"]["zones"], "Siblings": 3, "Ordinal": 1,
+           "Reporting": {"Names": tier["report"]["fields"], "How": tier["report"]["how"]},
+           "Permissions": {"MaxAttempts": allow["max_attempts"], "ConnectTimeout": tier["conn"]["connect_timeout_ms"] * 1000,
+                           "RetryAfter": allow["retry_after"], "MaxRetryAfter": site["clients"]["max_retry_after_ms"] * 1000},
+           "Rules": {"FallMultiple": rules["fall_multiple"], "Fall": rules["fall_ms"] * 1000, "ColdFrom": tier["kind"][0]["cold_from"][0],
+                     "WarmWithin": most(tier["kind"][0]["cold_s"]) * 1_000_000},
+           "Specifics": {"LadderKb": [100.0 * 2 ** n for n in range(rungs)], "WorthByRung": [(n + 1) / rungs for n in range(rungs)],
+                         "Positions": 4, "Groups": 2, "LinkUnitKb": 9000.0, "RackKb": 40000.0, "KindSlots": [30] * len(tier["kind"]),
+                         "LowestRung": [row.get("floor", 0) for row in fam["class"]], "Live": [row.get("live", False) for row in fam["class"]],
+                         "HighestRung": [min(row.get("top", rungs - 1), rungs - 1) for row in fam["class"]]}}
+    if "budget_share" in rules:
+        own["Rules"] |= {"ExtraRatio": rules["budget_share"], "FreeResends": rules["budget_free"], "CountedOver": rules["budget_ms"] * 1000}
+    return own
+
+
+class Files(unittest.TestCase):
+    def test_each_field_is_taken_over_or_belongs_to_the_start(self):
+        self.assertEqual(set(assignments.Assignment._fields), TAKEN_OVER | OF_THE_START)
+
+    def test_names_are_read_as_they_are_told(self):
+        """Seen on the bench: products with accents and spaces in their names were refused, all of them: names were folded into words."""
+        name, zone, kind = "relevé de notes", "quai Rhône, haut", "quatre cœurs"
+        settings = terms(Grades=[TREE["Grades"][0] | {"Name": name}, TREE["Grades"][1]], Zones=["east", zone], Kinds=["std", kind])
+        town = Town(self, settings=settings)
+        self.assertEqual([(a.products[name], a.zones[zone], a.kinds[kind]) for a in (town.director.assignment,)], [(0, 1, 1)])
+        viewer = town.viewer()
+        viewer.write(set_up(1, product=name))
+        node = town.nodes["a"]
+        town.until(lambda: node.accept() or node.lines)
+        town.turns(3)
+        self.assertIn(f"Subject: {name}\r\n".encode(), node.lines[0].sock.recv(4096))
+        viewer.write(binary.encode(binary.SET_UP, f"{2:016x}", (180, b"\xff\xfe"), (183, b"1500"), (192, b"7f3a9c21e0b4d655"),
+                                   (195, b"home:0;copies:3;top:2"), (225, b"v=0")))
+        refused, = town.until(viewer.hear)
+        self.assertEqual(refused.parameters[binary.CAUSE][0], 95)
+
+    def test_names_that_cannot_be_told_apart_are_refused(self):
+        for settings in terms(Grades=grades("guide", "guide")), terms(Zones=["east", "east"]), terms(Kinds=["a\r\nb"]):
+            self.assertRaises(assignments.Refused, found, settings=settings)
+
+    def test_products_in_another_order(self):
+        """Open, standing and asked-for plays keep their terms; what comes then has the new ones. Numbers keep their meaning."""
+        town = Town(self, settings=terms(Grades=grades("guide", "paid")))
+        viewer = town.viewer()
+        viewer.write(set_up(1, product="paid"))
+        line, message = town.come("a")
+        line.write(answer(message.session))
+        town.until(viewer.hear)
+        viewer.write(set_up(2, product="paid"))
+        line, second = town.come("a")
+        before, seats = town.director.assignment, dict(town.director.controller.fleet.seats)
+        town.director.change(found(settings=terms(Grades=grades("live", "paid", "guide")), changelog=None)._replace(
+            listen=before.listen, changelog=before.changelog))
+        after = town.director.assignment
+        self.assertEqual((after.products["guide"], after.products["paid"], after.products["live"]), (0, 1, 2))
+        rows = town.director.controller.fleet.d.products
+        self.assertEqual([row.importance for row in rows], [1.0, 2.0, 7.0])
+        self.assertEqual(dict(town.director.controller.fleet.seats), seats)
+        viewer.write(set_up(3, product="live"))
+        self.assertEqual(town.come("a")[1].session, f"{3:016x}")
+        self.assertEqual(town.director.controller.plays[3].product.importance, 7.0)
+        line.write(answer(second.session, 500, b""))             # a paid play that may have run is not sent again, under any file
+        self.assertEqual([m.parameters[binary.CAUSE][0] for m in town.until(viewer.hear)], [41])
+
+    def test_a_product_that_is_there_no_more(self):
+        """What stands goes on to its end; nobody is let in under it; it weighs nothing in the decisions, and comes back as it was."""
+        town = Town(self, settings=terms(Grades=grades("guide", "paid")))
+        viewer = town.viewer()
+        viewer.write(set_up(1, product="guide"))
+        line, message = town.come("a")
+        line.write(answer(message.session))
+        town.until(viewer.hear)
+        mine = town.director.assignment
+
+        def change(*names):
+            town.director.change(found(settings=terms(Grades=grades(*names)))._replace(listen=mine.listen, changelog=mine.changelog))
+        change("paid")
+        self.assertEqual([row.importance for row in town.director.controller.fleet.d.products], [0.0, 2.0])
+        viewer.write(set_up(2, product="guide"))
+        self.assertEqual([m.parameters[binary.CAUSE][0] for m in town.until(viewer.hear)], [95])
+        viewer.write(set_up(3, product="paid"))
+        self.assertEqual(town.come("a")[1].session, f"{3:016x}")
+        line.write(release(1, 16))
+        self.assertEqual([(m.kind, m.session) for m in town.until(viewer.hear)], [(binary.RELEASE, f"{1:016x}")])
+        change("guide", "paid")
+        self.assertEqual([row.importance for row in town.director.controller.fleet.d.products], [1.0, 2.0])
+
+    def test_kinds_and_zones_in_another_order(self):
+        """Nodes that were listed before keep their kind and zone, though the new file counts them otherwise; unknown ones get theirs."""
+        nodes = [member("a", 1) | {"host_port": "127.0.0.1:1", "flavor": "small", "locality": "west"},
+                 member("b", 1, cell=1) | {"host_port": "127.0.0.1:1", "flavor": "huge", "locality": "north"}]
+        known = {"seq": 1, "results": [{"seq": 1, "fleet": {"revision": 1, "complete": True, "members": nodes}}]}
+        first = terms(Kinds=["small", "large"], Zones=["east", "west"], MyZone=1, Specifics=TREE["Specifics"] | {"KindSlots": [10, 20]})
+        town = Town(self, settings=first, known=known)
+        controlled = town.director.controller.fleet.nodes
+
+        def seen():
+            return [(n.streams, n.zone == town.director.controller.fleet.d.zone) for n in controlled.values()]
+        self.assertEqual(seen(), [(10, True), (10, False)])
+        mine = town.director.assignment
+        second = terms(Kinds=["huge", "large", "small"], Zones=["north", "west", "east"], MyZone=1,
+                       Specifics=TREE["Specifics"] | {"KindSlots": [40, 21, 11]})
+        town.director.change(found(settings=second, known=known)._replace(listen=mine.listen, changelog=mine.changelog))
+        self.assertEqual(seen(), [(11, True), (40, False)])
+
+    def test_bounds(self):
+        """Descriptors and the time of a connection hold at once; who has plays open keeps its connection."""
+        town = Town(self, limits={"sockets": 200})
+        viewers = [town.viewer() for _ in range(90)]
+        town.turns()
+        viewers[0].write(set_up(1))
+        town.come("a")
+        mine = town.director.assignment
+        town.director.change(mine._replace(sockets=64, connect_ms=123.0))
+        self.assertEqual((len(town.director.door.viewers), town.director.nodes.most), (int(VIEWERS_PART * 64), int(NODES_PART * 64)))
+        self.assertEqual((town.director.nodes.connect_ms, len(town.director.open)), (123.0, 1))
+        self.assertIsNone(viewers[0].hear() or viewers[0].ended)
+
+    def test_what_cannot_change_leaves_all_as_it_was(self):
+        town = Town(self)
+        before, deployment = town.director.assignment, town.director.controller.fleet.d
+        with self.assertRaisesRegex(assignments.Refused, "listens at"):
+            town.director.change(found(listen="127.0.0.1:9", settings=terms(Grades=grades("live"))))
+        self.assertEqual((town.director.assignment, town.director.controller.fleet.d), (before, deployment))
+
+    def test_longer_limits_of_before_hold_through_a_stop(self):
+        """A play taken on a long limit is decided as ever, though the file of the stop knows only short ones."""
+        now = [0.0]
+        town = Town(self, now=lambda: now[0], settings=terms(Grades=grades("paid")))
+        viewer = town.viewer()
+        viewer.write(set_up(1, product="paid", patience="2900"))
+        town.come("a")
+        mine = town.director.assignment
+        town.director.change(found(settings=terms(Grades=[TREE["Grades"][0] | {"GiveUp": 500_000}]))._replace(
+            listen=mine.listen, changelog=mine.changelog))
+        town.director.stop()
+        now[0] += 1_500.0
+        town.turns(3)
+        self.assertEqual(len(town.director.open), 1)
+
+    def test_every_deployment_in_the_repository_is_read(self):
+        """Its names, limits and terms as a director's file tells them."""
+        paths = sorted(SITES.glob("*.toml"))
+        self.assertGreaterEqual(len(paths), 2)
+        for path in paths:
+            with self.subTest(path.name):
+                site = tomllib.loads(path.read_text())
+                read = found(settings=settings_of(site))
+                self.assertEqual(list(read.products), [row["name"] for row in site["class"]])
+                self.assertEqual((list(read.zones), list(read.kinds)), (site["net"]["zones"], [kind["name"] for kind in site["tier"][0]["kind"]]))
+                self.assertEqual([row.repeat for row in read.deployment.products], [REPEATS[row["effect"]][1] for row in site["class"]])
+                self.assertEqual(read.deployment.fall_ms, site["rules"]["fall_ms"])
+
+    def test_nothing_is_kept_between_directors(self):
+        """Two directors of two deployments in one process: the second knows nothing of the first."""
+        Town(self, settings=terms(Grades=grades("live", "guide", "paid"), Kinds=["x", "y"]))
+        second = Town(self, settings=terms(Grades=grades("paid")))
+        self.assertEqual((second.director.assignment.products, second.director.assignment.kinds), ({"paid": 0}, {"std": 0}))
+        self.assertEqual(len(second.director.controller.fleet.d.products), 1)
+        self.assertIsInstance(second.director.controller.fleet.d, face.Deployment)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_orders_leaving.py
+++ b/tests/test_orders_leaving.py
@@ -1,4 +1,5 @@
 """A viewer that has gone, by any way and at any moment: no allocation begins for it. Real connections, the bad order every time."""
+import select
 import socket
 import unittest
 
@@ -16,16 +17,24 @@
 }
 
 
+def leaves(town, viewer, way, unread=0):
+    """Leaves, and sees to it that this lies there to be read behind `unread` bytes."""
+    side = town.side(viewer)
+    WAYS[way](viewer)
+    town.lies_there(side, unread + len(RELEASE) if way == "cancelled" else None)
+
+
 class Leaving(unittest.TestCase):
     def test_left_behind_its_set_up(self):
         """The set-up and the viewer's end lie there together; the node has an open connection: nothing may go out on it."""
-        for way, leave in WAYS.items():
+        for way in WAYS:
             with self.subTest(way):
                 town = Town(self)
                 _, line = town.idle_line()
                 viewer = town.viewer()
+                town.side(viewer)
                 viewer.write(set_up(2))
-                leave(viewer)
+                leaves(town, viewer, way, len(set_up(2)))
                 town.turns()
                 self.assertEqual([m.method for _, m in town.nodes["a"].hear()], [])
                 self.assertEqual((len(town.director.open), len(town.director.controller.plays)), (0, 0))
@@ -37,24 +46,28 @@
                 town = Town(self)
                 town.idle_line()
                 viewer = town.viewer()
+                side = town.side(viewer)
                 viewer.sock.setblocking(True)
                 viewer.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1 << 20)
+                side.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 20)
                 viewer.write(b"".join(set_up(n) for n in range(2, 900)))
-                WAYS[way](viewer)
+                leaves(town, viewer, way)
                 town.turns(40)
                 self.assertEqual([m.method for _, m in town.nodes["a"].hear()], [])
                 self.assertEqual((len(town.director.open), len(town.director.controller.plays)), (0, 0))
 
     def test_left_as_the_connection_to_the_node_comes_up(self):
         """Both are told in one turn, the connection first: the set-up that waited on it may not leave before the end is read."""
-        for way, leave in WAYS.items():
+        for way in WAYS:
             with self.subTest(way):
                 town = Town(self)
                 town.connections_first()
                 viewer = town.viewer()
                 viewer.write(set_up(2))
                 town.until(lambda: town.director.nodes.lines())
-                leave(viewer)
+                leaves(town, viewer, way)
+                line, = town.director.nodes.by_id["a"].lines
+                town.test.assertTrue(select.select([], [line.stream.sock], [], 20)[1])   # it has come up
                 town.turns()
                 self.assertEqual([m.method for _, m in town.nodes["a"].hear()], [])
                 self.assertEqual(len(town.director.open), 0)
@@ -87,14 +100,14 @@
 
     def test_left_while_its_next_try_is_due(self):
         """The node is full; the end of the viewer comes in the same turn as that answer: nobody is asked a second time."""
-        for way, leave in WAYS.items():
+        for way in WAYS:
             with self.subTest(way):
                 town = Town(self, nodes=("a", "b"))
                 viewer = town.viewer()
                 viewer.write(set_up(2))
                 node = town.until(lambda: next((name for name in town.nodes if (heard := town.nodes[name].hear()) and
                                                 heard[0][0].write(answer(heard[0][1].session, 453, b"")) is None), None))
-                leave(viewer)
+                leaves(town, viewer, way)
                 town.turns()
                 self.assertEqual([m.method for _, m in town.nodes["b" if node == "a" else "a"].hear()], [])
                 self.assertEqual(len(town.director.open), 0)
