KNOWN-RED.txt is read by bin/test: what is listed may fail, and only that

A listed failure is printed and let pass. A failure that is not listed, a listed test that passes or does not exist, a fourth line, a line that is not three parts and a run of no test at all fail the run.

--- /dev/null
+++ b/tests/runner.py
@@ -0,0 +1,96 @@
+"""Runs the tests for bin/test and holds the result against KNOWN-RED.txt: what is listed there may fail, and only that.
+
+A line of the list: test's full name | cause | issue. Three lines at most. A listed test that passes, or is not there, fails the run:
+its line goes. Arguments are names of tests; of the list only the tests among them are looked at then.
+usage: python -m tests.runner [NAME ...], from the repository's root; ends with 0 where all is as it should be.
+"""
+import pathlib
+import sys
+import unittest
+from typing import Iterable, NamedTuple
+
+ROOT = pathlib.Path(__file__).parent.parent
+LIST, MOST = ROOT / "KNOWN-RED.txt", 3
+
+
+class Known(NamedTuple):
+    """One line of the list."""
+    test: str
+    cause: str
+    issue: str
+
+
+class BadList(Exception):
+    """A list that says too much, or what cannot be read."""
+
+
+def read(text: str) -> list[Known]:
+    """The list; raises BadList for a line that is not three parts, a test twice, a fourth line."""
+    found = []
+    for line in filter(str.strip, text.splitlines()):
+        parts = [part.strip() for part in line.split("|")]
+        if len(parts) != 3 or not all(parts):
+            raise BadList(f"not `test | cause | issue`: {line!r}")
+        found.append(Known(*parts))
+    if len(found) > MOST:
+        raise BadList(f"{len(found)} lines, {MOST} at most")
+    if len({known.test for known in found}) < len(found):
+        raise BadList("a test is there twice")
+    return found
+
+
+def faults(known: list[Known], ran: set[str], failed: set[str], whole: bool) -> list[str]:
+    """What is wrong of a run, in words: an empty list lets it pass. `whole`: all tests ran, so a listed one must be among them."""
+    listed = {one.test for one in known}
+    found = [f"failed, and is not listed: {name}" for name in sorted(failed - listed)]
+    found += [f"is listed as red, and passes: {name}" for name in sorted((listed & ran) - failed)]
+    return found + [f"is listed as red, and there is no such test: {name}" for name in sorted(listed - ran - failed) if whole]
+
+
+class Result(unittest.TextTestResult):
+    """Also keeps the names of what ran. A test that was left out has not passed."""
+
+    def __init__(self, *args, **options):
+        super().__init__(*args, **options)
+        self.ran: set[str] = set()
+
+    def stopTest(self, test) -> None:
+        super().stopTest(test)
+        self.ran.add(test.id())
+
+
+def name_of(test) -> str:
+    """Of a part of a test, the test's."""
+    return getattr(test, "test_case", test).id()
+
+
+def failed_of(result: Result) -> set[str]:
+    bad = [test for test, _ in [*result.failures, *result.errors]] + list(result.unexpectedSuccesses)
+    return {name_of(test) for test in bad}
+
+
+def judge(known: list[Known], result: Result, whole: bool, say) -> int:
+    failed = failed_of(result)
+    for one in known:
+        if one.test in failed:
+            say(f"KNOWN RED, let pass: {one.test}: {one.cause} (issue {one.issue})")
+    found = faults(known, result.ran, failed, whole)
+    for fault in found:
+        say(fault)
+    return 1 if found or not result.testsRun else 0
+
+
+def main(names: Iterable[str]) -> int:
+    try:
+        known = read(LIST.read_text() if LIST.exists() else "")
+    except BadList as error:
+        print(f"{LIST.name}: {error}", file=sys.stderr)
+        return 1
+    loader, names = unittest.TestLoader(), list(names)
+    suite = loader.loadTestsFromNames(names) if names else loader.discover("tests", top_level_dir=str(ROOT))
+    result = unittest.TextTestRunner(resultclass=Result).run(suite)
+    return judge(known, result, not names, lambda text: print(text, file=sys.stderr))
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
