--- /dev/null
+++ b/tests/test_orders_descriptors.py
@@ -0,0 +1,128 @@
+"""Idle clients, floods and few descriptors: real connections, and a real process with the limit that its file tells."""
+import json
+import os
+import pathlib
+import selectors
+import socket
+import tempfile
+import time
+import unittest
+
+from laddergw.signalling import binary
+from tests.platform_town import event, member, set_up
+from tests.sockets_town import Node, Peer, Town
+from tests.test_platform_start import PATIENCE_S, Running, held_port
+
+SOCKETS, IDLE = 64, 150
+TEST = binary.encode(binary.TEST, "0" * 16, (222, b"\0"))
+
+
+class Full(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.log = held_port()
+        self.addCleanup(self.log.close)
+        self.nodes = [Node(f"n{n}") for n in range(40)]
+        self.running = Running(pathlib.Path(folder.name), "full", limits={"sockets": SOCKETS}, log_port=self.log.getsockname()[1],
+                               known={"seq": 1, "results": [event(1, *self.members(), whole=True)]})
+        self.addCleanup(self.running.end)
+        self.selector = selectors.DefaultSelector()
+        self.addCleanup(self.selector.close)
+        self.peers = []
+        self.addCleanup(lambda: [one.sock.close() for one in [*self.peers, *self.nodes, *(l for n in self.nodes for l in n.lines)]])
+
+    def members(self):
+        return [member(node.name, node.port, cell=n % 3) | {"host_port": f"127.0.0.1:{node.port}"} for n, node in enumerate(self.nodes)]
+
+    def viewer(self):
+        latest = time.monotonic() + PATIENCE_S
+        while True:
+            try:
+                self.peers.append(Peer(socket.create_connection(("127.0.0.1", self.running.port)), binary.Reader()))
+                return self.peers[-1]
+            except ConnectionRefusedError:               # it has not begun to listen
+                self.assertLess(time.monotonic(), latest)
+
+    def until(self, done):
+        latest = time.monotonic() + PATIENCE_S
+        while not (found := done()):
+            self.assertLess(time.monotonic(), latest)
+        return found
+
+    def descriptors(self):
+        return len(os.listdir(f"/proc/{self.running.pid()}/fd"))
+
+    def test_the_change_log_gets_its_descriptor_when_it_returns(self):
+        """Clients that have had their answers, and others that never speak, come in hundreds while discovery is down, and stay."""
+        for n in range(IDLE):
+            one = self.viewer()
+            if n % 3:
+                one.write(set_up(n, title=f"{n:016x}", figures=f"home:{n % 3};copies:1;top:2"))
+            else:
+                one.write(TEST)
+            for node in self.nodes:
+                for line, message in node.hear():
+                    line.write(b"RTSP/1.0 453 X\r\nCSeq: 1\r\nSession: " + message.session.encode() + b"\r\nContent-Length: 0\r\n\r\n")
+        self.assertLessEqual(self.descriptors(), SOCKETS)
+        self.log.listen(16)
+        self.log.settimeout(PATIENCE_S)
+        for number in 1, 2:                              # what it tells is taken in, and asked for no second time
+            line, _ = self.log.accept()
+            self.addCleanup(line.close)
+            line.settimeout(PATIENCE_S)
+            self.assertEqual(line.recv(100), b"since %d\n" % number)
+            line.sendall(json.dumps(event(number + 1, *self.members(), whole=True)).encode() + b"\n")
+            line.shutdown(socket.SHUT_RDWR)
+        self.assertLessEqual(self.descriptors(), SOCKETS)
+
+
+class Floods(unittest.TestCase):
+    def test_thousands_of_set_ups_on_one_connection(self):
+        """Each has its refusal or stays one of the bounded open ones; a viewer beside them is served in the turn that it asks in."""
+        town = Town(self)
+        flood, good = town.viewer(), town.viewer()
+        town.side(flood), town.side(good)
+        flood.sock.setblocking(False)
+        data, heard = memoryview(b"".join(set_up(n, product="none") for n in range(1, 5001))), []
+        served = []
+        while data:
+            try:
+                data = data[flood.sock.send(data):]
+            except BlockingIOError:
+                pass
+            town.turn()
+            heard += flood.hear()
+            if len(heard) > 1000 and not served:
+                served.append(good.write(set_up(9000)))
+                town.lies_there(town.side(good), len(set_up(9000)))
+                town.turns(2)
+                self.assertEqual(len(town.director.controller.plays), 1)
+        town.until(lambda: heard.extend(flood.hear()) or len(heard) >= 5000)
+        self.assertEqual({m.parameters[binary.CAUSE][0] for m in heard}, {95})
+        self.assertEqual(len({m.session for m in heard}), 5000)
+
+    def test_refusals_reach_a_peer_that_reads_slowly(self):
+        town = Town(self)
+        viewer = town.viewer()
+        side = town.side(viewer)
+        viewer.write(b"".join(set_up(n, product="none") for n in range(1, 301)))
+        side.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1)
+        viewer.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1)
+        town.turns(5)
+        heard = []
+
+        def read():
+            try:
+                viewer.reader.feed(viewer.sock.recv(16))
+            except BlockingIOError:
+                return False
+            while (message := viewer.reader.next()) is not None:
+                heard.append(message.session)
+            return len(heard) == 300
+        town.until(read)
+        self.assertEqual(len(set(heard)), 300)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_platform_start.py
+++ b/tests/test_platform_start.py
@@ -48,11 +48,11 @@
 class Running:
     """One director by the deploy file's own line, its log read as it comes."""
 
-    def __init__(self, folder, name):
+    def __init__(self, folder, name, log_port=4001, **changes):
         self.name, self.path, self.log, self.at = name, folder / f"{name}.json", "", None
         self.held = held_port()
         self.port = self.held.getsockname()[1]
-        self.write(4001)
+        self.write(log_port, **changes)
         run = RUN.replace(".venv/bin/python", sys.executable)
         self.process = subprocess.Popen(["/bin/sh", "-c", run], cwd=ROOT, stdin=subprocess.DEVNULL, stderr=subprocess.PIPE,
                                         env=os.environ | {"PROXY_CONFIG": str(self.path), "PYTHONDONTWRITEBYTECODE": "1"})
@@ -64,6 +64,10 @@
                                           known={"seq": 1, "results": []}) | changes))
         beside.rename(self.path)
 
+    def pid(self):
+        """Of the director: the shell becomes it."""
+        return self.process.pid
+
     def end(self):
         if self.process.poll() is None:
             self.process.kill()
