The change log's orders forced; a new file's known events are taken without a gap only

Seen (tests/test_orders_list.py): a file read at SIGHUP whose `known` begins past what was heard set the number past the gap, and the events in it were never asked for. Line at fault: Director.change took every event above the last. Mended there: the next event, or a whole list; the rest is asked of the change log. Events twice, back, skipped, broken within a line, silence at the start, in the middle and within a line, another address during a dial, a node deleted and named again at another address or at one of a gone node: harmless, tests kept.

--- a/laddergw/platform/director.py
+++ b/laddergw/platform/director.py
@@ -77,8 +77,8 @@
         self.nodes.most, self.nodes.connect_ms = int(NODES_PART * found.sockets), found.connect_ms
         if (found.kinds, found.zones) != (before.kinds, before.zones):     # a name that was not known has its meaning now
             self.feed(self.controller.listed, self.loop.now, [self.line_of(node) for node in self.nodes.by_id.values()], False)
-        for event in assignment.known:
-            if event.number > self.follower.last:
+        for event in found.known:                        # past a gap only a whole list; what is missing the change log has
+            if event.number > self.follower.last and (event.whole or event.number == self.follower.last + 1):
                 self.follower.last = event.number
                 self.listed(event)
         if found.changelog != before.changelog:
