--- a/tests/runner.py
+++ b/tests/runner.py
@@ -6,11 +6,13 @@
 """
 import pathlib
 import sys
+import time
 import unittest
 from typing import Iterable, NamedTuple
 
 ROOT = pathlib.Path(__file__).parent.parent
 LIST, MOST = ROOT / "KNOWN-RED.txt", 3
+SLOWEST = 8                # tests whose time is told: all of them together have six minutes
 
 
 class Known(NamedTuple):
@@ -52,11 +54,16 @@
 
     def __init__(self, *args, **options):
         super().__init__(*args, **options)
-        self.ran: set[str] = set()
+        self.ran: dict[str, float] = {}      # seconds that each took
+        self.since = 0.0
+
+    def startTest(self, test) -> None:
+        super().startTest(test)
+        self.since = time.monotonic()
 
     def stopTest(self, test) -> None:
         super().stopTest(test)
-        self.ran.add(test.id())
+        self.ran[test.id()] = time.monotonic() - self.since
 
 
 def name_of(test) -> str:
@@ -74,7 +81,7 @@
     for one in known:
         if one.test in failed:
             say(f"KNOWN RED, let pass: {one.test}: {one.cause} (issue {one.issue})")
-    found = faults(known, result.ran, failed, whole)
+    found = faults(known, set(result.ran), failed, whole)
     for fault in found:
         say(fault)
     return 1 if found or not result.testsRun else 0
@@ -89,6 +96,8 @@
     loader, names = unittest.TestLoader(), list(names)
     suite = loader.loadTestsFromNames(names) if names else loader.discover("tests", top_level_dir=str(ROOT))
     result = unittest.TextTestRunner(resultclass=Result).run(suite)
+    slow = sorted(((s, name) for name, s in result.ran.items()), reverse=True)[:SLOWEST]
+    print("slowest: " + ", ".join(f"{name} {s:.1f} s" for s, name in slow), file=sys.stderr)
     return judge(known, result, not names, lambda text: print(text, file=sys.stderr))
 
 
