A set-up held for a node that stands still never arrives once it is given up

Seen on real sockets, every time (left_while_its_node_stands_still): the node's buffers were full, our system had taken the set-up, so it counted as out; the viewer left, we wrote TEARDOWN and closed; when the node read again the set-up arrived, and began, long after. Lines at fault: Allocating.drop_set_up closed in good order whatever was still on its way, and the system delivers for minutes. Mended there: a connection whose node has not told to have all of it 100 ms after the set-up left is reset, which takes it back; one that is closed sooner is reset 100 ms after its close if it still has not. 100 ms: the users' term for who has left, and more than twice the longest wait of an acknowledgement (40 ms). Nothing changes where the node's system has it: TEARDOWN goes out as ever. Without the mend both parts of the test fail.

--- a/laddergw/loop/memory_streams.py
+++ b/laddergw/loop/memory_streams.py
@@ -118,6 +118,10 @@
     def read_now(self) -> None:
         """Nothing lies unread here."""
 
+    def unacknowledged(self) -> int:
+        """What is told here has been handed over."""
+        return 0
+
     def pause(self) -> None:
         self.reading = False
 
@@ -146,7 +150,7 @@
             self.send(lambda other: other.ended(None))
         self.lose(None)
 
-    def close(self) -> None:
+    def close(self, deliver_ms: float | None = None) -> None:
         if self.alive and not self.ending:
             self.ending = True
             if not self.out:
--- a/laddergw/loop/sockets.py
+++ b/laddergw/loop/sockets.py
@@ -156,7 +156,7 @@
         stream.watch()
         return stream
 
-    def linger(self, sock: socket.socket) -> None:
+    def linger(self, sock: socket.socket, deliver_ms: float | None) -> None:
         """Takes over a socket that is closed for good, until its peer has ended too."""
         try:
             sock.shutdown(socket.SHUT_WR)
@@ -164,7 +164,7 @@
             return sock.close()
         if self.over:
             return sock.close()
-        self.lingering[Lingering(self, sock)] = None
+        self.lingering[Lingering(self, sock, deliver_ms)] = None
         if len(self.lingering) > LINGERS:
             next(iter(self.lingering)).close()
 
--- a/laddergw/loop/streams.py
+++ b/laddergw/loop/streams.py
@@ -1,8 +1,11 @@
 """A connected socket on the loop: what is written waits until the kernel takes it, what comes is handed to the stream's owner."""
 import errno
+import fcntl
 import os
 import selectors
 import socket
+import struct
+import termios
 from collections import deque
 from typing import TYPE_CHECKING
 
@@ -15,17 +18,21 @@
 READ_BYTES = 65_536        # read of one stream in a turn: the others get theirs
 
 
+RESET = b"\1\0\0\0\0\0\0\0"       # SO_LINGER of no time: closing resets, and what has not arrived never does
+
+
 class Stream(Outgoing):
     """A connected socket. `taken` counts the bytes that the kernel took, `asked` those that we were given to write. `more`: the
     last turn's read stopped at its bound, so its peer may have said more, or have left."""
     __slots__ = ("loop", "sock", "owner", "peer", "out", "queued", "asked", "taken", "reading", "ending", "open", "mask",
-                 "limit", "fd", "more")
+                 "limit", "fd", "more", "deliver_ms")
 
     def __init__(self, loop: "SocketLoop", sock: socket.socket, owner: Owner, peer):
         self.loop, self.sock, self.owner, self.peer, self.fd = loop, sock, owner, peer, sock.fileno() if sock else -1
         self.out: deque = deque()
         self.queued = self.asked = self.taken = self.mask = 0
         self.reading, self.ending, self.open, self.limit, self.more = True, False, False, None, False
+        self.deliver_ms = None
 
     def write(self, data: bytes) -> None:
         """Writes what the kernel takes now and keeps the rest. Nothing is written once the stream has closed."""
@@ -122,6 +129,9 @@
             self.flush()
         self.watch()
 
+    def unacknowledged(self) -> int:
+        return unacknowledged(self.sock)
+
     def pause(self) -> None:
         self.reading = False
         self.watch()
@@ -130,29 +140,28 @@
         self.reading = True
         self.watch()
 
-    def close(self) -> None:
-        """Ends after what is queued, which a peer that does not read is given LINGER_MS for; nothing more is read."""
+    def close(self, deliver_ms: float | None = None) -> None:
+        """Ends after what is queued; nothing more is read. `deliver_ms`, where it is told: what the peer's system has not got so long
+        after that is taken back from ours, and never arrives; else ours goes on delivering it."""
         if self.sock is None or self.ending:
             return
-        self.ending = True
+        self.ending, self.deliver_ms = True, deliver_ms
         if not self.out:
             self.part()
         else:
             self.pause()
-            if self.open:
-                self.limit = self.loop.after(LINGER_MS, lambda: self.lose("what was queued is not read"))
 
     def part(self) -> None:
         """Its owner is told that it has ended; the socket itself lingers until the peer has ended too."""
         if not self.open:
             return self.lose(None)
-        self.loop.linger(self.leave_loop())
+        self.loop.linger(self.leave_loop(), self.deliver_ms)
         self.owner.closed(self, None)
 
     def abort(self) -> None:
         """Ends at once with a reset; what is queued is dropped."""
         if self.sock is not None:
-            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
             self.lose("aborted")
 
     def leave_loop(self) -> socket.socket:
@@ -176,11 +185,18 @@
     """A socket that we have closed for good: our end is told, what its peer still sends is read and dropped until it ends too.
     Closed at once beside bytes that lie unread, or come, the system resets it, and the peer loses what we sent last."""
 
-    def __init__(self, loop: "SocketLoop", sock: socket.socket):
+    def __init__(self, loop: "SocketLoop", sock: socket.socket, deliver_ms: float | None):
         self.loop, self.sock = loop, sock
         self.limit = loop.after(LINGER_MS, self.close)
+        self.delivery = None if deliver_ms is None else loop.after(deliver_ms, self.late)
         loop.selector.register(sock, selectors.EVENT_READ, self)
 
+    def late(self) -> None:
+        """What we sent last has to be there by now, or it is taken back."""
+        if self.sock is not None and unacknowledged(self.sock):
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            self.close()
+
     def ready(self, events: int) -> None:
         left = READ_BYTES
         try:
@@ -196,8 +212,17 @@
 
     def close(self) -> None:
         if self.sock is not None:
-            self.limit.cancel()
+            for timer in filter(None, (self.limit, self.delivery)):
+                timer.cancel()
             self.loop.selector.unregister(self.sock)
             self.sock.close()
             self.sock = None
             self.loop.lingering.pop(self, None)
+
+
+def unacknowledged(sock: socket.socket) -> int:
+    """Bytes that the system took of us and the peer's system has not told to have."""
+    try:
+        return struct.unpack("i", fcntl.ioctl(sock, termios.TIOCOUTQ, b"\0" * 4))[0]
+    except OSError:                          # no such answer here: nothing is known to be missing
+        return 0
--- a/laddergw/platform/allocating.py
+++ b/laddergw/platform/allocating.py
@@ -8,6 +8,9 @@
 from laddergw.platform.plays import BROKEN, ENDED, Play
 from laddergw.signalling import binary, rtsp
 
+ARRIVE_MS = 100.0          # what a node's system has not told to have after this it shall not get: acknowledgements wait 40 ms at most, and
+                           # nothing may begin 100 ms after its viewer has left
+
 NOTES = {"got": face.DELIVERED, "level": face.RUNG_NOW, "port": face.LINK_ASKED, "spine": face.UPLINK_ASKED}
 
 log = logging.getLogger("laddergw.platform")
@@ -90,15 +93,18 @@
         self.drop_set_up(ply, life.LATE)
 
     def drop_set_up(self, ply: Play, fact: str) -> None:
-        """Gives a set-up up. Its connection ends too: what may still come on it belongs to nobody."""
+        """Gives a set-up up. Its connection ends too: what may still come on it belongs to nobody. While its node's system has not
+        all of what left, the connection is cut off, or a node that stood still or was away would begin it when it is back."""
         line = ply.line
         log.debug("%s.%d: %s on %s, set-up ends at byte %d", ply.session, ply.number, fact, line, line.ends[ply.session])
         state = line.give_up(ply.session)
-        if state == life.OUT:
+        late = self.director.loop.now - ply.sent_at >= ARRIVE_MS
+        away = state == life.OUT and not line.plays and late and line.stream.unacknowledged()
+        if state == life.OUT and not away:
             line.stream.write(rtsp.request("TEARDOWN", ply.request.title, ply.session))
         if not line.plays and line in line.node.lines:
             line.node.lines.remove(line)
-            line.stream.close()
+            line.stream.abort() if away else line.stream.close(ARRIVE_MS)
             line.node.renew()
         self.ended(ply, state, fact)
 
--- a/tests/test_orders_leaving.py
+++ b/tests/test_orders_leaving.py
@@ -1,9 +1,11 @@
 """A viewer that has gone, by any way and at any moment: no allocation begins for it. Real connections, the bad order every time."""
+import contextlib
 import select
 import socket
 import unittest
 
-from laddergw.signalling import binary
+from laddergw.platform import allocation as life
+from laddergw.signalling import binary, rtsp
 from tests.platform_town import answer, set_up
 from tests.sockets_town import Town
 
@@ -98,6 +100,39 @@
         self.assertGreater(len(begun), 5)
         self.assertEqual({n: begun[n] - left[n] for n in left if begun.get(n, 0) - left[n] > GONE_MS}, {})
 
+    def test_left_while_its_node_stands_still(self):
+        """The node reads nothing and its system takes no more; ours has taken the set-up. The viewer leaves at once, or when it has been
+        out for long; then the node wakes, and reads all that comes: the set-up never does."""
+        for out_ms in 1.0, 500.0:
+            with self.subTest(out_ms):
+                now = [10_000.0]
+                town = Town(self, now=lambda: now[0])
+                _, line = town.idle_line()
+                stream, = [line.stream for line in town.director.nodes.by_id["a"].lines]
+                while not stream.queued:                 # to the brim; then as much is read as lets our system take the set-up, no more
+                    stream.write(rtsp.request("OPTIONS", "ping", "0" * 16) * 20)
+                stream.take_back(stream.out[0])
+                viewer = town.viewer()
+                town.side(viewer)
+                viewer.write(set_up(2))
+                ply = town.until(lambda: town.director.open.get(f"{2:016x}"))
+                town.turns()
+                while ply.line.state(ply.session) != life.OUT:
+                    line.sock.recv(4096)
+                    town.turns(2)
+                now[0] += out_ms
+                leaves(town, viewer, "closed")
+                town.turns()
+                now[0] += GONE_MS
+                town.turns(3)
+                self.assertEqual((len(town.director.open), len(town.director.controller.plays)), (0, 0))
+                data = b""
+                with contextlib.suppress(BlockingIOError, ConnectionError):
+                    while part := line.sock.recv(1 << 20):
+                        data += part
+                self.assertIn(b"OPTIONS", data)
+                self.assertNotIn(b"SETUP", data)
+
     def test_left_while_its_next_try_is_due(self):
         """The node is full; the end of the viewer comes in the same turn as that answer: nobody is asked a second time."""
         for way in WAYS:
