--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -8,6 +8,7 @@
     "some see six times the others' requests": Case(30, skew=6.0, told=4_000.0, restarts=0.5), "a rush": Case(30, rate=8.0, burst=3.0),
     "small nodes": Case(20, streams=10.0), "a large allowance": Case(30, streams=120.0, multiple=4.0),
     "a long span": Case(20, warm_ms=5_000.0, fall_ms=2_000.0), "three": Case(3, rate=30.0),
+    "dead ones come back, told late": Case(30, dead=4_000.0, told=4_000.0),
 }
 SEEDS = 1
 
