A connection that its node is about to close as idle carries no further set-up

Seen on real sockets, every time (a_connection_about_to_be_closed_as_idle_is_not_used): the node closes an idle connection at its stated time as a paid set-up is written on it; our system takes the bytes, so it may have run, and the play fails. Nothing sent twice, a play lost. Line at fault: Node.free_line took any idle connection, however old; Permissions.ConnIdle was not read. Mended there: 500 ms before that time a connection is not used any more, a stand-still of ours and the way there included. Without the mend the second part of the test fails.

--- a/laddergw/platform/assignment.py
+++ b/laddergw/platform/assignment.py
@@ -1,5 +1,6 @@
 """What the platform tells a director: the file of its configuration, read and checked as a whole."""
 import json
+import math
 from typing import Any, NamedTuple
 
 from laddergw import settings
@@ -27,6 +28,7 @@
     zones: dict[str, int]
     longest_ms: float                        # the longest time limit of a product
     connect_ms: float
+    idle_ms: float                           # nodes close connections that were idle for so long
 
 
 def address(text: Any) -> tuple[str, int]:
@@ -60,7 +62,7 @@
             int(tree.get("limits", {}).get("sockets", 1024)), address(tree["changelog"]) if tree.get("changelog") else None,
             known, tree["known"]["seq"], deployment, products, products,
             names(told.get("Kinds")), names(told.get("Zones")), max(read.ms(f"Grades.{i}.GiveUp") for i in grades),
-            read.ms("Permissions.ConnectTimeout", 250.0))
+            read.ms("Permissions.ConnectTimeout", 250.0), read.ms("Permissions.ConnIdle", math.inf))
     except (settings.BadSetting, changes.Malformed) as error:
         raise Refused(str(error)) from None
     except (KeyError, TypeError, ValueError, AttributeError, RecursionError) as error:
--- a/laddergw/platform/director.py
+++ b/laddergw/platform/director.py
@@ -46,7 +46,7 @@
         self.leaving = False                         # all is over but its connections' ends
         self.controller = Controller(assignment.deployment, assignment.seed, loop.now)
         self.desk, self.allocating = Desk(self), Allocating(self)
-        self.nodes = Nodes(loop, self.allocating, int(NODES_PART * assignment.sockets), assignment.connect_ms)
+        self.nodes = Nodes(loop, self.allocating, int(NODES_PART * assignment.sockets), assignment.connect_ms, assignment.idle_ms)
         for event in assignment.known:
             self.listed(event)
         self.door = Door(loop, self.desk, assignment.listen, int(VIEWERS_PART * assignment.sockets))
@@ -74,7 +74,7 @@
         if found.deployment != before.deployment:
             self.feed(self.controller.retold, self.loop.now, found.deployment)
         self.door.bound(int(VIEWERS_PART * found.sockets))
-        self.nodes.most, self.nodes.connect_ms = int(NODES_PART * found.sockets), found.connect_ms
+        self.nodes.most, self.nodes.connect_ms, self.nodes.idle_ms = int(NODES_PART * found.sockets), found.connect_ms, found.idle_ms
         if (found.kinds, found.zones) != (before.kinds, before.zones):     # a name that was not known has its meaning now
             self.feed(self.controller.listed, self.loop.now, [self.line_of(node) for node in self.nodes.by_id.values()], False)
         for event in found.known:                        # past a gap only a whole list; what is missing the change log has
--- a/laddergw/platform/nodes.py
+++ b/laddergw/platform/nodes.py
@@ -10,6 +10,8 @@
 from laddergw.platform import allocation as life
 from laddergw.signalling import rtsp
 
+IDLE_LESS_MS = 500.0       # a connection is not used for its last so long before the node closes it as idle: a set-up that crosses its
+                           # end may have run, for all we know, and a paid play then fails
 LOOK_MS = 500.0            # pace of looking after nodes that hold plays
 QUIET_MS = 1_500.0         # what a node says proves that it lives; so long after its last word it is tested. With a look (each LOOK_MS), the
 TEST_MS = 1_000.0          # test (it passes at once: unanswered for so long its connection is dead), another look
@@ -23,7 +25,7 @@
 
     def __init__(self, node: "Node"):
         self.node, self.loop, self.reader, self.up, self.test = node, node.fleet.loop, rtsp.Reader(), False, None
-        self.since = self.loop.now
+        self.since = self.used = self.loop.now
         self.plays: dict[str, Any] = {}      # whose set-ups are open on it
         self.ends: dict[str, int] = {}       # where in the stream each of their set-ups ends
         self.set_ups: dict[str, bytes] = {}
@@ -42,6 +44,7 @@
 
     def speaks(self) -> None:
         self.node.silent, self.node.heard = 0, self.loop.now
+        self.used = self.loop.now
 
     def got(self, stream, data: bytes) -> None:
         self.speaks()
@@ -59,7 +62,7 @@
         return life.OUT if self.stream.taken >= self.ends[session] else life.UNSENT
 
     def set_up(self, ply, data: bytes) -> None:
-        self.plays[ply.session], self.set_ups[ply.session] = ply, data
+        self.plays[ply.session], self.set_ups[ply.session], self.used = ply, data, self.loop.now
         self.stream.write(data)
         self.ends[ply.session] = self.stream.asked
 
@@ -112,8 +115,9 @@
         return line
 
     def free_line(self) -> Line | None:
-        """An idle connection that is up, else a new one; where no more may be opened, the least used here, if there is one."""
-        idle = [line for line in self.lines if not line.plays]
+        """An idle connection that is up, and not so idle that its node is about to close it, else a new one; where no more may be
+        opened, the least used here, if there is one."""
+        idle = [line for line in self.lines if not line.plays and line.loop.now - line.used < self.fleet.idle_ms - IDLE_LESS_MS]
         up = [line for line in idle if line.up and line.test is None] or [line for line in idle if line.up or self.silent == 0]
         if up:
             return up[0]
@@ -172,8 +176,8 @@
 class Nodes:
     """All nodes of the list. `allocating` carries out what comes of them."""
 
-    def __init__(self, loop, allocating, most: int, connect_ms: float):
-        self.loop, self.most, self.connect_ms = loop, most, connect_ms
+    def __init__(self, loop, allocating, most: int, connect_ms: float, idle_ms: float):
+        self.loop, self.most, self.connect_ms, self.idle_ms = loop, most, connect_ms, idle_ms
         self.by_id: dict[str, Node] = {}
         self.by_number: dict[int, Node] = {}
         self.numbers = self.tests = 0
--- a/tests/test_orders_files.py
+++ b/tests/test_orders_files.py
@@ -13,7 +13,7 @@
 
 SITES = pathlib.Path(__file__).parent.parent / "deploy/sites"
 # What the file may change while the director runs, and how: each field is here, so that a new one cannot be forgotten.
-TAKEN_OVER = {"sockets", "changelog", "known", "last", "deployment", "products", "all_products", "kinds", "zones", "longest_ms", "connect_ms"}
+TAKEN_OVER = {"sockets", "changelog", "known", "last", "deployment", "products", "all_products", "kinds", "zones", "longest_ms", "connect_ms", "idle_ms"}
 OF_THE_START = {"name", "listen", "seed"}    # a file with another address is refused; name and seed are a process's own
 
 
--- a/tests/test_orders_repeats.py
+++ b/tests/test_orders_repeats.py
@@ -91,6 +91,28 @@
                 left = town.director.counts["set-up: broken"] + town.director.counts["set-up: error"]
                 self.assertEqual(left + sum(m.method == "SETUP" for _, m in town.nodes["b"].hear()), 1)
 
+    def test_a_connection_about_to_be_closed_as_idle_is_not_used(self):
+        """The node closes idle connections after a stated time, and does so as a paid set-up is written: it would have failed."""
+        settings = json.loads(json.dumps(TREE))
+        settings["Permissions"]["ConnIdle"] = 10_000_000
+        for idle_ms, fresh in (9_000.0, False), (9_900.0, True):
+            with self.subTest(idle_ms):
+                now = [10_000.0]
+                town = Town(self, now=lambda: now[0], settings=settings)
+                _, old = town.idle_line()
+                now[0] += idle_ms
+                town.turns(3)
+                viewer = town.viewer()
+                town.side(viewer)
+                allocate = town.director.allocating.allocate
+                if fresh:
+                    town.director.allocating.allocate = lambda *what: (old.close(), allocate(*what))
+                viewer.write(set_up(2, product="paid"))
+                line, message = town.come("a")
+                self.assertEqual(line is old, not fresh)
+                line.write(answer(message.session))
+                self.assertEqual([m.kind for m in town.until(viewer.hear)], [binary.ANSWER])
+
     def test_a_dial_that_was_given_up_carries_nothing(self):
         """The connection comes up after the time for it: the set-up went elsewhere, and nothing comes on the first."""
         now = [10_000.0]
