--- a/tests/test_runner.py
+++ b/tests/test_runner.py
@@ -77,6 +77,13 @@
                 runner.read(text)
         self.assertEqual(len(runner.read(many.rpartition("\n")[0])), 3)
 
+    def test_each_test_runs_here_or_apart_and_only_once(self):
+        every = unittest.TestLoader().discover("tests", top_level_dir=str(runner.ROOT))
+        names = [test.id() for test in runner.flat(every)]
+        here, apart = runner.split(every)
+        self.assertEqual(sorted([*(test.id() for test in here), *apart]), sorted(names))
+        self.assertEqual({name.rsplit(".", 2)[0] for name in apart}, set(runner.APART))
+
     def test_the_list_that_is_there_can_be_read(self):
         self.assertLessEqual(len(runner.read(runner.LIST.read_text())), 3)
 
