A file that is refused is told in one line with its name and its field

Seen as a new user from a fresh clone: without PROXY_CONFIG the line was ": [Errno 2] No such file or directory: ''", a bad address did not say which, a bad seed or number of descriptors was told by Python's words.

--- a/laddergw/platform/assignment.py
+++ b/laddergw/platform/assignment.py
@@ -31,21 +31,28 @@
     idle_ms: float                           # nodes close connections that were idle for so long
 
 
-def address(text: Any) -> tuple[str, int]:
-    host, _, port = str(text).rpartition(":")
+def address(tree: Any, key: str) -> tuple[str, int]:
+    host, _, port = str(tree[key]).rpartition(":")
     if not host or not port.isdigit() or not 0 < int(port) < 65536:
-        raise Refused(f"{text!r} is no address")
+        raise Refused(f"{key}: {tree[key]!r} is no address")
     return host.strip("[]"), int(port)
 
 
-def names(found: Any) -> dict[str, int]:
+def whole(value: Any, key: str, base: int = 10) -> int:
+    try:
+        return int(str(value), base)
+    except ValueError:
+        raise Refused(f"{key}: {value!r} is no whole number") from None
+
+
+def names(found: Any, key: str) -> dict[str, int]:
     """Names by their place, as they are told: with spaces, accents, whatever people write. Not from the flattened settings, which
     fold them into words."""
     told = [str(name) for name in found] if isinstance(found, list) else str(found or "").split(",")
     if len(set(told)) < len(told):
-        raise Refused(f"a name is there twice: {told}")
+        raise Refused(f"settings {key}: a name is there twice: {told}")
     if any(not name.isprintable() for name in told):
-        raise Refused(f"a name cannot be read: {told!a}")
+        raise Refused(f"settings {key}: a name cannot be read: {told!a}")
     return {name: index for index, name in enumerate(told)}
 
 
@@ -55,15 +62,17 @@
         told = tree["settings"]
         values = settings.flatten(told)
         deployment, read = settings.decode(values), settings.Reader(values)
-        known, products = changes.known(tree["known"]), names([grade["Name"] for grade in told["Grades"]])
+        known, products = changes.known(tree["known"]), names([grade["Name"] for grade in told["Grades"]], "Grades")
         grades = range(len(deployment.products))
         return Assignment(
-            str(tree["name"]), address(tree["listen"]), int(str(tree.get("seed") or "0"), 16),
-            int(tree.get("limits", {}).get("sockets", 1024)), address(tree["changelog"]) if tree.get("changelog") else None,
+            str(tree["name"]), address(tree, "listen"), whole(tree.get("seed") or "0", "seed", 16),
+            whole(tree.get("limits", {}).get("sockets", 1024), "limits.sockets"), address(tree, "changelog") if tree.get("changelog") else None,
             known, tree["known"]["seq"], deployment, products, products,
-            names(told.get("Kinds")), names(told.get("Zones")), max(read.ms(f"Grades.{i}.GiveUp") for i in grades),
+            names(told.get("Kinds"), "Kinds"), names(told.get("Zones"), "Zones"), max(read.ms(f"Grades.{i}.GiveUp") for i in grades),
             read.ms("Permissions.ConnectTimeout", 250.0), read.ms("Permissions.ConnIdle", math.inf))
-    except (settings.BadSetting, changes.Malformed) as error:
+    except changes.Malformed as error:
+        raise Refused(f"known: {error}") from None
+    except settings.BadSetting as error:
         raise Refused(str(error)) from None
     except (KeyError, TypeError, ValueError, AttributeError, RecursionError) as error:
         raise Refused(f"configuration: {error!r}") from None
@@ -97,8 +106,15 @@
 
 
 def read_file(path: str) -> Assignment:
+    """Raises Refused with one line that names the file and what is wrong with it."""
+    if not path:
+        raise Refused("PROXY_CONFIG names no file")
     try:
         with open(path, "rb") as file:
             return of(json.load(file))
-    except (OSError, ValueError, RecursionError) as error:
+    except Refused as error:
+        raise Refused(f"{path}: {error}") from None
+    except OSError as error:
+        raise Refused(f"{path}: {error.strerror}") from None
+    except (ValueError, RecursionError) as error:
         raise Refused(f"{path}: {error}") from None
--- a/tests/test_orders_files.py
+++ b/tests/test_orders_files.py
@@ -1,6 +1,7 @@
 """A new file while plays are open and stand: what it changes, what it must leave alone. Real connections where something is said."""
 import json
 import pathlib
+import tempfile
 import tomllib
 import unittest
 
@@ -82,6 +83,30 @@
         for settings in terms(Grades=grades("guide", "guide")), terms(Zones=["east", "east"]), terms(Kinds=["a\r\nb"]):
             self.assertRaises(assignments.Refused, found, settings=settings)
 
+    def test_a_fault_is_told_with_its_field_and_file(self):
+        faults = {"listen": 7, "changelog": "x", "seed": "zz", "known": {"seq": 1, "results": [{"seq": 1, "fleet": {}}]}, "limits": {"sockets": "many"}}
+        for field, value in faults.items():
+            with self.subTest(field), self.assertRaisesRegex(assignments.Refused, f"^{field}"):
+                assignments.of(tree(**{field: value}))
+        for field, value in {"Grades": grades("guide", "guide"), "Zones": ["a", "a"], "Kinds": ["a\n"], "Siblings": "many"}.items():
+            with self.subTest(field), self.assertRaisesRegex(assignments.Refused, f"^settings? {field}"):
+                found(settings=terms(**{field: value}))
+        for field in "listen", "known", "settings", "name":
+            with self.subTest(field), self.assertRaisesRegex(assignments.Refused, field):
+                assignments.of({key: value for key, value in tree().items() if key != field})
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "n0.json"
+            for text, said in ((None, "No such file"), ("{", "Expecting"), (json.dumps(tree(listen="x")), "listen: 'x'")):
+                if text is not None:
+                    path.write_text(text)
+                with self.subTest(said), self.assertRaises(assignments.Refused) as caught:
+                    assignments.read_file(str(path))
+                self.assertTrue(str(caught.exception).startswith(f"{path}: "))
+                self.assertIn(said, str(caught.exception))
+                self.assertNotIn("\n", str(caught.exception))
+        with self.assertRaisesRegex(assignments.Refused, "PROXY_CONFIG"):
+            assignments.read_file("")
+
     def test_products_in_another_order(self):
         """Open, standing and asked-for plays keep their terms; what comes then has the new ones. Numbers keep their meaning."""
         town = Town(self, settings=terms(Grades=grades("guide", "paid")))
