A play handed over as the director ends is released at its node and to its viewer

Seen on real sockets, every time: a hand-over read in the last turn stood at its node with nobody to hold it, and its viewer heard nothing. Line at fault: Director.leave closed what was left after reading the last words. What they hand over is released before the connections end. Without the mend the test fails.

--- a/laddergw/platform/director.py
+++ b/laddergw/platform/director.py
@@ -130,11 +130,14 @@
             return
         for ply in list(self.open.values()):
             self.desk.finish(ply, FAILED)
+        self.release_all()
+        self.leave(self.loop.now + HEAR_MS)
+
+    def release_all(self) -> None:
         for ply in list(self.standing.values()):
             self.allocating.release(ply)
             self.allocating.settle_standing(ply)
             self.door.send(ply.viewer, binary.RELEASE, ply.session, (binary.CAUSE, bytes([BROKEN])))
-        self.leave(self.loop.now + HEAR_MS)
 
     def leave(self, latest: float) -> None:
         """Ends the process once what it has said is heard: a connection that ends with something unread takes that along."""
@@ -143,6 +146,8 @@
             self.loop.after(HEAR_LOOK_MS, lambda: self.leave(latest))
         else:
             self.follower.stop()
+            self.door.hear_last()
+            self.release_all()                       # what was handed over just now
             self.door.shut()
             self.nodes.shut()
             self.part(self.loop.now + PART_MS)
--- a/laddergw/platform/viewers.py
+++ b/laddergw/platform/viewers.py
@@ -93,13 +93,15 @@
         while len(self.viewers) > most and (idle := [v for v in self.viewers if not v.plays]):
             self.close_one(idle)
 
-    def shut(self) -> None:
-        """The process's end: all who have come are accepted, what they have said is answered, then every connection ends."""
+    def hear_last(self) -> None:
+        """The process's end: all who have come are accepted, and what they have said is answered."""
         self.listener.accept_waiting()
         self.listener.close()
         for viewer in list(self.viewers):
             if viewer.stream is not None:
                 viewer.stream.read_now()
+
+    def shut(self) -> None:
         for viewer in list(self.viewers):
             if viewer.stream is not None:
                 viewer.stream.close()
--- a/tests/test_orders_stopping.py
+++ b/tests/test_orders_stopping.py
@@ -7,7 +7,7 @@
 from tests.sockets_town import Town
 
 TEST = binary.encode(binary.TEST, "0" * 16, (222, b"\0"))
-AWAY, BROKEN, PASSED = 42, 41, 1     # causes
+AWAY, BROKEN = 42, 41      # causes
 
 
 class Stopping(unittest.TestCase):
@@ -57,6 +57,17 @@
         # (300 sessions of one name: the first is turned away as all are, none is open)
         self.assertEqual([(self.causes(one), one.ended) for one in late], [([("3", AWAY)], "end")] * 300)
 
+    def test_a_play_handed_over_in_the_very_last_turn_is_released(self):
+        """It would stand at its node with nobody to hold it."""
+        viewer = self.town.viewer()
+        viewer.write(TEST)
+        self.town.until(viewer.hear)
+        self.in_the_last_turn(lambda: viewer.write(set_up(5, figures="home:0;copies:3;top:2;at:a")))
+        self.town.director.stop()
+        self.to_the_end()
+        self.assertEqual((self.causes(viewer), viewer.ended), ([("5", BROKEN)], "end"))
+        self.assertEqual([m.method for _, m in self.town.nodes["a"].hear()], ["TEARDOWN"])
+
     def test_an_answer_beside_bytes_that_are_not_read(self):
         """The last thing said to a viewer is not taken from it by a reset, though it goes on talking."""
         viewer = self.town.viewer()
