--- a/tests/test_orders_list.py
+++ b/tests/test_orders_list.py
@@ -50,9 +50,12 @@
         while not data.endswith(b"\n"):
             self.town.turn()
             try:
-                data += sock.recv(100)
+                part = sock.recv(100)
             except BlockingIOError:
-                pass
+                continue
+            if not part:
+                raise ConnectionError("it has ended")
+            data += part
         return data
 
     def say(self, sock, data):
@@ -94,6 +97,22 @@
         self.say(log, lines(self.event(2)))
         self.assertEqual(self.told, [2])
 
+    def test_one_that_never_comes_up_at_the_start(self):
+        """Its connection stays on its way: it is begun again and again, in time each time, and what was said meanwhile is asked for."""
+        select = self.town.loop.selector.select
+        self.town.loop.selector.select = lambda wait: [(key, mask) for key, mask in select(wait) if key.data is not self.town.director.follower.stream]
+        dials, dial = [], self.town.director.follower.dial
+        self.town.director.follower.dial = lambda: (dials.append(self.now[0]), dial())
+        since = self.now[0]
+        self.pass_(6_000)
+        self.assertGreaterEqual(len(dials), 4)
+        self.assertLess(max(b - a for a, b in zip([since, *dials], dials)), TOLD_AFTER_BREAK_MS)
+        self.town.loop.selector.select = select
+        asked, log = self.come(TOLD_AFTER_BREAK_MS)
+        self.assertEqual(asked, b"since 1\n")
+        self.say(log, lines(self.event(2)))
+        self.assertEqual(self.told, [2])
+
     def test_another_address_while_the_first_is_dialled(self):
         """SIGHUP between the dial and its end: the old address's connection says nothing any more, whatever was on its way."""
         self.town.turn()
--- a/tests/test_orders_stopping.py
+++ b/tests/test_orders_stopping.py
@@ -114,6 +114,21 @@
         self.assertLess(self.to_the_end(), 3_000 + 350 + HEAR_MS + PART_MS + 50)
         self.assertIn("TEARDOWN", [m.method for _, m in self.town.nodes["a"].hear()])
 
+    def test_a_set_up_half_read_as_the_order_comes(self):
+        """Its rest comes after the order to stop: it is taken then, and declined; a rest that never comes holds nobody up."""
+        viewer, other = self.town.viewer(), self.town.viewer()
+        data = set_up(2)
+        viewer.write(data[:40])
+        other.write(data[:40])
+        self.town.lies_there(self.town.side(viewer), 0)
+        self.town.turns(3)
+        self.town.director.stop()
+        self.town.turns(2)
+        viewer.write(data[40:])
+        self.assertEqual(self.town.until(lambda: self.causes(viewer)), [("2", AWAY)])
+        self.assertLess(self.to_the_end(), STOP_LEAST_MS + HEAR_MS + PART_MS + 50)
+        self.assertEqual((viewer.hear(), viewer.ended, other.hear(), other.ended), ([], "end", [], "end"))
+
     def test_signals_together(self):
         """SIGTERM twice, SIGHUP during a stop, SIGTERM in the turn of a SIGHUP: one end, at the first order's time."""
         director = self.town.director
