A node that a whole list left out stays gone when a file names kinds or zones anew

Seen on reading this issue's change, then forced (a_node_that_a_whole_list_left_out_stays_gone): a file that gives names of kinds another meaning lists all nodes again by their last lines, and a node that a later whole list left out, with a play still standing there, had a last line that called it ready: new work could have gone to it. Nodes that are gone are not listed again. Without the mend the test fails.

--- a/laddergw/platform/director.py
+++ b/laddergw/platform/director.py
@@ -76,7 +76,7 @@
         self.door.bound(int(VIEWERS_PART * found.sockets))
         self.nodes.most, self.nodes.connect_ms, self.nodes.idle_ms = int(NODES_PART * found.sockets), found.connect_ms, found.idle_ms
         if (found.kinds, found.zones) != (before.kinds, before.zones):     # a name that was not known has its meaning now
-            self.feed(self.controller.listed, self.loop.now, [self.line_of(node) for node in self.nodes.by_id.values()], False)
+            self.feed(self.controller.listed, self.loop.now, [self.line_of(node) for node in self.nodes.by_id.values() if not node.gone], False)
         for event in found.known:                        # past a gap only a whole list; what is missing the change log has
             if event.number > self.follower.last and (event.whole or event.number == self.follower.last + 1):
                 self.follower.last = event.number
--- a/tests/test_orders_files.py
+++ b/tests/test_orders_files.py
@@ -8,11 +8,11 @@
 from laddergw import interface as face
 from laddergw.platform import assignment as assignments
 from laddergw.platform.director import NODES_PART, VIEWERS_PART
-from laddergw.signalling import binary
-from tests.platform_town import TREE, answer, member, release, set_up, tree
+from laddergw.signalling import binary, changes
+from tests.platform_town import TREE, answer, event, member, release, set_up, tree
+from tests.sites import REPEATS, SITES, settings_of
 from tests.sockets_town import Town
 
-SITES = pathlib.Path(__file__).parent.parent / "deploy/sites"
 # What the file may change while the director runs, and how: each field is here, so that a new one cannot be forgotten.
 TAKEN_OVER = {"sockets", "changelog", "known", "last", "deployment", "products", "all_products", "kinds", "zones", "longest_ms", "connect_ms", "idle_ms"}
 OF_THE_START = {"name", "listen", "seed"}    # a file with another address is refused; name and seed are a process's own
@@ -32,32 +32,6 @@
     return assignments.of(tree(**{"listen": "127.0.0.1:1"} | changes))
 
 
-REPEATS = {"safe": ("pure", "safe"), "unsafe": ("side_effect", "paid")}
-
-
-def settings_of(site):
-    """A site's terms as a director's file tells them; of ranges the upper end."""
-    def most(value):
-        return value[-1] if isinstance(value, list) else value
-    allow, rules, fam, tier = site["allow"], site["rules"], site["fam"], site["tier"][0]
-    rungs = int(most(fam["rungs"]))
-    own = {"Grades": [{"Name": row["name"], "Points": row["worth"], "Repeat": REPEATS[row["effect"]][0], "GiveUp": row["deadline_ms"] * 1000}
-                      for row in site["class"]],
-           "Kinds": [kind["name"] for kind in tier["kind"]], "Zones": site["net"]["zones"], "Siblings": 3, "Ordinal": 1,
-           "Reporting": {"Names": tier["report"]["fields"], "How": tier["report"]["how"]},
-           "Permissions": {"MaxAttempts": allow["max_attempts"], "ConnectTimeout": tier["conn"]["connect_timeout_ms"] * 1000,
-                           "RetryAfter": allow["retry_after"], "MaxRetryAfter": site["clients"]["max_retry_after_ms"] * 1000},
-           "Rules": {"FallMultiple": rules["fall_multiple"], "Fall": rules["fall_ms"] * 1000, "ColdFrom": tier["kind"][0]["cold_from"][0],
-                     "WarmWithin": most(tier["kind"][0]["cold_s"]) * 1_000_000},
-           "Specifics": {"LadderKb": [100.0 * 2 ** n for n in range(rungs)], "WorthByRung": [(n + 1) / rungs for n in range(rungs)],
-                         "Positions": 4, "Groups": 2, "LinkUnitKb": 9000.0, "RackKb": 40000.0, "KindSlots": [30] * len(tier["kind"]),
-                         "LowestRung": [row.get("floor", 0) for row in fam["class"]], "Live": [row.get("live", False) for row in fam["class"]],
-                         "HighestRung": [min(row.get("top", rungs - 1), rungs - 1) for row in fam["class"]]}}
-    if "budget_share" in rules:
-        own["Rules"] |= {"ExtraRatio": rules["budget_share"], "FreeResends": rules["budget_free"], "CountedOver": rules["budget_ms"] * 1000}
-    return own
-
-
 class Files(unittest.TestCase):
     def test_each_field_is_taken_over_or_belongs_to_the_start(self):
         self.assertEqual(set(assignments.Assignment._fields), TAKEN_OVER | OF_THE_START)
@@ -172,6 +146,24 @@
         town.director.change(found(settings=second, known=known)._replace(listen=mine.listen, changelog=mine.changelog))
         self.assertEqual(seen(), [(11, True), (40, False)])
 
+    def test_a_node_that_a_whole_list_left_out_stays_gone(self):
+        """Its last line called it ready; the file that names its kind anew must not bring it back while a play still stands there."""
+        town = Town(self, nodes=("a", "b"))
+        viewer = town.viewer()
+        town.director.controller.fleet.nodes[2].rest = 1e12
+        viewer.write(set_up(1))
+        line, message = town.come("a")
+        line.write(answer(message.session))
+        town.until(viewer.hear)
+        b = member("b", 1, cell=1) | {"host_port": f"127.0.0.1:{town.nodes['b'].port}"}
+        town.director.listed(changes.event_of(event(2, b, whole=True)))
+        mine = town.director.assignment
+        town.director.change(found(settings=terms(Kinds=["new", "std"]))._replace(listen=mine.listen, changelog=mine.changelog, known=[]))
+        self.assertEqual([node.state for node in town.director.controller.fleet.nodes.values()], [face.GONE, face.READY])
+        town.director.controller.fleet.nodes[2].rest = 0.0
+        viewer.write(set_up(2))
+        self.assertEqual(town.come("b")[1].session, f"{2:016x}")
+
     def test_bounds(self):
         """Descriptors and the time of a connection hold at once; who has plays open keeps its connection."""
         town = Town(self, limits={"sockets": 200})
