Joiners in names, numbers with a point and no idle time are no reason not to start

Names are refused for control signs alone, which would end a line of a message; an idle time of 0 is none, and of a short one half is used.

--- a/laddergw/platform/assignment.py
+++ b/laddergw/platform/assignment.py
@@ -40,8 +40,8 @@
 
 def whole(value: Any, key: str, base: int = 10) -> int:
     try:
-        return int(str(value), base)
-    except ValueError:
+        return int(value) if isinstance(value, float) else int(str(value), base)
+    except (ValueError, OverflowError):
         raise Refused(f"{key}: {value!r} is no whole number") from None
 
 
@@ -51,8 +51,8 @@
     told = [str(name) for name in found] if isinstance(found, list) else str(found or "").split(",")
     if len(set(told)) < len(told):
         raise Refused(f"settings {key}: a name is there twice: {told}")
-    if any(not name.isprintable() for name in told):
-        raise Refused(f"settings {key}: a name cannot be read: {told!a}")
+    if any(sign < " " or sign == "\x7f" for sign in "".join(told)):   # they would end a line of a message
+        raise Refused(f"settings {key}: a name cannot be sent: {told!a}")
     return {name: index for index, name in enumerate(told)}
 
 
@@ -69,7 +69,7 @@
             whole(tree.get("limits", {}).get("sockets", 1024), "limits.sockets"), address(tree, "changelog") if tree.get("changelog") else None,
             known, tree["known"]["seq"], deployment, products, products,
             names(told.get("Kinds"), "Kinds"), names(told.get("Zones"), "Zones"), max(read.ms(f"Grades.{i}.GiveUp") for i in grades),
-            read.ms("Permissions.ConnectTimeout", 250.0), read.ms("Permissions.ConnIdle", math.inf))
+            read.ms("Permissions.ConnectTimeout", 250.0), read.ms("Permissions.ConnIdle", math.inf) or math.inf)
     except changes.Malformed as error:
         raise Refused(f"known: {error}") from None
     except settings.BadSetting as error:
--- a/laddergw/platform/nodes.py
+++ b/laddergw/platform/nodes.py
@@ -117,7 +117,8 @@
     def free_line(self) -> Line | None:
         """An idle connection that is up, and not so idle that its node is about to close it, else a new one; where no more may be
         opened, the least used here, if there is one."""
-        idle = [line for line in self.lines if not line.plays and line.loop.now - line.used < self.fleet.idle_ms - IDLE_LESS_MS]
+        idle_ms = self.fleet.idle_ms
+        idle = [line for line in self.lines if not line.plays and line.loop.now - line.used < max(idle_ms - IDLE_LESS_MS, idle_ms / 2)]
         up = [line for line in idle if line.up and line.test is None] or [line for line in idle if line.up or self.silent == 0]
         if up:
             return up[0]
--- a/tests/test_orders_files.py
+++ b/tests/test_orders_files.py
@@ -81,6 +81,15 @@
         with self.assertRaisesRegex(assignments.Refused, "PROXY_CONFIG"):
             assignments.read_file("")
 
+    def test_what_a_file_may_well_say_is_taken(self):
+        """Names with joiners and hard spaces, numbers with a point, no idle time: none is a reason not to start."""
+        names = ["\u0646\u0645\u200c\u0627", "guide\u00a0court", "\u0e04\u0e39\u0e48\u0e21\u0e37\u0e2d"]
+        settings = terms(Grades=[TREE["Grades"][0] | {"Name": name} for name in names], Kinds=names, Zones=names)
+        settings["Permissions"]["ConnIdle"] = 0
+        read = found(settings=settings, limits={"sockets": 256.0})
+        self.assertEqual((list(read.products), list(read.kinds), list(read.zones)), (names, names, names))
+        self.assertEqual((read.sockets, read.idle_ms), (256, float("inf")))
+
     def test_products_in_another_order(self):
         """Open, standing and asked-for plays keep their terms; what comes then has the new ones. Numbers keep their meaning."""
         town = Town(self, settings=terms(Grades=grades("guide", "paid")))
