The budget's process test waits for spends of two edges, not for time

The planner that grants was stopped 1 s into the storm, by the clock, so that spends had one second and a lease to come about: how many depended on how soon failed plays came again (tests/test_budget_processes.py, the fixed 5,000 ms). Ruled out: a window over the whole (4 of 12), a planner that did not grant (the log told 5 spends by then). Now the order is forced: at the sixth spend, of two edges at least, the planner stops and an edge is killed; both come back under the storm, and only then nobody comes any more (viewers' stand-in: `enough`). The assertions are as strict: six spends, two sources.

--- a/laddergw/lab/hosts.py
+++ b/laddergw/lab/hosts.py
@@ -53,9 +53,11 @@
 def host_viewers(path: str, seed: int) -> None:
     """All viewers in one process; says when the last play is over."""
     loop = SocketLoop()
-    tap = TapFile(loop, path)
+    tap, crowds = TapFile(loop, path), []
 
     def serve(command: dict) -> None:
+        if command.get("do") == "enough":
+            return [crowd.enough() for crowd in crowds]
         audiences = tuple(Audience(**audience) for audience in command["audiences"])
         plan = Crowd(**command["crowd"] | {"audiences": audiences})
         directors = {int(number): tuple(address) for number, address in command["directors"].items()}
@@ -63,7 +65,7 @@
         def done() -> None:
             tap.record("viewers ended", loop.now, lag_ms=loop.worst_lag)
             loop.soon(lambda: say(done=True))
-        Viewers(loop, plan, directors, seed, tap.record, done)
+        crowds.append(Viewers(loop, plan, directors, seed, tap.record, done))
     raise_descriptors()
     Commands(loop, serve)
     loop.run()
--- a/laddergw/lab/viewers_stand_in.py
+++ b/laddergw/lab/viewers_stand_in.py
@@ -196,6 +196,10 @@
             Viewer(self, self.numbers).ask()
         self.loop.at(self.next_at, self.arrive)
 
+    def enough(self) -> None:
+        """Nobody comes from now on; who is there plays to the end."""
+        self.plan = self.plan._replace(seconds=(self.loop.now - self.started) / 1000)
+
     def over(self, viewer: Viewer) -> None:
         self.under_way -= 1
         self.check()
--- a/tests/test_budget_processes.py
+++ b/tests/test_budget_processes.py
@@ -1,23 +1,45 @@
 """Fleet budgets with processes of the program and faults between them: spends taken from the edges' taps, counted within every window."""
 import logging
+import pathlib
 import shutil
 import signal
 import tempfile
 import unittest
+from collections import Counter
 
 from laddergw.lab import audit
-from laddergw.lab.budget_processes import WHOLE, BudgetProcesses, storms
+from laddergw.lab.budget_processes import STORM_PART, WHOLE, BudgetProcesses
 from laddergw.lab.plant import WARES, plant
-from laddergw.lab.script import Trouble
+from laddergw.lab.script import Trouble, fault
+
+
+STORM_FROM_MS = 2_000
+SPENT, SECONDS = 6, 40     # spends before the planner stops; the storm ends when the order is through, or after so long
+STOP_MS, KILL_MS, AWAY_MS, LATER_MS = 4_000, 1_000, 1_000, 2_000
 
 
 class Stopped(BudgetProcesses):
-    """The planner that grants is stopped for longer than a lease in the middle of a storm, and an edge is killed as it spends."""
+    """In the middle of a storm, once two edges at least have spent, the planner that grants is stopped for longer than a lease and an
+    edge is killed as it spends. Both come back, the storm goes on, and then nobody comes any more."""
 
     def let_them_come(self) -> None:
         super().let_them_come()
-        self.loop.after(5_000, lambda: self.planners[0].send_signal(signal.SIGSTOP))
-        self.loop.after(9_000, lambda: self.planners[0].send_signal(signal.SIGCONT))
+        self.look()
+
+    def look(self) -> None:
+        spent = Counter(source for source in self.sources for _ in range(self.spends(source)))
+        if len(spent) < 2 or spent.total() < SPENT:
+            self.loop.after(100, self.look)
+            return
+        self.planners[0].send_signal(signal.SIGSTOP)
+        self.loop.after(STOP_MS, lambda: self.planners[0].send_signal(signal.SIGCONT))
+        self.loop.after(KILL_MS, lambda: self.conductor.strike(Trouble(0, "kill", 2)))
+        self.loop.after(KILL_MS + AWAY_MS, lambda: self.conductor.strike(Trouble(0, "start", 2)))
+        self.loop.after(STOP_MS + LATER_MS, lambda: self.viewers.tell(do="enough"))
+
+    def spends(self, source: str) -> int:
+        path = pathlib.Path(self.file(f"{source}.jsonl"))
+        return path.read_text().count('"budget drawn"') if path.exists() else 0
 
 
 class Processes(unittest.TestCase):
@@ -26,15 +48,16 @@
         self.addCleanup(logging.disable, logging.NOTSET)
         folder = tempfile.mkdtemp(prefix="laddergw-budgets-")
         self.addCleanup(shutil.rmtree, folder, True)
-        the_plant = plant(2, directors=3, nodes=6, rate=10, seconds=10, wares=tuple(ware._replace(length_ms=(2_000, 4_000)) for ware in WARES))
-        stage = Stopped(the_plant, sorted(storms(the_plant) + [Trouble(6_000, "kill", 2), Trouble(7_000, "start", 2)]), 0, folder)
+        the_plant = plant(2, directors=3, nodes=6, rate=10, seconds=SECONDS, wares=tuple(ware._replace(length_ms=(2_000, 4_000)) for ware in WARES))
+        storm = fault([node.node for node in the_plant.nodes], "errors", STORM_FROM_MS, SECONDS * 1000, STORM_PART)
+        stage = Stopped(the_plant, storm, 0, folder)
         records = stage.run()
         judged = audit.audit(the_plant, records)
         self.assertEqual((judged.without, judged.twice, judged.breaks, stage.verdict), (0, 0, [], []))
         said, over = stage.judged(records)
         self.assertFalse(over, said)
         drawn = [facts for _, what, facts in records if what == "budget drawn"]
-        self.assertGreater(len(drawn), 5, said)
+        self.assertGreaterEqual(len(drawn), SPENT, said)
         self.assertGreater(len({facts["source"] for facts in drawn}), 1)
         row, = stage.shown["budgets"]
         self.assertEqual((row["whole"], row["charged"] <= WHOLE, len(row["held"]) >= 3), (WHOLE, True, True), row)
