Where no descriptor is left a stop still ends, and closed connections give way

Read and then forced on real sockets with a real limit (tests/test_orders_scarce.py, four orders, each seen failing before): - SIGTERM while the listener waits for a descriptor: accept_waiting met the next EMFILE and rest() unregistered the socket a second time (KeyError in loop/sockets.py, Listener.rest); Director.leave died of it with `leaving` set, so the process never ended and what waited was never answered. A listener rests once, and viewers that have heard all make room for those who wait (Director.leave, Door.hear_last). - Connections closed for good wait up to 0.5 s for their peers' ends, 16 of them, beside the parts of viewers and nodes: under a flood they held the last descriptors from the change log, nodes and new viewers. They give way, oldest first (SocketLoop.with_room). - A dial for which we had no descriptor was told as unreachable: its node rested and was paced as cold for what we lacked (Line.closed). It is told as never sent. Checked: the failures' traces above; ruled out that the viewers' and nodes' parts alone go over the limit (their tests hold). The listener has a file of its own, loop/listener.py.

--- /dev/null
+++ b/laddergw/loop/listener.py
@@ -0,0 +1,70 @@
+"""A listening socket on the loop: accepts so many a turn, and rests where no descriptor is left."""
+import errno
+import selectors
+import socket
+from typing import TYPE_CHECKING, Callable
+
+from laddergw.loop.base import Owner
+
+if TYPE_CHECKING:
+    from laddergw.loop.sockets import SocketLoop
+    from laddergw.loop.streams import Stream
+
+ACCEPTS = 128              # connections accepted in one turn by one listener
+ACCEPT_REST_MS = 50.0      # a listener that finds no descriptor rests so long: its socket would stay readable all the while
+NO_ROOM = errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM
+
+
+class Listener:
+    """A bound socket; `accept(stream)` returns the stream's owner."""
+
+    def __init__(self, loop: "SocketLoop", sock: socket.socket, accept: Callable[["Stream"], Owner]):
+        self.loop, self.sock, self.accept = loop, sock, accept
+        self.resting, self.starved = None, False      # starved: some wait, and the last look found no descriptor for them
+        self.address = sock.getsockname()[:2]
+        loop.selector.register(sock, selectors.EVENT_READ, self)
+
+    def ready(self, events: int = 0) -> bool:
+        """Whether more may wait."""
+        self.starved = False
+        for _ in range(ACCEPTS):
+            if self.sock is None:
+                return False
+            try:
+                sock, peer = self.loop.with_room(self.sock.accept)
+            except (BlockingIOError, InterruptedError):
+                return False
+            except OSError as error:           # out of descriptors: the others in the backlog wait a little
+                self.loop.failed_accepts += 1
+                self.loop.last_error = str(error)
+                if error.errno in NO_ROOM:
+                    self.starved = True
+                    self.rest()
+                return False
+            self.loop.adopt(sock, peer, self.accept)
+        return True
+
+    def accept_waiting(self) -> bool:
+        """All of the backlog, at the end: what is not accepted when the listener closes is reset. Whether some wait for a descriptor."""
+        while self.ready():
+            pass
+        return self.starved
+
+    def rest(self) -> None:
+        if self.resting is not None:           # it is asked for the rest of its backlog meanwhile
+            return
+        self.loop.selector.unregister(self.sock)
+        self.resting = self.loop.after(ACCEPT_REST_MS, self.go_on)
+
+    def go_on(self) -> None:
+        self.resting = None
+        self.loop.selector.register(self.sock, selectors.EVENT_READ, self)
+
+    def close(self) -> None:
+        if self.sock is not None:
+            if self.resting is not None:
+                self.resting.cancel()
+            else:
+                self.loop.selector.unregister(self.sock)
+            self.sock.close()
+            self.sock = None
--- a/laddergw/loop/sockets.py
+++ b/laddergw/loop/sockets.py
@@ -10,76 +10,25 @@
 
 from laddergw.loop import held
 from laddergw.loop.base import REFUSED, SHORT, BaseLoop, Owner, wait_ms
+from laddergw.loop.listener import NO_ROOM, Listener
 from laddergw.loop.streams import Lingering, Stream
 
 if TYPE_CHECKING:
     import subprocess
 
-ACCEPTS = 128              # connections accepted in one turn by one listener
 BACKLOG = 1024             # connections that wait in the kernel: a burst while a turn runs
 LONGEST_WAIT_MS = 100.0    # wait of one turn: a stand-still of the process is seen to within this
 WAITED_MS = 0.2            # a look at the sockets that took so long has waited; one that finds something at once takes some us
 TURNS_MOST, REST_MS = 500, 1.0   # after so many turns in a row without a wait the loop rests so long: whatever keeps it
                            # busy, others on its core get theirs. At 0.1 ms a turn, the shortest with work in it, 2% of its time
-ACCEPT_REST_MS = 50.0      # a listener that finds no descriptor rests so long: its socket would stay readable all the while
 LINGERS = 16               # closed connections that still wait for their peers' ends; one more, and the oldest is cut off: a flood of
                            # connections that we close must not hold descriptors
-NO_ROOM = errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM
 
 
 def clock() -> float:
     return time.monotonic_ns() / 1e6
 
 
-class Listener:
-    """A bound socket; `accept(stream)` returns the stream's owner."""
-
-    def __init__(self, loop: "SocketLoop", sock: socket.socket, accept: Callable[[Stream], Owner]):
-        self.loop, self.sock, self.accept, self.resting = loop, sock, accept, None
-        self.address = sock.getsockname()[:2]
-        loop.selector.register(sock, selectors.EVENT_READ, self)
-
-    def ready(self, events: int = 0) -> bool:
-        """Whether more may wait."""
-        for _ in range(ACCEPTS):
-            if self.sock is None:
-                return False
-            try:
-                sock, peer = self.sock.accept()
-            except (BlockingIOError, InterruptedError):
-                return False
-            except OSError as error:           # out of descriptors: the others in the backlog wait a little
-                self.loop.failed_accepts += 1
-                self.loop.last_error = str(error)
-                if error.errno in NO_ROOM:
-                    self.rest()
-                return False
-            self.loop.adopt(sock, peer, self.accept)
-        return True
-
-    def accept_waiting(self) -> None:
-        """All of the backlog, at the end: what is not accepted when the listener closes is reset."""
-        while self.ready():
-            pass
-
-    def rest(self) -> None:
-        self.loop.selector.unregister(self.sock)
-        self.resting = self.loop.after(ACCEPT_REST_MS, self.go_on)
-
-    def go_on(self) -> None:
-        self.resting = None
-        self.loop.selector.register(self.sock, selectors.EVENT_READ, self)
-
-    def close(self) -> None:
-        if self.sock is not None:
-            if self.resting is not None:
-                self.resting.cancel()
-            else:
-                self.loop.selector.unregister(self.sock)
-            self.sock.close()
-            self.sock = None
-
-
 class Watch:
     """Any descriptor that becomes readable: the wake-up socket of signals, a child's descriptor, a pipe."""
 
@@ -135,7 +84,7 @@
         if self.over:                          # asked for as a connection ends with the loop
             return Stream(self, None, owner, address)
         try:
-            sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
+            sock = self.with_room(lambda: socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM))
         except OSError as error:               # this connection does not come up, nothing else is harmed
             self.last_error, stream = str(error), Stream(self, None, owner, address)
             self.soon(lambda: owner.closed(stream, SHORT))
@@ -156,6 +105,17 @@
         stream.watch()
         return stream
 
+    def with_room(self, take: Callable):
+        """Takes a descriptor; where none is left, connections that are closed for good and wait for their peers' ends give way, oldest
+        first: whoever does not end its side would hold them from all others."""
+        while True:
+            try:
+                return take()
+            except OSError as error:
+                if error.errno not in NO_ROOM or not self.lingering:
+                    raise
+                next(iter(self.lingering)).close()
+
     def linger(self, sock: socket.socket, deliver_ms: float | None) -> None:
         """Takes over a socket that is closed for good, until its peer has ended too."""
         try:
--- a/laddergw/platform/director.py
+++ b/laddergw/platform/director.py
@@ -146,9 +146,12 @@
             self.loop.after(HEAR_LOOK_MS, lambda: self.leave(latest))
         else:
             self.follower.stop()
-            self.door.hear_last()
-            self.release_all()                       # what was handed over just now
-            self.door.shut()
+            more = True
+            while more:
+                more = self.door.hear_last()
+                self.release_all()                   # what was handed over just now
+                self.door.shut()
+            self.door.listener.close()
             self.nodes.shut()
             self.part(self.loop.now + PART_MS)
 
--- a/laddergw/platform/nodes.py
+++ b/laddergw/platform/nodes.py
@@ -95,7 +95,7 @@
     def closed(self, stream, why: str | None) -> None:
         if self in self.node.lines:
             log.debug("node %s: %s ends: %s", self.node.id, self, why)
-            self.end(life.CUT)
+            self.end(life.TAKEN_BACK if why == SHORT else life.CUT)   # without a descriptor its node has heard nothing, and has no part in it
             self.node.line_ended(self, why)
 
 
--- a/laddergw/platform/viewers.py
+++ b/laddergw/platform/viewers.py
@@ -93,13 +93,14 @@
         while len(self.viewers) > most and (idle := [v for v in self.viewers if not v.plays]):
             self.close_one(idle)
 
-    def hear_last(self) -> None:
-        """The process's end: all who have come are accepted, and what they have said is answered."""
-        self.listener.accept_waiting()
-        self.listener.close()
+    def hear_last(self) -> bool:
+        """The process's end: all who have come are accepted, and what they have said is answered. Whether some wait for a descriptor,
+        and connections that end now make room for them."""
+        starved = self.listener.accept_waiting()
         for viewer in list(self.viewers):
             if viewer.stream is not None:
                 viewer.stream.read_now()
+        return starved and any(v.stream is not None and not v.stream.queued for v in self.viewers)
 
     def shut(self) -> None:
         for viewer in list(self.viewers):
--- a/tests/test_loop_waits.py
+++ b/tests/test_loop_waits.py
@@ -6,7 +6,8 @@
 from types import SimpleNamespace
 
 from laddergw.loop.base import MOST_CALLS, SLOW_TURN_MS
-from laddergw.loop.sockets import ACCEPT_REST_MS, TURNS_MOST, Listener, SocketLoop, Watch
+from laddergw.loop.listener import ACCEPT_REST_MS, Listener
+from laddergw.loop.sockets import TURNS_MOST, SocketLoop, Watch
 
 WORK_MS = 0.002            # of a call, by the virtual clock: under that of any real one, so that the most turns fit in a time
 TURNS = 1_500              # of one drawn world: three times the bound
--- /dev/null
+++ b/tests/test_orders_scarce.py
@@ -0,0 +1,111 @@
+"""Orders in which this process has no descriptor left: what it still owes is done all the same. Real connections, a real limit."""
+import contextlib
+import os
+import resource
+import socket
+import unittest
+
+from laddergw.signalling import binary
+from tests.platform_town import answer, set_up
+from tests.sockets_town import Town
+
+AWAY, TEST = 42, binary.encode(binary.TEST, "0" * 16, (222, b"\0"))
+
+
+@contextlib.contextmanager
+def scarce(left=0):
+    """So many descriptors are left to this process, and no more, until the context ends."""
+    before, held = resource.getrlimit(resource.RLIMIT_NOFILE), []
+    highest = max(int(name) for name in os.listdir("/proc/self/fd"))
+    resource.setrlimit(resource.RLIMIT_NOFILE, (highest + 1 + left, before[1]))
+    try:
+        with contextlib.suppress(OSError):
+            while True:
+                held.append(os.dup(0))
+        for _ in range(left):
+            os.close(held.pop())
+        yield
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, before)
+        for one in held:
+            os.close(one)
+
+
+class Scarce(unittest.TestCase):
+    def setUp(self):
+        self.now = [10_000.0]
+        self.town = Town(self, now=lambda: self.now[0])
+
+    def pass_(self, ms):
+        for _ in range(int(ms / 10)):
+            self.now[0] += 10.0
+            self.town.turn()
+
+    def test_a_stop_while_the_listener_waits_for_a_descriptor(self):
+        """A connection that could not be accepted waits as the order to stop comes: the process ends, and it gets its answer and an end."""
+        first = self.town.viewer()
+        first.write(TEST)
+        self.town.until(first.hear)
+        late = socket.socket()
+        self.addCleanup(late.close)
+        late.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        with scarce():
+            late.connect(self.town.address)
+            late.sendall(set_up(2))
+            self.town.turns(3)
+            self.assertGreater(self.town.loop.failed_accepts, 0)
+            self.town.director.stop()
+            for _ in range(600):
+                self.now[0] += 10.0
+                self.town.turn()
+                if not self.town.loop.running:
+                    break
+            self.assertFalse(self.town.loop.running)
+        reader, late_data = binary.Reader(), b""
+        late.settimeout(20)
+        while data := late.recv(4096):
+            late_data += data
+        reader.feed(late_data)
+        self.assertEqual(reader.next().parameters[binary.CAUSE], bytes([AWAY]))
+
+    def test_closed_connections_give_way_to_the_change_log(self):
+        """Connections that we have closed wait for their peers' ends, which do not come, and hold the last descriptors."""
+        for _ in range(3):
+            self.town.viewer().write(b"\xff" * 50)
+            self.town.turns(3)
+        self.assertEqual(len(self.town.loop.lingering), 3)
+        self.town.director.follower.again("it breaks off")
+        with scarce():
+            self.pass_(60)
+            self.assertIsNotNone(self.town.director.follower.stream)
+            self.assertEqual(len(self.town.loop.lingering), 2)
+
+    def test_closed_connections_give_way_to_new_viewers(self):
+        for _ in range(3):
+            self.town.viewer().write(b"\xff" * 50)
+            self.town.turns(3)
+        late = socket.socket()
+        self.addCleanup(late.close)
+        with scarce():
+            late.connect(self.town.address)
+            self.town.turns(3)
+            self.assertEqual(len(self.town.director.door.viewers), 1)
+
+    def test_a_dial_without_a_descriptor_tells_nothing_of_its_node(self):
+        """The node has done nothing: it is neither ill nor paced, and a later play goes there."""
+        viewer = self.town.viewer()
+        self.town.side(viewer)
+        with scarce():
+            viewer.write(set_up(1))
+            self.town.lies_there(self.town.side(viewer), len(set_up(1)))
+            self.town.turns(6)
+        node = self.town.director.controller.fleet.nodes[1]
+        self.assertEqual((node.ill, node.rest), (0, 0.0))
+        viewer.write(set_up(2))
+        line, message = self.town.come("a")
+        line.write(answer(message.session))
+        self.assertIn(binary.ANSWER, [m.kind for m in self.town.until(lambda: [m for m in viewer.hear() if m.session == f"{2:016x}"])])
+
+
+if __name__ == "__main__":
+    unittest.main()
