A connection that we have closed drops what its peer does not take in time

Forced on real sockets, seen failing before: a node stands still, our system has the whole set-up and no room for the TEARDOWN behind it; the viewer leaves; the node wakes after seconds and reads the set-up, which begins for somebody who has gone (test_orders_leaving, left_while_its_node_stands_still, behind=True). At fault: Stream.close with something queued only stopped reading and waited for the peer (loop/streams.py), so that the limit of the last delivery never began; the descriptor stayed for as long as the peer liked.

--- a/laddergw/loop/streams.py
+++ b/laddergw/loop/streams.py
@@ -15,6 +15,7 @@
     from laddergw.loop.sockets import SocketLoop
 
 LINGER_MS = 500.0          # a connection that we have closed is read for so long: its peer, a few round trips away, ends its side
+STUCK_MS = 5_000.0         # what is queued on a connection that we have closed: a peer that takes nothing for so long gets no more
 READ_BYTES = 65_536        # read of one stream in a turn: the others get theirs
 
 
@@ -66,6 +67,8 @@
             if count < len(data):
                 if count:
                     self.out[0] = data[count:]
+                if count and self.ending and self.deliver_ms is None:
+                    self.hurry(STUCK_MS)
                 return
             self.out.popleft()
         if self.sock is None:
@@ -124,6 +127,8 @@
         if error:
             return self.lose(REFUSED if error == errno.ECONNREFUSED else os.strerror(error))
         self.open = True
+        if self.ending:
+            self.hurry(STUCK_MS if self.deliver_ms is None else self.deliver_ms)
         self.owner.opened(self)
         if self.sock is not None and self.out:
             self.flush()
@@ -150,6 +155,14 @@
             self.part()
         else:
             self.pause()
+            self.hurry(STUCK_MS if deliver_ms is None else deliver_ms)
+
+    def hurry(self, ms: float) -> None:
+        """Closed, with something queued: so long, then it is dropped. (A connection that does not come up has its own limit.)"""
+        if self.open:
+            if self.limit is not None:
+                self.limit.cancel()
+            self.limit = self.loop.after(ms, self.abort)
 
     def part(self) -> None:
         """Its owner is told that it has ended; the socket itself lingers until the peer has ended too."""
--- a/tests/test_orders_leaving.py
+++ b/tests/test_orders_leaving.py
@@ -102,9 +102,10 @@
 
     def test_left_while_its_node_stands_still(self):
         """The node reads nothing and its system takes no more; ours has taken the set-up. The viewer leaves at once, or when it has been
-        out for long; then the node wakes, and reads all that comes: the set-up never does."""
-        for out_ms in 1.0, 500.0:
-            with self.subTest(out_ms):
+        out for long; our own word that it is given up leaves, or waits as well. Then the node wakes, and reads all that comes: the set-up
+        never does."""
+        for out_ms, behind in (1.0, False), (500.0, False), (1.0, True):
+            with self.subTest(out_ms, behind=behind):
                 now = [10_000.0]
                 town = Town(self, now=lambda: now[0])
                 _, line = town.idle_line()
@@ -120,6 +121,8 @@
                 while ply.line.state(ply.session) != life.OUT:
                     line.sock.recv(4096)
                     town.turns(2)
+                while behind and not stream.queued:
+                    stream.write(rtsp.request("OPTIONS", "ping", "0" * 16) * 20)
                 now[0] += out_ms
                 leaves(town, viewer, "closed")
                 town.turns()
