--- a/laddergw/platform/allocating.py
+++ b/laddergw/platform/allocating.py
@@ -4,7 +4,8 @@
 from laddergw import interface as face
 from laddergw.platform import allocation as life
 from laddergw.platform import requests
-from laddergw.platform.nodes import Line, Node
+from laddergw.platform.connection import Connection
+from laddergw.platform.nodes import Node
 from laddergw.platform.plays import BROKEN, ENDED, Play
 from laddergw.signalling import binary, rtsp
 
@@ -49,7 +50,7 @@
     def release(self, ply: Play) -> None:
         self.say(ply.node, rtsp.request("TEARDOWN", ply.request.title, ply.session, (("Reason", f"cause={ENDED}"),)))
 
-    def answered(self, node: Node, line: Line, message: rtsp.Message) -> None:
+    def answered(self, node: Node, line: Connection, message: rtsp.Message) -> None:
         ply = line.plays[message.session]
         fact = life.answer(message.status)
         if fact == life.THERE and not message.body:
@@ -72,7 +73,7 @@
         names = self.director.assignment.deployment.reports
         return tuple(values[name] for name in names) if values and all(name in values for name in names) else ()
 
-    def told(self, node: Node, line: Line, message: rtsp.Message) -> None:
+    def told(self, node: Node, line: Connection, message: rtsp.Message) -> None:
         """A media node speaks of a play: a note, or its release."""
         ply = node.held.get(message.session) or line.plays.get(message.session)
         if message.method == "TEARDOWN":
--- /dev/null
+++ b/laddergw/platform/connection.py
@@ -0,0 +1,91 @@
+"""One connection to a media node: the set-ups that are open on it, and how much of each has left."""
+import logging
+from typing import TYPE_CHECKING, Any
+
+from laddergw.loop.base import SHORT
+from laddergw.platform import allocation as life
+from laddergw.signalling import rtsp
+
+if TYPE_CHECKING:
+    from laddergw.platform.nodes import Node
+
+log = logging.getLogger("laddergw.platform")
+
+
+class Connection:
+    """See the module."""
+
+    def __init__(self, node: "Node"):
+        self.node, self.loop, self.reader, self.up, self.test = node, node.fleet.loop, rtsp.Reader(), False, None
+        self.since = self.used = self.loop.now
+        self.plays: dict[str, Any] = {}      # whose set-ups are open on it
+        self.ends: dict[str, int] = {}       # where in the stream each of their set-ups ends
+        self.set_ups: dict[str, bytes] = {}
+        self.stream = self.loop.dial(node.address, self, node.fleet.connect_ms)
+
+    def __str__(self) -> str:
+        stream = self.stream
+        return f"connection {id(self):x} ({'up' if self.up else 'coming up'}, {stream.taken} of {stream.asked} bytes gone, {len(self.plays)} set-ups)"
+
+    def opened(self, stream) -> None:
+        self.up = True
+        self.speaks()
+
+    def emptied(self, stream) -> None:
+        pass
+
+    def speaks(self) -> None:
+        self.node.silent, self.node.heard = 0, self.loop.now
+        self.used = self.loop.now
+
+    def got(self, stream, data: bytes) -> None:
+        self.speaks()
+        self.reader.feed(data)
+        try:
+            while (message := self.reader.next()) is not None:
+                self.node.said(self, message)
+        except rtsp.Malformed as error:
+            self.node.fleet.count("spoilt")
+            log.info("node %s: %s", self.node.id, error)
+            self.end(life.SPOILT)
+            self.node.renew()
+
+    def state(self, session: str) -> str:
+        return life.OUT if self.stream.taken >= self.ends[session] else life.UNSENT
+
+    def set_up(self, ply, data: bytes) -> None:
+        self.plays[ply.session], self.set_ups[ply.session], self.used = ply, data, self.loop.now
+        self.stream.write(data)
+        self.ends[ply.session] = self.stream.asked
+
+    def settle(self, session: str) -> str:
+        """Its set-up is open no more; says whether all of it had left."""
+        state = self.state(session)
+        del self.plays[session], self.ends[session], self.set_ups[session]
+        return state
+
+    def give_up(self, session: str) -> str:
+        """Settles a set-up, and of one that is told as never sent no byte leaves any more: `close` would still write it out."""
+        data, end = self.set_ups[session], self.ends[session]
+        state = self.settle(session)
+        if state == life.UNSENT and self.stream.take_back(data):
+            self.ends = {other: at - len(data) * (at > end) for other, at in self.ends.items()}
+        elif state == life.UNSENT:           # a part of it has left: what is open beside it ends too
+            self.end(life.CUT)
+            self.node.renew()
+        return state
+
+    def end(self, fact: str) -> None:
+        """Closes at once. What was open on it ends by that."""
+        if self in self.node.lines:
+            self.node.lines.remove(self)
+            plays = [(ply, self.settle(session)) for session, ply in list(self.plays.items())]
+            self.stream.abort()
+            for ply, state in plays:
+                self.node.fleet.ended(ply, state, fact)
+
+    def closed(self, stream, why: str | None) -> None:
+        if self in self.node.lines:
+            log.debug("node %s: %s ends: %s", self.node.id, self, why)
+            self.end(life.TAKEN_BACK if why == SHORT else life.CUT)   # without a descriptor its node has heard nothing, and has no part in it
+            self.node.line_ended(self, why)
--- a/laddergw/platform/nodes.py
+++ b/laddergw/platform/nodes.py
@@ -1,4 +1,4 @@
-"""The nodes' side: connections to media nodes, one open set-up on each, and what their ends prove.
+"""The media nodes of the list, our connections to them, and what the ends of those prove.
 
 A play that stands belongs to no connection. It is over when its node says so, when the node's port refuses (the
 process has died, and with it all that it held), or when the node's machine answers nothing any more.
@@ -8,6 +8,7 @@
 
 from laddergw.loop.base import REFUSED, SHORT
 from laddergw.platform import allocation as life
+from laddergw.platform.connection import Connection
 from laddergw.signalling import rtsp
 
 IDLE_LESS_MS = 500.0       # a connection is not used for its last so long before the node closes it as idle: a set-up that crosses its
@@ -20,85 +21,6 @@
 log = logging.getLogger("laddergw.platform")
 
 
-class Line:
-    """One connection to a media node."""
-
-    def __init__(self, node: "Node"):
-        self.node, self.loop, self.reader, self.up, self.test = node, node.fleet.loop, rtsp.Reader(), False, None
-        self.since = self.used = self.loop.now
-        self.plays: dict[str, Any] = {}      # whose set-ups are open on it
-        self.ends: dict[str, int] = {}       # where in the stream each of their set-ups ends
-        self.set_ups: dict[str, bytes] = {}
-        self.stream = self.loop.dial(node.address, self, node.fleet.connect_ms)
-
-    def __str__(self) -> str:
-        stream = self.stream
-        return f"connection {id(self):x} ({'up' if self.up else 'coming up'}, {stream.taken} of {stream.asked} bytes gone, {len(self.plays)} set-ups)"
-
-    def opened(self, stream) -> None:
-        self.up = True
-        self.speaks()
-
-    def emptied(self, stream) -> None:
-        pass
-
-    def speaks(self) -> None:
-        self.node.silent, self.node.heard = 0, self.loop.now
-        self.used = self.loop.now
-
-    def got(self, stream, data: bytes) -> None:
-        self.speaks()
-        self.reader.feed(data)
-        try:
-            while (message := self.reader.next()) is not None:
-                self.node.said(self, message)
-        except rtsp.Malformed as error:
-            self.node.fleet.count("spoilt")
-            log.info("node %s: %s", self.node.id, error)
-            self.end(life.SPOILT)
-            self.node.renew()
-
-    def state(self, session: str) -> str:
-        return life.OUT if self.stream.taken >= self.ends[session] else life.UNSENT
-
-    def set_up(self, ply, data: bytes) -> None:
-        self.plays[ply.session], self.set_ups[ply.session], self.used = ply, data, self.loop.now
-        self.stream.write(data)
-        self.ends[ply.session] = self.stream.asked
-
-    def settle(self, session: str) -> str:
-        """Its set-up is open no more; says whether all of it had left."""
-        state = self.state(session)
-        del self.plays[session], self.ends[session], self.set_ups[session]
-        return state
-
-    def give_up(self, session: str) -> str:
-        """Settles a set-up, and of one that is told as never sent no byte leaves any more: `close` would still write it out."""
-        data, end = self.set_ups[session], self.ends[session]
-        state = self.settle(session)
-        if state == life.UNSENT and self.stream.take_back(data):
-            self.ends = {other: at - len(data) * (at > end) for other, at in self.ends.items()}
-        elif state == life.UNSENT:           # a part of it has left: what is open beside it ends too
-            self.end(life.CUT)
-            self.node.renew()
-        return state
-
-    def end(self, fact: str) -> None:
-        """Closes at once. What was open on it ends by that."""
-        if self in self.node.lines:
-            self.node.lines.remove(self)
-            plays = [(ply, self.settle(session)) for session, ply in list(self.plays.items())]
-            self.stream.abort()
-            for ply, state in plays:
-                self.node.fleet.ended(ply, state, fact)
-
-    def closed(self, stream, why: str | None) -> None:
-        if self in self.node.lines:
-            log.debug("node %s: %s ends: %s", self.node.id, self, why)
-            self.end(life.TAKEN_BACK if why == SHORT else life.CUT)   # without a descriptor its node has heard nothing, and has no part in it
-            self.node.line_ended(self, why)
-
-
 class Node:
     """One media node and our connections to it."""
 
@@ -109,12 +31,12 @@
         self.held: dict[str, Any] = {}       # plays that stand there
         self.open: dict[str, Any] = {}       # plays whose set-up is open there
 
-    def dial(self) -> Line:
-        line = Line(self)
+    def dial(self) -> Connection:
+        line = Connection(self)
         self.lines.append(line)
         return line
 
-    def free_line(self) -> Line | None:
+    def free_line(self) -> Connection | None:
         """An idle connection that is up, and not so idle that its node is about to close it, else a new one; where no more may be
         opened, the least used here, if there is one."""
         idle_ms = self.fleet.idle_ms
@@ -126,7 +48,7 @@
             return self.dial()
         return min(self.lines, key=lambda line: len(line.plays), default=None)
 
-    def said(self, line: Line, message: rtsp.Message) -> None:
+    def said(self, line: Connection, message: rtsp.Message) -> None:
         if message.session in line.plays and line.state(message.session) == life.UNSENT:
             raise rtsp.Malformed("an answer to what has not left yet")   # believed, the rest would leave all the same
         if message.method:
@@ -136,7 +58,7 @@
         elif message.session in line.plays and message.status >= 200 and message.sequence == "1":
             self.fleet.answered(self, line, message)
 
-    def line_ended(self, line: Line, why: str | None) -> None:
+    def line_ended(self, line: Connection, why: str | None) -> None:
         """What the end of a connection proves of the plays that stand."""
         if why == SHORT:                     # the next look dials again, when there may be room
             return
--- a/laddergw/platform/plays.py
+++ b/laddergw/platform/plays.py
@@ -1,6 +1,7 @@
 """One play of the platform as the director holds it, and how its end is told."""
 from laddergw.platform import requests
-from laddergw.platform.nodes import Line, Node
+from laddergw.platform.connection import Connection
+from laddergw.platform.nodes import Node
 from laddergw.platform.viewers import Viewer
 
 DECLINED, FAILED, ENDED, BROKEN = 42, 41, 16, 41     # causes: of refusals, and of releases of what stood
@@ -12,7 +13,7 @@
     def __init__(self, request: requests.Request, session: str, viewer: Viewer | None):
         self.request, self.session, self.id, self.viewer = request, session, request.ask.play, viewer
         self.node: Node | None = None            # where its allocation is
-        self.line: Line | None = None            # where its set-up is open
+        self.line: Connection | None = None            # where its set-up is open
         self.number, self.sent_at = -1, 0.0      # of its allocation
         self.timer = self.guard = None
         self.limit = 0.0                         # when its viewer stops waiting for its answer, by the loop's clock
