The module hears of an allocation's end once its viewer's connection is read

Three orders forced on real sockets, each seen failing before: - A further try left although its viewer's end lay there, behind more than one read of 64 KB: first tries waited for that read, further ones did not (Allocating.tell_end told the module at once). Both wait in Desk.fresh now, to the turn's end. - A set-up that found no connection was told as never sent one turn later, by a timer; a viewer that took it back in that turn and asked again under the same name made the module drop the second play by its name, with 400 kB/s of the first left on the node's account for good (tests/test_orders_ends.py; by identity now, and who is given up is told of first: Allocating.give_up). - A viewer's end that overtakes its hand-over on another connection was heard and forgotten, and the play stood on: an end of what is not known is looked at again after 50 ms, the protocol's own time for such a crossing (Desk.viewer_ends).

--- a/laddergw/platform/allocating.py
+++ b/laddergw/platform/allocating.py
@@ -28,8 +28,7 @@
         node = ply.node = self.director.nodes.by_number.get(verdict.node)
         line = None if node is None or node.gone or verdict.timeout_ms <= 0 else node.free_line()
         if line is None:
-            self.director.loop.after(0, lambda: self.tell_end(ply, face.NEVER_SENT))   # in the next turn, which waits for nothing
-            return
+            return self.tell_end(ply, face.NEVER_SENT)
         r = ply.request
         node.open[ply.session], ply.line = ply, line
         line.set_up(ply, rtsp.request("SETUP", r.title, ply.session, (
@@ -93,6 +92,13 @@
         ply.timer = None
         self.drop_set_up(ply, life.LATE)
 
+    def give_up(self, ply: Play) -> None:
+        """Nobody waits for it any more: what is out ends, and the module hears of what has ended, before its name can come again."""
+        if ply.line is not None:
+            self.drop_set_up(ply, life.GIVEN_UP)
+        elif ply.untold is not None:
+            self.tell(ply)
+
     def drop_set_up(self, ply: Play, fact: str) -> None:
         """Gives a set-up up. Its connection ends too: what may still come on it belongs to nobody. While its node's system has not
         all of what left, the connection is cut off, or a node that stood still or was away would begin it when it is back."""
@@ -136,6 +142,15 @@
             ply.timer = None
         log.debug("%s.%d: ends, %s", ply.session, ply.number, outcome)
         self.director.count(("stood: " if ply.stands else "set-up: ") + outcome)
-        over = ply.stands or ply.session not in self.director.open
+        ply.untold = outcome, report
+        if ply.stands or self.director.open.get(ply.session) is not ply:
+            return self.tell(ply)
+        self.director.desk.fresh.append(ply)         # it may be tried again, once its connection has been read to its end
+        self.director.loop.after(0, lambda: None)    # at this turn's end, or of the next, which waits for nothing
+        return None
+
+    def tell(self, ply: Play) -> None:
+        (outcome, report), ply.untold = ply.untold, None
+        over = ply.stands or self.director.open.get(ply.session) is not ply
         self.director.feed(self.director.controller.ended, self.director.loop.now, ply.id, ply.number, outcome,
                            ply.node.number if ply.node else 0, over, report)
--- a/laddergw/platform/desk.py
+++ b/laddergw/platform/desk.py
@@ -12,6 +12,7 @@
 
 EARLY_MS = 20.0            # answers are due so long before the viewer's time limit: its clock began before ours
 GUARD_MS = 10.0            # past the module's own time-out at the limit, which it answers by the play's terms
+CROSS_MS = 50.0            # what one peer says on two connections may cross for so long: the protocol's own time for a close and a set-up
 TOLD_MOST = 40             # unusable set-ups told in the log: a flood must not fill it
 
 log = logging.getLogger("laddergw.platform")
@@ -22,7 +23,7 @@
 
     def __init__(self, director):
         self.director, self.count = director, director.count
-        self.fresh: list[Play] = []          # plays that the module has not been asked for yet
+        self.fresh: list[Play] = []          # plays of which the module is to hear at the turn's end: asked for, or an allocation over
 
     def heard(self, viewer: Viewer, message: binary.Message) -> None:
         if message.kind == binary.SET_UP:
@@ -60,14 +61,16 @@
         return self.fresh.append(ply)
 
     def take_in(self) -> None:
-        """At a turn's end: asks for the plays that came in it. One whose connection has more to read waits for that: it may have been
-        taken back there, or its viewer have left."""
+        """At a turn's end: asks for the plays that came in it, or goes on with those whose allocation is over. One whose connection has more
+        to read waits for that: it may have been taken back there, or its viewer have left."""
         fresh, self.fresh = self.fresh, []
         for ply in fresh:
             if self.director.open.get(ply.session) is not ply:
                 continue
             if ply.viewer.stream.more:
                 self.fresh.append(ply)
+            elif ply.untold is not None:
+                self.director.allocating.tell(ply)
             else:
                 ask = ply.request.ask._replace(wait_ms=max(0.0, ply.limit - self.director.loop.now))
                 self.director.feed(self.director.controller.asked, self.director.loop.now, ask)
@@ -94,7 +97,7 @@
     def away(self, ms: float | None) -> tuple[int, bytes]:
         return binary.AWAY, b"%d" % (ms or 0)
 
-    def viewer_ends(self, viewer: Viewer, session: str) -> None:
+    def viewer_ends(self, viewer: Viewer, session: str, again: bool = True) -> None:
         if ply := self.director.standing.get(session):        # it gave up as our answer left: what stood is released to it too
             log.debug("%s.%d: ended by its viewer", ply.session, ply.number)
             self.director.allocating.release(ply)
@@ -103,6 +106,10 @@
             self.director.allocating.ended(ply, life.HELD, life.GIVEN_UP)
         elif (ply := self.director.open.get(session)) and ply.viewer is viewer:
             return self.given_up(ply)
+        elif again:                              # its hand-over may be on its way on another connection
+            self.director.loop.after(CROSS_MS, lambda: self.viewer_ends(viewer, session, again=False))
+        else:
+            return None                          # (it was told that it is heard)
         return viewer.write(binary.HEARD, session)
 
     def given_up(self, ply: Play) -> None:
@@ -114,8 +121,7 @@
         ply.viewer.plays.pop(ply.session, None)
         ply.stop_timers()
         self.director.feed(self.director.controller.left, self.director.loop.now, ply.id)
-        if ply.line is not None:
-            self.director.allocating.drop_set_up(ply, life.GIVEN_UP)
+        self.director.allocating.give_up(ply)
 
     def overdue(self, ply: Play) -> None:
         """The last guard of the one answer: whatever holds it up, it is failed in time."""
@@ -135,8 +141,7 @@
         log.debug("%s: answered with cause %d", ply.session, cause)
         self.director.count("declined" if cause == DECLINED else "failed")
         ply.viewer.refuse(ply.session, cause, *more)
-        if ply.line is not None:
-            self.director.allocating.drop_set_up(ply, life.GIVEN_UP)
+        self.director.allocating.give_up(ply)
 
     def stand(self, ply: Play, description: bytes) -> None:
         """The play stands: its viewer gets the description that its node gave."""
--- a/laddergw/platform/plays.py
+++ b/laddergw/platform/plays.py
@@ -18,6 +18,7 @@
         self.timer = self.guard = None
         self.limit = 0.0                         # when its viewer stops waiting for its answer, by the loop's clock
         self.stands = False
+        self.untold: tuple | None = None         # how its allocation ended, and what its node reported, until the module is told
 
     def stop_timers(self) -> None:
         for timer in self.timer, self.guard:
--- /dev/null
+++ b/tests/test_orders_ends.py
@@ -0,0 +1,73 @@
+"""Ends that cross what they end: names used again, hand-overs overtaken, closes that wait. Real connections, the bad order every time."""
+import unittest
+
+from laddergw.signalling import binary, rtsp
+from tests.platform_town import answer, set_up
+from tests.sockets_town import Town
+
+END = binary.encode(binary.RELEASE, f"{2:016x}", (222, b"\x10"))
+
+
+class Ends(unittest.TestCase):
+    def setUp(self):
+        self.now = [10_000.0]
+        self.town = Town(self, now=lambda: self.now[0])
+
+    def pass_(self, ms):
+        for _ in range(int(ms / 10)):
+            self.now[0] += 10.0
+            self.town.turn()
+
+    def test_a_name_used_again_while_its_first_play_is_not_over(self):
+        """No connection may be opened, so the first play's set-up comes to nothing in the next turn; in that turn its viewer takes it back
+        and asks again under the same name. The decisions' account of the node holds what is there, and no more."""
+        self.town.director.nodes.most = 0
+        viewer = self.town.viewer()
+        side = self.town.side(viewer)
+        viewer.write(set_up(2))
+        self.town.lies_there(side, len(set_up(2)))
+        self.town.turn()
+        self.assertEqual(len(self.town.director.controller.plays), 1)
+        viewer.write(END + set_up(2))
+        self.town.lies_there(side, len(END + set_up(2)))
+        self.town.turns(6)
+        self.pass_(5_000)
+        fleet = self.town.director.controller.fleet
+        self.assertEqual((self.town.director.open, self.town.director.controller.plays), ({}, {}))
+        self.assertEqual([(round(node.own, 6), node.plays) for node in fleet.nodes.values()], [(0.0, {})])
+
+    def test_an_end_that_overtakes_its_hand_over(self):
+        """They come on two connections, and the end is read first: the play is released at its node, and its viewer hears that."""
+        first, second = self.town.viewer(), self.town.viewer()
+        sides = [self.town.side(first), self.town.side(second)]
+        hand_over = set_up(2, figures="home:0;copies:3;top:2;at:a")
+        second.write(END)
+        self.town.lies_there(sides[1], len(END))
+        self.town.turn()
+        first.write(hand_over)
+        self.town.lies_there(sides[0], len(hand_over))
+        self.pass_(1_000)
+        self.assertEqual(self.town.director.standing, {})
+        self.assertIn("TEARDOWN", [m.method for _, m in self.town.nodes["a"].hear()])
+
+    def test_a_connection_that_we_close_at_a_node_that_never_reads(self):
+        """What is queued for it never leaves: the connection ends all the same, and holds no descriptor."""
+        self.town.idle_line()
+        line, = self.town.director.nodes.by_id["a"].lines
+        while not line.stream.queued:
+            line.stream.write(rtsp.request("OPTIONS", "ping", "0" * 16) * 20)
+        viewer = self.town.viewer()
+        side = self.town.side(viewer)
+        viewer.write(set_up(2))
+        self.town.until(lambda: self.town.director.open)
+        self.town.turns(2)
+        viewer.write(END)
+        self.town.lies_there(side, len(END))
+        self.town.turns(2)
+        self.assertEqual(self.town.director.open, {})
+        self.pass_(2_000)
+        self.assertEqual((line.stream.sock, self.town.loop.lingering), (None, {}))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_orders_leaving.py
+++ b/tests/test_orders_leaving.py
@@ -150,6 +150,29 @@
                 self.assertEqual([m.method for _, m in town.nodes["b" if node == "a" else "a"].hear()], [])
                 self.assertEqual(len(town.director.open), 0)
 
+    def test_left_behind_more_than_one_read_with_a_further_try_due(self):
+        """The node refuses; the viewer's end lies behind hundreds of its other messages: it is read before anybody else is asked."""
+        for way in "closed", "half closed":
+            with self.subTest(way):
+                town = Town(self, nodes=("a", "b"))
+                for name in "a", "b":
+                    town.director.nodes.by_id[name].dial()       # up, so that nothing waits
+                town.until(lambda: all(line.up for node in town.director.nodes.by_id.values() for line in node.lines))
+                viewer = town.viewer()
+                side = town.side(viewer)
+                viewer.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1 << 20)
+                side.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 20)
+                viewer.write(set_up(2))
+                name, line = town.until(lambda: next(((name, found[0][0]) for name in town.nodes if (found := town.nodes[name].hear())), None))
+                line.write(answer(f"{2:016x}", 453, b""))
+                town.lies_there(town.director.open[f"{2:016x}"].line.stream, len(answer(f"{2:016x}", 453, b"")))
+                viewer.sock.setblocking(True)
+                viewer.write(binary.encode(binary.TEST, "0" * 16, (222, b"\0")) * 9_000)
+                leaves(town, viewer, way)
+                town.turns(40)
+                self.assertEqual([m.method for _, m in town.nodes["b" if name == "a" else "a"].hear()], [])
+                self.assertEqual((len(town.director.open), len(town.director.controller.plays)), (0, 0))
+
 
 if __name__ == "__main__":
     unittest.main()
