An address that another node has proves nothing; a dripping change log is silent

Two orders forced on real sockets, each seen failing before (tests/test_orders_list.py): - A node's process dies and its successor, under a new name, answers at the same address before we dial again: the old node's plays stood for good, since its connections lived and its tests passed (Node.look ends plays of a node that is gone only where no connection is left).

--- a/laddergw/platform/director.py
+++ b/laddergw/platform/director.py
@@ -90,7 +90,7 @@
         if event.whole:
             for node in self.nodes.by_id.values():
                 if node.id not in named:
-                    node.gone = True
+                    self.nodes.is_gone(node)
                     stopped.append(node)
         for member in event.members:
             if member.state == "DELETED" and member.id not in self.nodes.by_id:
@@ -99,7 +99,9 @@
             if member.since > node.since:            # its process is another one: what stood at the last is over
                 node.lose("started anew")
                 node.since = member.since
-            node.gone = member.state == "DELETED"
+            node.gone = False
+            if member.state == "DELETED":
+                self.nodes.is_gone(node)
             if member.state != "SERVING":
                 stopped.append(node)
             node.member = member
--- a/laddergw/platform/following.py
+++ b/laddergw/platform/following.py
@@ -6,6 +6,7 @@
 
 SILENT_MS = 2_500.0        # it writes each second: two of its lines are missing
 AGAIN_MS = (50.0, 1_000.0) # first and longest pause before the next connection; doubled while nothing good comes
+LEAST_BYTES = 1_024        # of a line that is not whole so much must come in that time, or it is a drip: a whole list has some hundred bytes a node
 DIAL_MS = 500.0            # wait for a connection: what is told counts as told 2 s after a break
 
 log = logging.getLogger("laddergw.platform")
@@ -21,6 +22,7 @@
             self.dial()
 
     def dial(self) -> None:
+        self.part = 0                        # bytes since its silence was counted from
         self.reader = changes.Reader()
         self.stream = self.loop.dial(self.address, self, DIAL_MS)
         self.listen_out(DIAL_MS + SILENT_MS)
@@ -60,11 +62,15 @@
     def got(self, stream, data: bytes) -> None:
         if stream is not self.stream:
             return
-        self.listen_out(SILENT_MS)
+        self.part += len(data)
         self.reader.feed(data)
         try:
             while stream is self.stream and (event := self.reader.next()) is not None:
+                self.part = LEAST_BYTES
                 self.take(event)
+            if stream is self.stream and self.part >= LEAST_BYTES:
+                self.part = 0
+                self.listen_out(SILENT_MS)
         except changes.Malformed as error:
             self.again(str(error))
 
--- a/laddergw/platform/nodes.py
+++ b/laddergw/platform/nodes.py
@@ -103,6 +103,7 @@
         self.loop, self.most, self.connect_ms, self.idle_ms = loop, most, connect_ms, idle_ms
         self.by_id: dict[str, Node] = {}
         self.by_number: dict[int, Node] = {}
+        self.by_address: dict[tuple[str, int], Node] = {}    # the one that the list named there last
         self.numbers = self.tests = 0
         self.count, self.ended, self.told, self.answered = allocating.count, allocating.ended, allocating.told, allocating.answered
         loop.after(LOOK_MS, self.look)
@@ -148,8 +149,18 @@
             if node is not None:
                 self.close(node)
             node = self.by_id[member.id] = self.by_number[number] = Node(self, number, member)
+            before, self.by_address[node.address] = self.by_address.get(node.address), node
+            if before is not None and before.gone:
+                self.close(before)
         return node
 
+    def is_gone(self, node: Node) -> None:
+        """The list tells so. What stands there ends with its connections; where another node has its address, what answers there is that
+        one, and proves nothing of it."""
+        node.gone = True
+        if self.by_address.get(node.address) is not node:
+            self.close(node)
+
     def close(self, node: Node) -> None:
         node.lose("another address")
         for line in list(node.lines):
@@ -160,6 +171,8 @@
             for line in list(node.lines):
                 line.end(life.CUT)
             del self.by_number[node.number]
+            if self.by_address.get(node.address) is node:
+                del self.by_address[node.address]
             if self.by_id.get(node.id) is node:
                 del self.by_id[node.id]
 
--- a/tests/test_orders_list.py
+++ b/tests/test_orders_list.py
@@ -4,6 +4,7 @@
 import unittest
 
 from laddergw.platform import assignment as assignments
+from laddergw.signalling import binary
 from tests.platform_town import answer, event, member, set_up
 from tests.sockets_town import Town
 
@@ -176,6 +177,34 @@
         viewer.write(set_up(2))
         self.assertEqual(self.town.come("b")[1].session, f"{2:016x}")       # node a, at the address that was b's
 
+    def test_a_new_node_at_the_address_of_a_dead_one(self):
+        """The old process dies, and its successor answers at its address before we have dialled again: what it says is no sign that the
+        old one lives. Once the list tells of it, the old one's plays are over."""
+        _, log = self.come(200)
+        viewer = self.town.viewer()
+        viewer.write(set_up(1, figures="home:0;copies:1;top:2"))
+        line, message = self.town.come("a")
+        line.write(answer(message.session))
+        self.town.until(viewer.hear)
+        line.close()                                               # its listener is the successor's from here on
+        self.town.until(lambda: self.town.nodes["a"].hear() or len(self.town.nodes["a"].lines) > 1)
+        self.say(log, lines(self.event(2, phase="DELETED"), event(3, member("c", 1, since=1) | {"host_port": f"127.0.0.1:{self.town.nodes['a'].port}"})))
+        self.assertEqual(self.town.director.standing, {})
+        self.assertEqual([m.kind for m in self.town.until(viewer.hear)], [binary.RELEASE])
+
+    def test_one_that_drips(self):
+        """A byte now and then, and never a whole line: it tells no more than one that is silent."""
+        _, log = self.come(200)
+        since, stream = self.now[0], self.town.director.follower.stream
+        data = lines(self.event(2))[:20]
+        for at in range(len(data)):
+            if self.town.director.follower.stream is not stream:
+                break
+            self.say(log, data[at:at + 1])
+            self.pass_(500)
+        self.assertLess(self.now[0] - since, TOLD_AFTER_SILENCE_MS)
+        self.assertEqual(self.come(TOLD_AFTER_BREAK_MS)[0], b"since 1\n")
+
     def test_a_drain_takes_back_what_waits_for_its_connection(self):
         """Told in the turn in which the connection comes up, the connection first: nothing leaves to a node that drains."""
         _, log = self.come(200)
