Who has spoken is read before it is closed for others that come

Forced on a real socket, seen failing before (test_orders_descriptors, one_that_has_spoken_among_many_that_come_at_once): 41 connections come in one turn where 20 may be held; the first has its set-up in our system, unread, and was closed as the oldest that had said nothing (Door.close_one judged by what had been read). It is read first; the two loops that closed are one (Door.make_room).

--- a/laddergw/platform/viewers.py
+++ b/laddergw/platform/viewers.py
@@ -79,19 +79,25 @@
 
     def come(self, viewer: Viewer) -> None:
         self.viewers[viewer] = None
-        if len(self.viewers) > self.most:
-            self.close_one([v for v in self.viewers if not v.plays and v is not viewer] or [viewer])
-
-    def close_one(self, idle: list[Viewer]) -> None:
-        """Who has said nothing goes first, then who was idle longest. What a new one has to say may lie unread: closed then, its set-up
-        would be lost."""
-        min(idle, key=lambda v: (v.proven or self.loop.now - v.since < FRESH_MS, v.used)).close("too many")
+        self.make_room(viewer)
 
     def bound(self, most: int) -> None:
         """Another bound, at once; who has plays open keeps its connection."""
         self.most = most
-        while len(self.viewers) > most and (idle := [v for v in self.viewers if not v.plays]):
-            self.close_one(idle)
+        self.make_room()
+
+    def make_room(self, last: Viewer | None = None) -> None:
+        """Over the bound who has said nothing goes first, then who was idle longest, `last` where all others have plays open. What one has
+        to say may lie unread: it is read before it is closed, or a set-up would be lost."""
+        idle = [v for v in self.viewers if not v.plays and v is not last] if len(self.viewers) > self.most else []
+        idle.sort(key=lambda v: (v.proven or self.loop.now - v.since < FRESH_MS, v.used))
+        for one in idle + [last] * (last is not None):
+            if len(self.viewers) <= self.most:
+                return
+            if one.stream is not None:
+                one.stream.read_now()
+            if not one.plays:
+                one.close("too many")
 
     def hear_last(self) -> bool:
         """The process's end: all who have come are accepted, and what they have said is answered. Whether some wait for a descriptor,
--- a/tests/test_orders_descriptors.py
+++ b/tests/test_orders_descriptors.py
@@ -10,7 +10,7 @@
 import unittest
 
 from laddergw.signalling import binary
-from tests.platform_town import event, member, set_up
+from tests.platform_town import answer, event, member, set_up
 from tests.sockets_town import Node, Peer, Town
 from tests.test_platform_start import PATIENCE_S, Running, held_port
 
@@ -101,6 +101,17 @@
         self.assertEqual({m.parameters[binary.CAUSE][0] for m in heard}, {95})
         self.assertEqual(len({m.session for m in heard}), 5000)
 
+    def test_one_that_has_spoken_among_many_that_come_at_once(self):
+        """More than may be held come in one turn and say nothing; the one that has asked, and is not read yet, is not closed for them."""
+        town = Town(self)
+        town.director.door.most, good = 20, town.viewer()
+        good.write(set_up(1))
+        for _ in range(40):
+            town.viewer()
+        line, message = town.come("a")
+        line.write(answer(message.session))
+        self.assertEqual([m.kind for m in town.until(good.hear)], [binary.ANSWER])
+
     def test_refusals_reach_a_peer_that_reads_slowly(self):
         town = Town(self)
         viewer = town.viewer()
