What a node is to be told waits for a connection where no descriptor is left

Forced on a real process with a real limit, seen failing before: plays stand at 120 nodes, the process may hold 64 descriptors, SIGTERM: 56 nodes of 120 heard TEARDOWN (tests/test_orders_descriptors.py, every_node_hears_of_the_end...). At fault: Allocating.say wrote into a connection that found no descriptor, and what was written went with it, at a stop and in service. It waits at its node now; a connection that has said all and carries no set-up gives way to the next one (Nodes.say, let_speak, give_way); all 120 hear it.

--- a/laddergw/platform/allocating.py
+++ b/laddergw/platform/allocating.py
@@ -38,13 +38,7 @@
 
     def say(self, node: Node, data: bytes) -> None:
         """To a node about a play that stands, on any connection."""
-        line = next((line for line in node.lines if line.up and not line.plays), None) or next(iter(node.lines), None)
-        if line is None:
-            if node.gone:
-                return
-            self.director.nodes.room(of_held=True)            # past the bound all the same: what ends a play must leave
-            line = node.dial()
-        line.stream.write(data)
+        self.director.nodes.say(node, data)
 
     def release(self, ply: Play) -> None:
         self.say(ply.node, rtsp.request("TEARDOWN", ply.request.title, ply.session, (("Reason", f"cause={ENDED}"),)))
--- a/laddergw/platform/connection.py
+++ b/laddergw/platform/connection.py
@@ -30,9 +30,15 @@
     def opened(self, stream) -> None:
         self.up = True
         self.speaks()
+        words, self.node.words = self.node.words, []
+        for data in words:
+            stream.write(data)
+        if words:
+            self.emptied(stream)
 
     def emptied(self, stream) -> None:
-        pass
+        if not (stream.queued or self.plays):
+            self.node.fleet.give_way(self)
 
     def speaks(self) -> None:
         self.node.silent, self.node.heard = 0, self.loop.now
--- a/laddergw/platform/nodes.py
+++ b/laddergw/platform/nodes.py
@@ -30,6 +30,7 @@
         self.heard = fleet.loop.now
         self.held: dict[str, Any] = {}       # plays that stand there
         self.open: dict[str, Any] = {}       # plays whose set-up is open there
+        self.words: list[bytes] = []         # what waits for a connection to be said
 
     def dial(self) -> Connection:
         line = Connection(self)
@@ -60,8 +61,11 @@
 
     def line_ended(self, line: Connection, why: str | None) -> None:
         """What the end of a connection proves of the plays that stand."""
+        if self.words:
+            self.fleet.waiting[self] = None
         if why == SHORT:                     # the next look dials again, when there may be room
             return
+        self.fleet.let_speak(1)
         if not line.up:
             self.silent += why != REFUSED
             if why == REFUSED or self.silent >= SILENCES:
@@ -75,6 +79,7 @@
             self.dial()
 
     def lose(self, why: str | None) -> None:
+        self.words = []
         if self.held:
             log.info("node %s: %d plays lost: %s", self.id, len(self.held), why)
         for ply in list(self.held.values()):
@@ -103,6 +108,7 @@
         self.loop, self.most, self.connect_ms, self.idle_ms = loop, most, connect_ms, idle_ms
         self.by_id: dict[str, Node] = {}
         self.by_number: dict[int, Node] = {}
+        self.waiting: dict[Node, None] = {}  # that have something to be told and no connection; in this order they get one
         self.by_address: dict[tuple[str, int], Node] = {}    # the one that the list named there last
         self.numbers = self.tests = 0
         self.count, self.ended, self.told, self.answered = allocating.count, allocating.ended, allocating.told, allocating.answered
@@ -126,8 +132,34 @@
         oldest.stream.close()
         return True
 
+    def say(self, node: Node, data: bytes) -> None:
+        """On any connection, or on the next that opens; one is opened past the bound too: what ends a play must leave."""
+        line = next((line for line in node.lines if line.up and not line.plays), None) or next(iter(node.lines), None)
+        if line is not None:
+            line.stream.write(data)
+        elif not node.gone:
+            node.words.append(data)
+            self.waiting[node] = None
+            self.let_speak(1)
+
+    def let_speak(self, most: int) -> None:
+        """Dials for so many of those who wait. Who finds no descriptor waits on, until another connection gives way."""
+        for node in list(self.waiting)[:most]:
+            del self.waiting[node]
+            if node.words and not node.lines and not node.gone:
+                self.room(of_held=True)
+                node.dial()
+
+    def give_way(self, line: Connection) -> None:
+        """It has said all, and nothing is open on it: one of those who wait gets its descriptor."""
+        if self.waiting and line in line.node.lines:
+            line.node.lines.remove(line)
+            line.stream.close()
+            self.let_speak(1)
+
     def unsent(self) -> bool:
-        return any(line.stream.queued for node in self.by_number.values() for line in node.lines)
+        nodes = self.by_number.values()
+        return any(node.words and not node.gone for node in nodes) or any(line.stream.queued for node in nodes for line in node.lines)
 
     def shut(self) -> None:
         """The process's end: what was said to nodes goes out, then every connection ends in good order."""
@@ -178,6 +210,7 @@
 
     def look(self) -> None:
         self.loop.after(LOOK_MS, self.look)
+        self.let_speak(len(self.waiting))
         for node in sorted((n for n in self.by_number.values() if n.held), key=lambda n: n.heard):   # who had no turn for longest first
             node.look(self.loop.now)
         self.forget_gone()
--- a/tests/test_orders_descriptors.py
+++ b/tests/test_orders_descriptors.py
@@ -4,17 +4,18 @@
 import os
 import pathlib
 import selectors
+import signal
 import socket
 import tempfile
 import time
 import unittest
 
-from laddergw.signalling import binary
+from laddergw.signalling import binary, rtsp
 from tests.platform_town import answer, event, member, set_up
 from tests.sockets_town import Node, Peer, Town
 from tests.test_platform_start import PATIENCE_S, Running, held_port
 
-SOCKETS, IDLE = 64, 150
+SOCKETS, IDLE = 64, 150      # of the descriptors 22 are for connections to nodes
 TEST = binary.encode(binary.TEST, "0" * 16, (222, b"\0"))
 
 
@@ -24,8 +25,8 @@
         self.addCleanup(folder.cleanup)
         self.log = held_port()
         self.addCleanup(self.log.close)
-        self.nodes = [Node(f"n{n}") for n in range(40)]
-        self.running = Running(pathlib.Path(folder.name), "full", limits={"sockets": SOCKETS}, log_port=self.log.getsockname()[1],
+        self.nodes = [Node(f"n{n}") for n in range(120)]
+        self.running = Running(pathlib.Path(folder.name), "full", descriptors=SOCKETS, limits={"sockets": SOCKETS}, log_port=self.log.getsockname()[1],
                                known={"seq": 1, "results": [event(1, *self.members(), whole=True)]})
         self.addCleanup(self.running.end)
         self.selector = selectors.DefaultSelector()
@@ -76,6 +77,33 @@
         self.assertLessEqual(self.descriptors(), SOCKETS)
 
 
+    def test_every_node_hears_of_the_end_though_there_are_more_of_them_than_descriptors(self):
+        """A play stands at each of 120 nodes and there are 22 connections to nodes at the most as the order to stop comes: all are released."""
+        viewer = self.viewer()
+        viewer.write(*(set_up(n + 1, figures=f"home:{n % 3};copies:1;top:2;at:{node.name}") for n, node in enumerate(self.nodes)), TEST)
+        told = {}
+
+        def hear():
+            for node in self.nodes:
+                for line, message in node.hear():
+                    if message.method == "TEARDOWN":
+                        told[node.name] = message.session
+                    if message.method in ("TEARDOWN", "OPTIONS"):
+                        line.write(rtsp.answer(200, "OK", message.sequence, message.session))
+            for message in viewer.hear():
+                if message.kind == binary.RELEASE:
+                    viewer.write(binary.encode(binary.HEARD, message.session))
+                elif message.kind == binary.TESTED:
+                    return True
+            return False
+        self.until(hear)
+        self.running.process.send_signal(signal.SIGTERM)
+        self.until(lambda: hear() or self.running.process.poll() is not None)
+        hear()
+        self.assertEqual(len(told), len(self.nodes))
+        self.assertEqual(self.running.process.returncode, 0)
+
+
 class Floods(unittest.TestCase):
     def test_thousands_of_set_ups_on_one_connection(self):
         """Each has its refusal or stays one of the bounded open ones; a viewer beside them is served in the turn that it asks in."""
