--- /dev/null
+++ b/benchmarks/broken_fleets.py
@@ -0,0 +1,38 @@
+"""The bad day of tests/test_platform_fleet.py with every director broken on purpose in one way: what the judge says of it.
+
+usage: python -m benchmarks.broken_fleets [NAME ...], from the repository's root; "none" is the program as it is. Some 17 s each.
+Ends with 1 if a broken fleet keeps every term, or the whole one does not.
+"""
+import sys
+
+from tests.fleet_judge import excess, judge
+from tests.platform_fleet import TERMS, Town
+from tests.test_platform_fleet import BAD_DAY, DIRECTORS, NODES, RATE, SECONDS, SEED
+
+BROKEN = {
+    "none": "pass",
+    "no ramp": "from laddergw.control import holders; holders.Holders.turn = lambda self, now, node: True",
+    "deaf to leaving": "from laddergw.platform import desk, viewers; viewers.Viewer.closed = lambda self, stream, why: self.door.leave(self); "
+                       "desk.Desk.given_up = lambda self, ply: None",
+    "sends to who drains": "from laddergw.platform import director as d; d.STATES = dict(d.STATES, DRAINING='ready')",
+    "ends at once": "from laddergw.platform import director as d; d.Director.stop = lambda self: self.loop.stop()",
+    "sends paid plays again": "from laddergw.control import plays; plays.Allocations.send_back = lambda self, now, ply, node, outcome: setattr(ply, 'out', None)",
+    "does not end": "from laddergw.platform import director as d; d.Director.stop = lambda self: None",
+}
+HOLDS = "import runpy, signal; signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGHUP, signal.SIGTERM)); "
+
+
+def main(names):
+    wrong = 0
+    for name in names or BROKEN:
+        code = f"{HOLDS}{BROKEN[name]}; runpy.run_module('laddergw.platform', run_name='__main__')"
+        records = Town(DIRECTORS, NODES, RATE, SECONDS, BAD_DAY, SEED, run=f'exec {sys.executable} -c "{code}"').run()
+        found = judge(records, TERMS)
+        wrong += bool(found) == (name == "none")
+        said = [one for one in found if not one.startswith("director")] + [one for one in found if one.startswith("director")]
+        print(f"{name}: {len(found)} broken, most at a cold node over chance {excess(records, TERMS):.1f}; {'; '.join(said[:2])[:200]}")
+    return 1 if wrong else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/tests/runner.py
+++ b/tests/runner.py
@@ -2,9 +2,10 @@
 
 A line of the list: test's full name | cause | issue. Three lines at most. A listed test that passes, or is not there, fails the run:
 its line goes. Arguments are names of tests; of the list only the tests among them are looked at then.
-All tests: those of APART, which only compute, run in a process of their own beside the others.
+All tests: each group of APART runs in a process of its own beside the others.
 usage: python -m tests.runner [NAME ...], from the repository's root; ends with 0 where all is as it should be.
 """
+import contextlib
 import pathlib
 import subprocess
 import sys
@@ -15,7 +16,10 @@
 
 ROOT = pathlib.Path(__file__).parent.parent
 LIST, MOST = ROOT / "KNOWN-RED.txt", 3
-APART = "tests.test_budgets", "tests.test_cold_fleet", "tests.test_fleet_planner"   # no sockets, no processes, no clock but their own
+APART = (
+    ("tests.test_budgets", "tests.test_cold_fleet", "tests.test_fleet_planner"),                         # these only compute
+    ("tests.test_budget_processes", "tests.test_fleet_processes", "tests.test_platform_fleet", "tests.test_switch"),   # these wait for processes
+)
 SLOWEST = 8                # tests whose time is told: all of them together have six minutes
 
 
@@ -102,24 +106,30 @@
     loader, names = unittest.TestLoader(), list(names)
     if names:
         return run(loader.loadTestsFromNames(names), known, False)
-    with tempfile.TemporaryFile("w+") as said:
-        beside = subprocess.Popen([sys.executable, "-m", "tests.runner", *APART], cwd=ROOT, stdout=said, stderr=said)
-        try:
-            here, there = split(loader.discover("tests", top_level_dir=str(ROOT)))
-            code = run(unittest.TestSuite(here), [one for one in known if one.test not in there], True)
-            code = beside.wait() or code
-        finally:
-            beside.kill()                      # has ended already, unless this process is ending
-            beside.wait()
-        said.seek(0)
-        print(f"apart, {len(there)} tests of {', '.join(APART)}:\n{said.read()}", file=sys.stderr)
+    with contextlib.ExitStack() as held:
+        groups = [(modules, *beside(held, modules)) for modules in APART]
+        here, there = split(loader.discover("tests", top_level_dir=str(ROOT)))
+        code = run(unittest.TestSuite(here), [one for one in known if one.test not in there], True)
+        for modules, process, said in groups:
+            code = process.wait() or code
+            said.seek(0)
+            print(f"apart, {', '.join(modules)}:\n{said.read()}", file=sys.stderr)
     return code
 
 
+def beside(held: contextlib.ExitStack, modules: tuple[str, ...]) -> tuple:
+    """Runs these in a process of their own, which ends with `held` at the latest; it, and the file of what it says."""
+    said = held.enter_context(tempfile.TemporaryFile("w+"))
+    process = subprocess.Popen([sys.executable, "-m", "tests.runner", *modules], cwd=ROOT, stdout=said, stderr=said)
+    held.callback(process.wait)
+    held.callback(process.kill)                # has ended already, unless this process is ending
+    return process, said
+
+
 def split(suite) -> tuple[list, set[str]]:
     """The tests that run here, and the names of those that run apart."""
     every = list(flat(suite))
-    apart = {test.id() for test in every if type(test).__module__ in APART}
+    apart = {test.id() for test in every if any(type(test).__module__ in modules for modules in APART)}
     return [test for test in every if test.id() not in apart], apart
 
 
--- /dev/null
+++ b/tests/test_fleet_judge.py
@@ -0,0 +1,82 @@
+"""The judge of many processes itself: it sees each broken term, and nothing where all are kept."""
+import unittest
+
+from tests.fleet_judge import GONE_CASES, judge
+
+TERMS = {"paid": {"paid"}, "streams": 30.0, "warm_ms": 6_000.0, "cold_from": 0.4, "multiple": 2.5, "fall_ms": 1_000.0, "grace_ms": 250.0}
+
+
+def asked(at, session, **more):
+    return at, "asked", {"session": session, "director": "n0", "wait_ms": 1_000.0, "product": "guide", "lag": 0.0} | more
+
+
+def arrived(at, session, node="a", product="guide", lag=0.0):
+    return at, "arrived", {"session": session, "node": node, "product": product, "lag": lag}
+
+
+def over(at, session, node="a", never_ran=False):
+    return at, "over", {"session": session, "node": node, "never_ran": never_ran, "lag": 0.0}
+
+
+def answered(at, session, lag=0.0):
+    return at, "answered", {"session": session, "answer": "plays", "lag": lag}
+
+
+def told(at, node="a"):
+    return at, "told", {"node": node, "state": "DRAINING", "lag": 0.0}
+
+
+def at(when, what, **facts):
+    return when, what, facts
+
+
+GOOD = [asked(0, "1"), arrived(20, "1", product="paid"), over(40, "1", never_ran=True), arrived(50, "1", "b", "paid"), answered(90, "1"), over(900, "1", "b"),
+        asked(100, "2"), arrived(120, "2"), at(130, "left", session="2"), over(140, "2"), told(500), at(0, "director starts", director="n0"),
+        at(300, "director ready", director="n0"), at(2_000, "director ended", director="n0", status=0, fine=(0,)),
+        at(1_000, "started", node="c"), *(arrived(1_500 + n, f"{n + 10}", "c") for n in range(10))]
+
+
+class Judged(unittest.TestCase):
+    def broken(self, *more, part):
+        found = judge([*GOOD, *more], TERMS)
+        self.assertEqual(len(found), 1, found)
+        self.assertIn(part, found[0])
+
+    def test_a_good_day_breaks_nothing(self):
+        self.assertEqual(judge(GOOD, TERMS), [])
+
+    def test_each_broken_term_is_seen(self):
+        self.broken(asked(0, "3"), part="without an answer")
+        self.broken(asked(0, "3"), at(50, "closed without an answer", session="3"), part="without an answer")
+        self.broken(asked(0, "3"), answered(10, "3"), answered(20, "3"), part="answered 2 times")
+        self.broken(asked(0, "3"), answered(1_501, "3"), part="answered 1501 ms after")
+        self.broken(arrived(0, "3", "a", "paid"), over(10, "3"), arrived(20, "3", "b", "paid"), part="a second time")
+        self.broken(arrived(0, "3"), arrived(20, "3", "b"), part="out at b and at a")
+        self.broken(arrived(801, "3"), part="after it was told to drain")
+        self.broken(*(arrived(1_600 + n, f"{n + 30}", "c") for n in range(3)), part="over what chance explains")
+        self.broken(at(5, "director ended", director="n1", status=-6, fine=(0,)), part="ended with -6")
+        self.broken(at(5, "director ended", director="n1", status=-9, fine=(0,)), part="ended with -9")
+        self.broken(at(5, "trouble in a log", director="n1", line="Traceback"), part="Traceback")
+        self.broken(at(5, "director starts", director="n1"), part="1 never ready")
+        self.broken(at(5, "director starts", director="n1"), at(10_006, "director ready", director="n1"), part="the others after")
+
+    def test_who_has_gone_counts_from_the_third_case(self):
+        cases = [record for n in range(GONE_CASES) for record in (asked(0, f"g{n}"), at(100, "left", session=f"g{n}"), arrived(201, f"g{n}", "d"))]
+        self.broken(*cases, part="for who has gone")
+        self.assertEqual(judge([*GOOD, *cases[3:]], TERMS), [])
+
+    def test_what_lay_unread_here_is_nobodys_fault(self):
+        """An answer and a set-up that this process read late are as old as they may be."""
+        self.assertEqual(judge([*GOOD, asked(0, "3"), answered(1_600, "3", lag=100.0), arrived(850, "4", lag=50.0)], TERMS), [])
+
+    def test_an_end_read_in_the_turn_of_the_next_set_up(self):
+        self.assertEqual(judge([*GOOD, arrived(0, "3"), arrived(20, "3", "b"), over(20, "3")], TERMS), [])
+
+    def test_while_the_change_log_is_away_its_words_count_four_seconds_after(self):
+        away = at(400, "log away")
+        self.assertEqual(judge([*GOOD, away, told(450, "d"), arrived(4_690, "5", "d")], TERMS), [])
+        self.broken(away, told(450, "d"), arrived(4_701, "5", "d"), part="after it was told to drain")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_platform_fleet.py
@@ -0,0 +1,58 @@
+"""Many real processes of the platform's director while parts fail: what passed on their sockets keeps every term."""
+import sys
+import unittest
+
+from tests.fleet_judge import cold, excess, judge
+from tests.platform_fleet import TERMS, Town
+
+DIRECTORS, NODES, RATE, SECONDS, SEED = 12, 12, 120.0, 11.0, 34
+
+
+def replace(names, successors, drain_ms=1_500.0):
+    """Nodes drain, others begin cold in their places, and the old processes end."""
+    def act(town):
+        town.log.tell(*(town.nodes[name].line("DRAINING") for name in names))
+        town.log.tell(*(town.node(new, town.nodes[old].cell, True).line("SERVING") for old, new in zip(names, successors)))
+        town.loop.after(drain_ms, lambda: town.log.tell(*(town.nodes[name].line("DELETED") for name in names)))
+        town.loop.after(drain_ms + 300.0, lambda: [town.nodes[name].die() for name in names])
+    return act
+
+
+def each(numbers, act):
+    return lambda town: [act(town.directors[number]) for number in numbers if town.directors[number].takes]
+
+
+BAD_DAY = [
+    (1_000.0, replace([f"s{n}" for n in range(6)], [f"s{n}" for n in range(12, 18)])),
+    (1_500.0, each((0, 1), lambda director: director.stop())),
+    (2_500.0, each((2, 3), lambda director: director.stop())),
+    (2_700.0, lambda town: [town.nodes[name].cut() for name in ("s6", "s7", "s12")]),
+    (3_500.0, each((4, 5, 6), lambda director: director.kill())),
+    (4_000.0, lambda town: town.log.go()),
+    (4_200.0, lambda town: town.nodes["s8"].stand_still(1_500.0)),
+    (4_500.0, replace(("s9",), ("s18",), 6_000.0)),
+    (5_000.0, each((7,), lambda director: director.freeze(600.0))),
+    (5_500.0, lambda town: [town.nodes[name].cut() for name in ("s10", "s13", "s14")]),
+    (6_500.0, lambda town: town.log.come()),
+    (7_000.0, each((8, 9, 10), lambda director: director.stop())),
+    (7_500.0, lambda town: town.nodes["s11"].die()),
+    (8_000.0, each((11,), lambda director: director.kill())),
+]
+
+
+class Fleets(unittest.TestCase):
+    def test_a_bad_day(self):
+        """A release, restarts and kills of directors, the change log away, connections cut, a node that stands still and one that dies."""
+        records = Town(DIRECTORS, NODES, RATE, SECONDS, BAD_DAY, SEED).run()
+        self.assertEqual(judge(records, TERMS), [])
+        whats = [what for _, what, _ in records]
+        played = sum(facts["answer"] == "plays" for _, what, facts in records if what == "answered")
+        self.assertGreater(played, 0.5 * whats.count("asked"))       # a fleet that refuses everybody keeps every term
+        self.assertGreater(whats.count("left"), 20)
+        self.assertGreaterEqual(whats.count("director ready"), DIRECTORS + 9)
+        print(f"bad day: asked {whats.count('asked')}, played {played}, left {whats.count('left')}, cut {whats.count('cut')}, set-ups {whats.count('arrived')}, "
+              f"most at a cold node over chance {excess(records, TERMS):.1f}", file=sys.stderr)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_runner.py
+++ b/tests/test_runner.py
@@ -89,7 +89,7 @@
         names = [test.id() for test in runner.flat(every)]
         here, apart = runner.split(every)
         self.assertEqual(sorted([*(test.id() for test in here), *apart]), sorted(names))
-        self.assertEqual({name.rsplit(".", 2)[0] for name in apart}, set(runner.APART))
+        self.assertEqual({name.rsplit(".", 2)[0] for name in apart}, {module for group in runner.APART for module in group})
 
     def test_the_list_that_is_there_can_be_read(self):
         self.assertLessEqual(len(runner.read(runner.LIST.read_text())), 3)
