--- a/laddergw/platform/allocating.py
+++ b/laddergw/platform/allocating.py
@@ -4,7 +4,8 @@
 from laddergw import interface as face
 from laddergw.platform import allocation as life
 from laddergw.platform import requests
-from laddergw.platform.nodes import Line, Node
+from laddergw.platform.connection import Connection
+from laddergw.platform.nodes import Node
 from laddergw.platform.plays import BROKEN, ENDED, Play
 from laddergw.signalling import binary, rtsp
 
@@ -27,8 +28,7 @@
         node = ply.node = self.director.nodes.by_number.get(verdict.node)
         line = None if node is None or node.gone or verdict.timeout_ms <= 0 else node.free_line()
         if line is None:
-            self.director.loop.after(0, lambda: self.tell_end(ply, face.NEVER_SENT))   # in the next turn, which waits for nothing
-            return
+            return self.tell_end(ply, face.NEVER_SENT)
         r = ply.request
         node.open[ply.session], ply.line = ply, line
         line.set_up(ply, rtsp.request("SETUP", r.title, ply.session, (
@@ -38,18 +38,12 @@
 
     def say(self, node: Node, data: bytes) -> None:
         """To a node about a play that stands, on any connection."""
-        line = next((line for line in node.lines if line.up and not line.plays), None) or next(iter(node.lines), None)
-        if line is None:
-            if node.gone:
-                return
-            self.director.nodes.room(of_held=True)            # past the bound all the same: what ends a play must leave
-            line = node.dial()
-        line.stream.write(data)
+        self.director.nodes.say(node, data)
 
     def release(self, ply: Play) -> None:
         self.say(ply.node, rtsp.request("TEARDOWN", ply.request.title, ply.session, (("Reason", f"cause={ENDED}"),)))
 
-    def answered(self, node: Node, line: Line, message: rtsp.Message) -> None:
+    def answered(self, node: Node, line: Connection, message: rtsp.Message) -> None:
         ply = line.plays[message.session]
         fact = life.answer(message.status)
         if fact == life.THERE and not message.body:
@@ -72,7 +66,7 @@
         names = self.director.assignment.deployment.reports
         return tuple(values[name] for name in names) if values and all(name in values for name in names) else ()
 
-    def told(self, node: Node, line: Line, message: rtsp.Message) -> None:
+    def told(self, node: Node, line: Connection, message: rtsp.Message) -> None:
         """A media node speaks of a play: a note, or its release."""
         ply = node.held.get(message.session) or line.plays.get(message.session)
         if message.method == "TEARDOWN":
@@ -92,6 +86,13 @@
         ply.timer = None
         self.drop_set_up(ply, life.LATE)
 
+    def give_up(self, ply: Play) -> None:
+        """Nobody waits for it any more: what is out ends, and the module hears of what has ended, before its name can come again."""
+        if ply.line is not None:
+            self.drop_set_up(ply, life.GIVEN_UP)
+        elif ply.untold is not None:
+            self.tell(ply)
+
     def drop_set_up(self, ply: Play, fact: str) -> None:
         """Gives a set-up up. Its connection ends too: what may still come on it belongs to nobody. While its node's system has not
         all of what left, the connection is cut off, or a node that stood still or was away would begin it when it is back."""
@@ -135,6 +136,15 @@
             ply.timer = None
         log.debug("%s.%d: ends, %s", ply.session, ply.number, outcome)
         self.director.count(("stood: " if ply.stands else "set-up: ") + outcome)
-        over = ply.stands or ply.session not in self.director.open
+        ply.untold = outcome, report
+        if ply.stands or self.director.open.get(ply.session) is not ply:
+            return self.tell(ply)
+        self.director.desk.fresh.append(ply)         # it may be tried again, once its connection has been read to its end
+        self.director.loop.after(0, lambda: None)    # at this turn's end, or of the next, which waits for nothing
+        return None
+
+    def tell(self, ply: Play) -> None:
+        (outcome, report), ply.untold = ply.untold, None
+        over = ply.stands or self.director.open.get(ply.session) is not ply
         self.director.feed(self.director.controller.ended, self.director.loop.now, ply.id, ply.number, outcome,
                            ply.node.number if ply.node else 0, over, report)
--- a/laddergw/platform/nodes.py
+++ b/laddergw/platform/nodes.py
@@ -1,4 +1,4 @@
-"""The nodes' side: connections to media nodes, one open set-up on each, and what their ends prove.
+"""The media nodes of the list, our connections to them, and what the ends of those prove.
 
 A play that stands belongs to no connection. It is over when its node says so, when the node's port refuses (the
 process has died, and with it all that it held), or when the node's machine answers nothing any more.
@@ -8,6 +8,7 @@
 
 from laddergw.loop.base import REFUSED, SHORT
 from laddergw.platform import allocation as life
+from laddergw.platform.connection import Connection
 from laddergw.signalling import rtsp
 
 IDLE_LESS_MS = 500.0       # a connection is not used for its last so long before the node closes it as idle: a set-up that crosses its
@@ -20,85 +21,6 @@
 log = logging.getLogger("laddergw.platform")
 
 
-class Line:
-    """One connection to a media node."""
-
-    def __init__(self, node: "Node"):
-        self.node, self.loop, self.reader, self.up, self.test = node, node.fleet.loop, rtsp.Reader(), False, None
-        self.since = self.used = self.loop.now
-        self.plays: dict[str, Any] = {}      # whose set-ups are open on it
-        self.ends: dict[str, int] = {}       # where in the stream each of their set-ups ends
-        self.set_ups: dict[str, bytes] = {}
-        self.stream = self.loop.dial(node.address, self, node.fleet.connect_ms)
-
-    def __str__(self) -> str:
-        stream = self.stream
-        return f"connection {id(self):x} ({'up' if self.up else 'coming up'}, {stream.taken} of {stream.asked} bytes gone, {len(self.plays)} set-ups)"
-
-    def opened(self, stream) -> None:
-        self.up = True
-        self.speaks()
-
-    def emptied(self, stream) -> None:
-        pass
-
-    def speaks(self) -> None:
-        self.node.silent, self.node.heard = 0, self.loop.now
-        self.used = self.loop.now
-
-    def got(self, stream, data: bytes) -> None:
-        self.speaks()
-        self.reader.feed(data)
-        try:
-            while (message := self.reader.next()) is not None:
-                self.node.said(self, message)
-        except rtsp.Malformed as error:
-            self.node.fleet.count("spoilt")
-            log.info("node %s: %s", self.node.id, error)
-            self.end(life.SPOILT)
-            self.node.renew()
-
-    def state(self, session: str) -> str:
-        return life.OUT if self.stream.taken >= self.ends[session] else life.UNSENT
-
-    def set_up(self, ply, data: bytes) -> None:
-        self.plays[ply.session], self.set_ups[ply.session], self.used = ply, data, self.loop.now
-        self.stream.write(data)
-        self.ends[ply.session] = self.stream.asked
-
-    def settle(self, session: str) -> str:
-        """Its set-up is open no more; says whether all of it had left."""
-        state = self.state(session)
-        del self.plays[session], self.ends[session], self.set_ups[session]
-        return state
-
-    def give_up(self, session: str) -> str:
-        """Settles a set-up, and of one that is told as never sent no byte leaves any more: `close` would still write it out."""
-        data, end = self.set_ups[session], self.ends[session]
-        state = self.settle(session)
-        if state == life.UNSENT and self.stream.take_back(data):
-            self.ends = {other: at - len(data) * (at > end) for other, at in self.ends.items()}
-        elif state == life.UNSENT:           # a part of it has left: what is open beside it ends too
-            self.end(life.CUT)
-            self.node.renew()
-        return state
-
-    def end(self, fact: str) -> None:
-        """Closes at once. What was open on it ends by that."""
-        if self in self.node.lines:
-            self.node.lines.remove(self)
-            plays = [(ply, self.settle(session)) for session, ply in list(self.plays.items())]
-            self.stream.abort()
-            for ply, state in plays:
-                self.node.fleet.ended(ply, state, fact)
-
-    def closed(self, stream, why: str | None) -> None:
-        if self in self.node.lines:
-            log.debug("node %s: %s ends: %s", self.node.id, self, why)
-            self.end(life.CUT)
-            self.node.line_ended(self, why)
-
-
 class Node:
     """One media node and our connections to it."""
 
@@ -108,13 +30,14 @@
         self.heard = fleet.loop.now
         self.held: dict[str, Any] = {}       # plays that stand there
         self.open: dict[str, Any] = {}       # plays whose set-up is open there
+        self.words: list[bytes] = []         # what waits for a connection to be said
 
-    def dial(self) -> Line:
-        line = Line(self)
+    def dial(self) -> Connection:
+        line = Connection(self)
         self.lines.append(line)
         return line
 
-    def free_line(self) -> Line | None:
+    def free_line(self) -> Connection | None:
         """An idle connection that is up, and not so idle that its node is about to close it, else a new one; where no more may be
         opened, the least used here, if there is one."""
         idle_ms = self.fleet.idle_ms
@@ -126,7 +49,7 @@
             return self.dial()
         return min(self.lines, key=lambda line: len(line.plays), default=None)
 
-    def said(self, line: Line, message: rtsp.Message) -> None:
+    def said(self, line: Connection, message: rtsp.Message) -> None:
         if message.session in line.plays and line.state(message.session) == life.UNSENT:
             raise rtsp.Malformed("an answer to what has not left yet")   # believed, the rest would leave all the same
         if message.method:
@@ -136,10 +59,13 @@
         elif message.session in line.plays and message.status >= 200 and message.sequence == "1":
             self.fleet.answered(self, line, message)
 
-    def line_ended(self, line: Line, why: str | None) -> None:
+    def line_ended(self, line: Connection, why: str | None) -> None:
         """What the end of a connection proves of the plays that stand."""
+        if self.words:
+            self.fleet.waiting[self] = None
         if why == SHORT:                     # the next look dials again, when there may be room
             return
+        self.fleet.let_speak(1)
         if not line.up:
             self.silent += why != REFUSED
             if why == REFUSED or self.silent >= SILENCES:
@@ -153,6 +79,7 @@
             self.dial()
 
     def lose(self, why: str | None) -> None:
+        self.words = []
         if self.held:
             log.info("node %s: %d plays lost: %s", self.id, len(self.held), why)
         for ply in list(self.held.values()):
@@ -181,6 +108,8 @@
         self.loop, self.most, self.connect_ms, self.idle_ms = loop, most, connect_ms, idle_ms
         self.by_id: dict[str, Node] = {}
         self.by_number: dict[int, Node] = {}
+        self.waiting: dict[Node, None] = {}  # that have something to be told and no connection; in this order they get one
+        self.by_address: dict[tuple[str, int], Node] = {}    # the one that the list named there last
         self.numbers = self.tests = 0
         self.count, self.ended, self.told, self.answered = allocating.count, allocating.ended, allocating.told, allocating.answered
         loop.after(LOOK_MS, self.look)
@@ -203,8 +132,34 @@
         oldest.stream.close()
         return True
 
+    def say(self, node: Node, data: bytes) -> None:
+        """On any connection, or on the next that opens; one is opened past the bound too: what ends a play must leave."""
+        line = next((line for line in node.lines if line.up and not line.plays), None) or next(iter(node.lines), None)
+        if line is not None:
+            line.stream.write(data)
+        elif not node.gone:
+            node.words.append(data)
+            self.waiting[node] = None
+            self.let_speak(1)
+
+    def let_speak(self, most: int) -> None:
+        """Dials for so many of those who wait. Who finds no descriptor waits on, until another connection gives way."""
+        for node in list(self.waiting)[:most]:
+            del self.waiting[node]
+            if node.words and not node.lines and not node.gone:
+                self.room(of_held=True)
+                node.dial()
+
+    def give_way(self, line: Connection) -> None:
+        """It has said all, and nothing is open on it: one of those who wait gets its descriptor."""
+        if self.waiting and line in line.node.lines:
+            line.node.lines.remove(line)
+            line.stream.close()
+            self.let_speak(1)
+
     def unsent(self) -> bool:
-        return any(line.stream.queued for node in self.by_number.values() for line in node.lines)
+        nodes = self.by_number.values()
+        return any(node.words and not node.gone for node in nodes) or any(line.stream.queued for node in nodes for line in node.lines)
 
     def shut(self) -> None:
         """The process's end: what was said to nodes goes out, then every connection ends in good order."""
@@ -226,8 +181,18 @@
             if node is not None:
                 self.close(node)
             node = self.by_id[member.id] = self.by_number[number] = Node(self, number, member)
+            before, self.by_address[node.address] = self.by_address.get(node.address), node
+            if before is not None and before.gone:
+                self.close(before)
         return node
 
+    def is_gone(self, node: Node) -> None:
+        """The list tells so. What stands there ends with its connections; where another node has its address, what answers there is that
+        one, and proves nothing of it."""
+        node.gone = True
+        if self.by_address.get(node.address) is not node:
+            self.close(node)
+
     def close(self, node: Node) -> None:
         node.lose("another address")
         for line in list(node.lines):
@@ -238,11 +203,14 @@
             for line in list(node.lines):
                 line.end(life.CUT)
             del self.by_number[node.number]
+            if self.by_address.get(node.address) is node:
+                del self.by_address[node.address]
             if self.by_id.get(node.id) is node:
                 del self.by_id[node.id]
 
     def look(self) -> None:
         self.loop.after(LOOK_MS, self.look)
+        self.let_speak(len(self.waiting))
         for node in sorted((n for n in self.by_number.values() if n.held), key=lambda n: n.heard):   # who had no turn for longest first
             node.look(self.loop.now)
         self.forget_gone()
--- a/tests/test_orders_leaving.py
+++ b/tests/test_orders_leaving.py
@@ -102,9 +102,10 @@
 
     def test_left_while_its_node_stands_still(self):
         """The node reads nothing and its system takes no more; ours has taken the set-up. The viewer leaves at once, or when it has been
-        out for long; then the node wakes, and reads all that comes: the set-up never does."""
-        for out_ms in 1.0, 500.0:
-            with self.subTest(out_ms):
+        out for long; our own word that it is given up leaves, or waits as well. Then the node wakes, and reads all that comes: the set-up
+        never does."""
+        for out_ms, behind in (1.0, False), (500.0, False), (1.0, True):
+            with self.subTest(out_ms, behind=behind):
                 now = [10_000.0]
                 town = Town(self, now=lambda: now[0])
                 _, line = town.idle_line()
@@ -120,6 +121,8 @@
                 while ply.line.state(ply.session) != life.OUT:
                     line.sock.recv(4096)
                     town.turns(2)
+                while behind and not stream.queued:
+                    stream.write(rtsp.request("OPTIONS", "ping", "0" * 16) * 20)
                 now[0] += out_ms
                 leaves(town, viewer, "closed")
                 town.turns()
@@ -147,6 +150,29 @@
                 self.assertEqual([m.method for _, m in town.nodes["b" if node == "a" else "a"].hear()], [])
                 self.assertEqual(len(town.director.open), 0)
 
+    def test_left_behind_more_than_one_read_with_a_further_try_due(self):
+        """The node refuses; the viewer's end lies behind hundreds of its other messages: it is read before anybody else is asked."""
+        for way in "closed", "half closed":
+            with self.subTest(way):
+                town = Town(self, nodes=("a", "b"))
+                for name in "a", "b":
+                    town.director.nodes.by_id[name].dial()       # up, so that nothing waits
+                town.until(lambda: all(line.up for node in town.director.nodes.by_id.values() for line in node.lines))
+                viewer = town.viewer()
+                side = town.side(viewer)
+                viewer.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1 << 20)
+                side.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 20)
+                viewer.write(set_up(2))
+                name, line = town.until(lambda: next(((name, found[0][0]) for name in town.nodes if (found := town.nodes[name].hear())), None))
+                line.write(answer(f"{2:016x}", 453, b""))
+                town.lies_there(town.director.open[f"{2:016x}"].line.stream, len(answer(f"{2:016x}", 453, b"")))
+                viewer.sock.setblocking(True)
+                viewer.write(binary.encode(binary.TEST, "0" * 16, (222, b"\0")) * 9_000)
+                leaves(town, viewer, way)
+                town.turns(40)
+                self.assertEqual([m.method for _, m in town.nodes["b" if name == "a" else "a"].hear()], [])
+                self.assertEqual((len(town.director.open), len(town.director.controller.plays)), (0, 0))
+
 
 if __name__ == "__main__":
     unittest.main()
