A read that ends just where what has come ends leaves nobody waiting

Forced on a real socket, seen failing before (test_orders_descriptors, a_read_that_ends_just_where_what_has_come_ends): 65,536 bytes lie there, to the byte what one read takes; Stream.read_now took its bound for a sign that more lies there, the play was held back until that is read (Desk.take_in), nothing more came, and it failed at its limit without having been asked for. One byte past the bound is read to know.

--- a/laddergw/loop/streams.py
+++ b/laddergw/loop/streams.py
@@ -106,19 +106,18 @@
 
     def read_now(self) -> None:
         """Reads all that has come, within the bound: a peer's end stands behind its last bytes, and is seen in the turn that reads those."""
-        left = READ_BYTES
-        while left > 0 and self.sock is not None and self.reading:
+        left, self.more = READ_BYTES, False
+        while self.sock is not None and self.reading and not self.more:
             try:
-                data = self.sock.recv(left)
+                data = self.sock.recv(left or 1)     # one byte past the bound tells whether there is more
             except (BlockingIOError, InterruptedError):
                 break
             except OSError as error:
                 return self.lose(str(error.strerror or error))
             if not data:
                 return self.lose(None)
-            left -= len(data)
+            self.more, left = not left, max(0, left - len(data))
             self.owner.got(self, data)
-        self.more = left <= 0
 
     def connected(self) -> None:
         if self.limit is not None:
--- a/tests/test_orders_descriptors.py
+++ b/tests/test_orders_descriptors.py
@@ -10,6 +10,7 @@
 import time
 import unittest
 
+from laddergw.loop.streams import READ_BYTES
 from laddergw.signalling import binary, rtsp
 from tests.platform_town import answer, event, member, set_up
 from tests.sockets_town import Node, Peer, Town
@@ -140,6 +141,22 @@
         line.write(answer(message.session))
         self.assertEqual([m.kind for m in town.until(good.hear)], [binary.ANSWER])
 
+    def test_a_read_that_ends_just_where_what_has_come_ends(self):
+        """As much lies there as one read takes, to the byte: nothing more is waited for before the last of it is taken up."""
+        town = Town(self)
+        viewer = town.viewer()
+        side = town.side(viewer)
+        side.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 20)
+        last = set_up(1)
+        fill = READ_BYTES - len(last)
+        tests = [TEST] * (fill // len(TEST) - 1)
+        rest = fill - len(TEST) * len(tests)
+        tests.append(binary.encode(binary.TEST, "0" * 16, (222, b"\0" * (1 + rest - len(TEST)))))
+        viewer.write(b"".join([*tests, last]))
+        town.lies_there(side, READ_BYTES)
+        town.turns(3)
+        self.assertEqual(len(town.director.controller.plays), 1)
+
     def test_refusals_reach_a_peer_that_reads_slowly(self):
         town = Town(self)
         viewer = town.viewer()
