A release that is on its way as its connection ends is told again on the next one

Two orders forced on real sockets, each seen failing before (tests/test_orders_ends.py): - Its viewer ends a play, we write TEARDOWN, the node resets the connection before its process has read it: the node never heard, and the play stood on. What a connection has carried and its node has not answered goes on the next, for 8 s (Connection.said, unheard). - TEARDOWN was queued in a connection that was coming up for another play, and went with it when it did not come up (Allocating.say took any connection). It waits at the node now, for whichever opens (Nodes.say). A third holds as before: what is heard is not told again.

--- a/laddergw/platform/allocating.py
+++ b/laddergw/platform/allocating.py
@@ -36,12 +36,12 @@
         log.debug("%s.%d %s: to node %s on %s, time-out %.0f ms", ply.session, ply.number, r.product, node.id, ply.line, verdict.timeout_ms)
         ply.timer = self.director.loop.after(verdict.timeout_ms, lambda: self.late(ply))
 
-    def say(self, node: Node, data: bytes) -> None:
-        """To a node about a play that stands, on any connection."""
-        self.director.nodes.say(node, data)
+    def say(self, node: Node, data: bytes, ends: str = "") -> None:
+        """To a node about a play that stands, or that this `ends`, on any connection."""
+        self.director.nodes.say(node, data, ends)
 
     def release(self, ply: Play) -> None:
-        self.say(ply.node, rtsp.request("TEARDOWN", ply.request.title, ply.session, (("Reason", f"cause={ENDED}"),)))
+        self.say(ply.node, rtsp.request("TEARDOWN", ply.request.title, ply.session, (("Reason", f"cause={ENDED}"),)), ply.session)
 
     def answered(self, node: Node, line: Connection, message: rtsp.Message) -> None:
         ply = line.plays[message.session]
--- a/laddergw/platform/connection.py
+++ b/laddergw/platform/connection.py
@@ -21,6 +21,7 @@
         self.plays: dict[str, Any] = {}      # whose set-ups are open on it
         self.ends: dict[str, int] = {}       # where in the stream each of their set-ups ends
         self.set_ups: dict[str, bytes] = {}
+        self.said: dict[str, tuple[bytes, float]] = {}   # releases that it has not told to have heard, and until when they are told again
         self.stream = self.loop.dial(node.address, self, node.fleet.connect_ms)
 
     def __str__(self) -> str:
@@ -31,11 +32,26 @@
         self.up = True
         self.speaks()
         words, self.node.words = self.node.words, []
-        for data in words:
-            stream.write(data)
+        for word in words:
+            self.say(*word)
         if words:
             self.emptied(stream)
 
+    def say(self, data: bytes, ends: str, until: float) -> None:
+        """`ends`: the session that it releases, or nothing."""
+        self.stream.write(data)
+        if ends:
+            self.said[ends] = data, until
+            while next(iter(self.said.values()))[1] <= self.loop.now:    # a node need not say that it has heard
+                del self.said[next(iter(self.said))]
+
+    def unheard(self) -> None:
+        """It has ended, and may have taken along what was said on it last: that goes on the next one."""
+        words = [(data, ends, until) for ends, (data, until) in self.said.items() if until > self.loop.now]
+        if words:
+            self.node.words += words
+            self.node.fleet.waiting[self.node] = None
+
     def emptied(self, stream) -> None:
         if not (stream.queued or self.plays):
             self.node.fleet.give_way(self)
@@ -85,6 +101,7 @@
         """Closes at once. What was open on it ends by that."""
         if self in self.node.lines:
             self.node.lines.remove(self)
+            self.unheard()
             plays = [(ply, self.settle(session)) for session, ply in list(self.plays.items())]
             self.stream.abort()
             for ply, state in plays:
--- a/laddergw/platform/nodes.py
+++ b/laddergw/platform/nodes.py
@@ -13,6 +13,7 @@
 
 IDLE_LESS_MS = 500.0       # a connection is not used for its last so long before the node closes it as idle: a set-up that crosses its
                            # end may have run, for all we know, and a paid play then fails
+AGAIN_MS = 8_000.0         # a release that its node has not told to have heard is told again for so long: what stood then counts as lost
 LOOK_MS = 500.0            # pace of looking after nodes that hold plays
 QUIET_MS = 1_500.0         # what a node says proves that it lives; so long after its last word it is tested. With a look (each LOOK_MS), the
 TEST_MS = 1_000.0          # test (it passes at once: unanswered for so long its connection is dead), another look
@@ -30,7 +31,7 @@
         self.heard = fleet.loop.now
         self.held: dict[str, Any] = {}       # plays that stand there
         self.open: dict[str, Any] = {}       # plays whose set-up is open there
-        self.words: list[bytes] = []         # what waits for a connection to be said
+        self.words: list[tuple[bytes, str, float]] = []   # what waits for a connection to be said (Connection.say)
 
     def dial(self) -> Connection:
         line = Connection(self)
@@ -54,6 +55,8 @@
             raise rtsp.Malformed("an answer to what has not left yet")   # believed, the rest would leave all the same
         if message.method:
             return self.fleet.told(self, line, message)
+        if message.sequence == "2" and message.status:
+            line.said.pop(message.session, None)
         if message.target == "" and line.test == message.session:
             line.test = None
         elif message.session in line.plays and message.status >= 200 and message.sequence == "1":
@@ -132,13 +135,15 @@
         oldest.stream.close()
         return True
 
-    def say(self, node: Node, data: bytes) -> None:
-        """On any connection, or on the next that opens; one is opened past the bound too: what ends a play must leave."""
-        line = next((line for line in node.lines if line.up and not line.plays), None) or next(iter(node.lines), None)
+    def say(self, node: Node, data: bytes, ends: str = "") -> None:
+        """On any connection that is up, or on the next that opens; one is opened past the bound too: what ends a play must leave."""
+        up = [line for line in node.lines if line.up]
+        line = next((line for line in up if not line.plays), None) or next(iter(up), None)
+        word = data, ends, self.loop.now + AGAIN_MS
         if line is not None:
-            line.stream.write(data)
+            line.say(*word)
         elif not node.gone:
-            node.words.append(data)
+            node.words.append(word)
             self.waiting[node] = None
             self.let_speak(1)
 
@@ -163,9 +168,13 @@
 
     def shut(self) -> None:
         """The process's end: what was said to nodes goes out, then every connection ends in good order."""
+        self.let_speak(len(self.waiting))
         for node in self.by_number.values():
             lines, node.lines = node.lines, []
             for line in lines:
+                words, node.words = ([], node.words) if line.up else (node.words, [])
+                for data, *_ in words:
+                    line.stream.write(data)
                 line.stream.close()
 
     def test_name(self) -> str:
@@ -194,9 +203,10 @@
             self.close(node)
 
     def close(self, node: Node) -> None:
-        node.lose("another address")
         for line in list(node.lines):
             line.end(life.CUT)
+        node.lose("another address")
+        self.waiting.pop(node, None)
 
     def forget_gone(self) -> None:
         for node in [n for n in self.by_number.values() if n.gone and not n.held and not n.open]:
--- a/tests/test_orders_ends.py
+++ b/tests/test_orders_ends.py
@@ -50,6 +50,64 @@
         self.assertEqual(self.town.director.standing, {})
         self.assertIn("TEARDOWN", [m.method for _, m in self.town.nodes["a"].hear()])
 
+    def stands(self):
+        """A play that stands at the node: its viewer, and the node's end of the connection."""
+        viewer = self.town.viewer()
+        viewer.write(set_up(1))
+        line, message = self.town.come("a")
+        line.write(answer(message.session))
+        self.town.until(viewer.hear)
+        self.town.turns(3)
+        return viewer, line
+
+    def tears(self):
+        """Turns until the node is told that the play is over."""
+        for _ in range(300):
+            if found := [m for _, m in self.town.nodes["a"].hear() if m.method == "TEARDOWN"]:
+                return found
+            self.pass_(10)
+        return []
+
+    def test_a_release_that_is_on_its_way_as_its_connection_is_reset(self):
+        """The node's system had it and its process had not: it is told again on the next connection."""
+        viewer, line = self.stands()
+        viewer.write(binary.encode(binary.RELEASE, f"{1:016x}", (222, b"\x10")))
+        self.town.until(lambda: not self.town.director.standing)
+        self.town.turns(3)
+        line.reset()
+        self.assertEqual([m.session for m in self.tears()], [f"{1:016x}"])
+
+    def test_a_release_that_is_heard_is_not_told_again(self):
+        viewer, line = self.stands()
+        viewer.write(binary.encode(binary.RELEASE, f"{1:016x}", (222, b"\x10")))
+        message, = self.tears()
+        line.write(rtsp.answer(200, "OK", "2", message.session))
+        self.town.turns(3)
+        line.reset()
+        self.pass_(3_000)
+        self.assertEqual([m.method for _, m in self.town.nodes["a"].hear()], [])
+
+    def test_a_release_said_on_a_connection_that_never_comes_up(self):
+        """The only connection to the node is on its way, for another play, and comes to nothing: the release goes on the next one."""
+        viewer, line = self.stands()
+        for mine in list(self.town.director.nodes.by_id["a"].lines):
+            mine.stream.pause()                      # (busy, so that the next play has a connection of its own)
+            mine.plays["busy"] = None
+        select = self.town.loop.selector.select
+        self.town.loop.selector.select = lambda wait: [(key, mask) for key, mask in select(wait)
+                                                       if getattr(key.data, "peer", None) != ("127.0.0.1", self.town.nodes["a"].port)]
+        viewer.write(set_up(2))
+        self.town.until(lambda: self.town.director.nodes.lines() == 2)
+        for mine in list(self.town.director.nodes.by_id["a"].lines)[:1]:
+            del mine.plays["busy"]
+            self.town.director.nodes.by_id["a"].lines.remove(mine)
+            mine.stream.abort()
+        viewer.write(binary.encode(binary.RELEASE, f"{1:016x}", (222, b"\x10")))
+        self.town.until(lambda: not self.town.director.standing)
+        self.pass_(400)                              # its time is over
+        self.town.loop.selector.select = select
+        self.assertEqual([m.session for m in self.tears()], [f"{1:016x}"])
+
     def test_a_connection_that_we_close_at_a_node_that_never_reads(self):
         """What is queued for it never leaves: the connection ends all the same, and holds no descriptor."""
         self.town.idle_line()
--- a/tests/test_orders_stopping.py
+++ b/tests/test_orders_stopping.py
@@ -92,11 +92,11 @@
         self.in_the_last_turn(lambda: self.town.director.door.heard(message.session))
         say, node = self.town.director.allocating.say, self.town.director.nodes.by_id["a"]
 
-        def told(where, data):
+        def told(where, data, *ends):
             for line in list(node.lines):        # the node has just closed it
                 node.lines.remove(line)
                 line.stream.abort()
-            return say(where, data)
+            return say(where, data, *ends)
         self.town.director.allocating.say = told
         self.to_the_end()
         self.assertEqual([m.method for _, m in self.town.nodes["a"].hear() if m.method != "OPTIONS"], ["TEARDOWN"])
