The platform's director says listener, admission and connection for door, desk and line

Names only: Door is Listener, Desk is Admission (platform/admission.py), line is connection; what these tests assert is unchanged, their names follow.

--- a/laddergw/platform/desk.py
+++ b/laddergw/platform/admission.py
@@ -18,7 +18,7 @@
 log = logging.getLogger("laddergw.platform")
 
 
-class Desk:
+class Admission:
     """Answers the viewers of the director's plays."""
 
     def __init__(self, director):
@@ -33,7 +33,7 @@
         elif message.kind == binary.TEST:
             viewer.write(binary.TESTED, message.session, (binary.CAUSE, bytes([self.director.stopping is None])))
         elif message.kind == binary.HEARD:
-            self.director.door.heard(message.session)
+            self.director.listener.heard(message.session)
         elif message.kind != binary.PROGRESS:
             viewer.close("a director's message")
 
@@ -84,13 +84,13 @@
         if node is None or node.gone:
             self.director.count("handed over from nowhere")
             return viewer.refuse(session)
-        self.director.door.prove(viewer)
+        self.director.listener.prove(viewer)
         if session not in self.director.standing:
             self.director.count("handed over")
             ply = self.director.standing[session] = node.held[session] = Play(request, session, viewer)
             ply.node, ply.number, ply.stands = node, 0, True
             self.director.feed(self.director.controller.handed_over, self.director.loop.now, request.ask, node.number)
-            if not node.lines and self.director.nodes.room(of_held=False):
+            if not node.connections and self.director.nodes.room(of_held=False):
                 node.dial()                          # what the node tells of it comes on any connection
         return None
 
@@ -101,7 +101,7 @@
         if ply := self.director.standing.get(session):        # it gave up as our answer left: what stood is released to it too
             log.debug("%s.%d: ended by its viewer", ply.session, ply.number)
             self.director.allocating.release(ply)
-            self.director.door.send(viewer, binary.RELEASE, session, (binary.CAUSE, bytes([ENDED])))
+            self.director.listener.send(viewer, binary.RELEASE, session, (binary.CAUSE, bytes([ENDED])))
             self.director.feed(self.director.controller.left, self.director.loop.now, ply.id)
             self.director.allocating.ended(ply, life.HELD, life.GIVEN_UP)
         elif (ply := self.director.open.get(session)) and ply.viewer is viewer:
@@ -151,7 +151,7 @@
         ply.stands = True
         self.director.standing[ply.session] = ply.node.held[ply.session] = ply
         ply.viewer.write(binary.ANSWER, ply.session, (binary.DESCRIPTION, description))
-        self.director.door.prove(ply.viewer)
+        self.director.listener.prove(ply.viewer)
         log.debug("%s.%d: plays", ply.session, ply.number)
         self.director.count("playing")
         self.director.feed(self.director.controller.playing, self.director.loop.now, ply.id, ply.number, self.director.loop.now - ply.sent_at, ply.node.number)
--- a/laddergw/platform/allocating.py
+++ b/laddergw/platform/allocating.py
@@ -26,14 +26,14 @@
     def allocate(self, ply: Play, verdict: face.Verdict) -> None:
         ply.number, ply.sent_at = ply.number + 1, self.director.loop.now
         node = ply.node = self.director.nodes.by_number.get(verdict.node)
-        line = None if node is None or node.gone or verdict.timeout_ms <= 0 else node.free_line()
-        if line is None:
+        connection = None if node is None or node.gone or verdict.timeout_ms <= 0 else node.free_connection()
+        if connection is None:
             return self.tell_end(ply, face.NEVER_SENT)
         r = ply.request
-        node.open[ply.session], ply.line = ply, line
-        line.set_up(ply, rtsp.request("SETUP", r.title, ply.session, (
+        node.open[ply.session], ply.connection = ply, connection
+        connection.set_up(ply, rtsp.request("SETUP", r.title, ply.session, (
             ("Subject", r.product), ("X-Patience", str(max(1, int(verdict.timeout_ms)))), ("Rate-Step", str(verdict.rung))), r.description))
-        log.debug("%s.%d %s: to node %s on %s, time-out %.0f ms", ply.session, ply.number, r.product, node.id, ply.line, verdict.timeout_ms)
+        log.debug("%s.%d %s: to node %s on %s, time-out %.0f ms", ply.session, ply.number, r.product, node.id, ply.connection, verdict.timeout_ms)
         ply.timer = self.director.loop.after(verdict.timeout_ms, lambda: self.late(ply))
 
     def say(self, node: Node, data: bytes, ends: str = "") -> None:
@@ -43,17 +43,17 @@
     def release(self, ply: Play) -> None:
         self.say(ply.node, rtsp.request("TEARDOWN", ply.request.title, ply.session, (("Reason", f"cause={ENDED}"),)), ply.session)
 
-    def answered(self, node: Node, line: Connection, message: rtsp.Message) -> None:
-        ply = line.plays[message.session]
+    def answered(self, node: Node, connection: Connection, message: rtsp.Message) -> None:
+        ply = connection.plays[message.session]
         fact = life.answer(message.status)
         if fact == life.THERE and not message.body:
-            line.end(life.SPOILT)                    # an answer without its description cannot be passed on
+            connection.end(life.SPOILT)                    # an answer without its description cannot be passed on
             return node.renew()
-        state = line.settle(ply.session)
-        ply.line = None
+        state = connection.settle(ply.session)
+        ply.connection = None
         node.open.pop(ply.session, None)
         if fact == life.THERE:
-            return self.director.desk.stand(ply, message.body)
+            return self.director.admission.stand(ply, message.body)
         return self.ended(ply, state, fact, self.report(message))
 
     def report(self, message: rtsp.Message) -> tuple:
@@ -66,15 +66,15 @@
         names = self.director.assignment.deployment.reports
         return tuple(values[name] for name in names) if values and all(name in values for name in names) else ()
 
-    def told(self, node: Node, line: Connection, message: rtsp.Message) -> None:
+    def told(self, node: Node, connection: Connection, message: rtsp.Message) -> None:
         """A media node speaks of a play: a note, or its release."""
-        ply = node.held.get(message.session) or line.plays.get(message.session)
+        ply = node.held.get(message.session) or connection.plays.get(message.session)
         if message.method == "TEARDOWN":
-            line.stream.write(rtsp.answer(200, "OK", message.sequence or "2", message.session))
+            connection.stream.write(rtsp.answer(200, "OK", message.sequence or "2", message.session))
             if ply is not None:
                 cause = message.headers.get("reason", "").removeprefix("cause=")
                 log.debug("%s.%d: released by its node, cause %s", ply.session, ply.number, cause[:8])
-                state = life.HELD if ply.stands else line.state(ply.session)
+                state = life.HELD if ply.stands else connection.state(ply.session)
                 self.ended(ply, state, life.end(int(cause) if cause.isdigit() else 0), self.report(message))
         elif message.method == "ANNOUNCE" and ply is not None and ply.stands:
             kind, value = NOTES.get(message.headers.get("x-note", "")), message.headers.get("figure", "")
@@ -88,7 +88,7 @@
 
     def give_up(self, ply: Play) -> None:
         """Nobody waits for it any more: what is out ends, and the module hears of what has ended, before its name can come again."""
-        if ply.line is not None:
+        if ply.connection is not None:
             self.drop_set_up(ply, life.GIVEN_UP)
         elif ply.untold is not None:
             self.tell(ply)
@@ -96,17 +96,17 @@
     def drop_set_up(self, ply: Play, fact: str) -> None:
         """Gives a set-up up. Its connection ends too: what may still come on it belongs to nobody. While its node's system has not
         all of what left, the connection is cut off, or a node that stood still or was away would begin it when it is back."""
-        line = ply.line
-        log.debug("%s.%d: %s on %s, set-up ends at byte %d", ply.session, ply.number, fact, line, line.ends[ply.session])
-        state = line.give_up(ply.session)
+        connection = ply.connection
+        log.debug("%s.%d: %s on %s, set-up ends at byte %d", ply.session, ply.number, fact, connection, connection.ends[ply.session])
+        state = connection.give_up(ply.session)
         late = self.director.loop.now - ply.sent_at >= ARRIVE_MS
-        away = state == life.OUT and not line.plays and late and line.stream.unacknowledged()
+        away = state == life.OUT and not connection.plays and late and connection.stream.unacknowledged()
         if state == life.OUT and not away:
-            line.stream.write(rtsp.request("TEARDOWN", ply.request.title, ply.session))
-        if not line.plays and line in line.node.lines:
-            line.node.lines.remove(line)
-            line.stream.abort() if away else line.stream.close(ARRIVE_MS)
-            line.node.renew()
+            connection.stream.write(rtsp.request("TEARDOWN", ply.request.title, ply.session))
+        if not connection.plays and connection in connection.node.connections:
+            connection.node.connections.remove(connection)
+            connection.stream.abort() if away else connection.stream.close(ARRIVE_MS)
+            connection.node.renew()
         self.ended(ply, state, fact)
 
     def ended(self, ply: Play, state: str, fact: str, report: tuple = ()) -> None:
@@ -118,11 +118,11 @@
             self.settle_standing(ply)
             if fact != life.GIVEN_UP:        # also who left: our answer may still be on its way to it, and be all that it gets
                 cause = BROKEN if fact in (life.BROKEN_OFF, life.LOST) else ENDED
-                self.director.door.send(ply.viewer, binary.RELEASE, ply.session, (binary.CAUSE, bytes([cause])))
-        elif ply.line is not None:
-            if ply.session in ply.line.plays:
-                ply.line.settle(ply.session)
-            ply.line = None
+                self.director.listener.send(ply.viewer, binary.RELEASE, ply.session, (binary.CAUSE, bytes([cause])))
+        elif ply.connection is not None:
+            if ply.session in ply.connection.plays:
+                ply.connection.settle(ply.session)
+            ply.connection = None
             ply.node.open.pop(ply.session, None)
         self.tell_end(ply, outcome, report)
 
@@ -139,7 +139,7 @@
         ply.untold = outcome, report
         if ply.stands or self.director.open.get(ply.session) is not ply:
             return self.tell(ply)
-        self.director.desk.fresh.append(ply)         # it may be tried again, once its connection has been read to its end
+        self.director.admission.fresh.append(ply)         # it may be tried again, once its connection has been read to its end
         self.director.loop.after(0, lambda: None)    # at this turn's end, or of the next, which waits for nothing
         return None
 
--- a/laddergw/platform/connection.py
+++ b/laddergw/platform/connection.py
@@ -99,8 +99,8 @@
 
     def end(self, fact: str) -> None:
         """Closes at once. What was open on it ends by that."""
-        if self in self.node.lines:
-            self.node.lines.remove(self)
+        if self in self.node.connections:
+            self.node.connections.remove(self)
             self.unheard()
             plays = [(ply, self.settle(session)) for session, ply in list(self.plays.items())]
             self.stream.abort()
@@ -108,7 +108,7 @@
                 self.node.fleet.ended(ply, state, fact)
 
     def closed(self, stream, why: str | None) -> None:
-        if self in self.node.lines:
+        if self in self.node.connections:
             log.debug("node %s: %s ends: %s", self.node.id, self, why)
             self.end(life.TAKEN_BACK if why == SHORT else life.CUT)   # without a descriptor its node has heard nothing, and has no part in it
-            self.node.line_ended(self, why)
+            self.node.connection_ended(self, why)
--- a/laddergw/platform/director.py
+++ b/laddergw/platform/director.py
@@ -1,6 +1,6 @@
 """The real director: hosts the Controller between viewers and media nodes of the platform.
 
-Order within a turn as in every director: what was read is told, then timers, then `decide`. Viewers are answered at the desk (desk.py),
+Order within a turn as in every director: what was read is told, then timers, then `decide`. Viewers are answered at the admission (admission.py),
 allocations are carried out in allocating.py; here are the configuration, the list, verdicts, and the process's end.
 """
 import logging
@@ -14,11 +14,11 @@
 from laddergw.platform import allocation as life
 from laddergw.platform.allocating import Allocating
 from laddergw.platform.assignment import Assignment, following
-from laddergw.platform.desk import Desk
+from laddergw.platform.admission import Admission
 from laddergw.platform.following import Follower
 from laddergw.platform.nodes import Node, Nodes
 from laddergw.platform.plays import BROKEN, DECLINED, FAILED, Play
-from laddergw.platform.viewers import Door
+from laddergw.platform.viewers import Listener
 from laddergw.signalling import binary, changes, rtsp
 
 STATES = {"SERVING": face.READY, "DRAINING": face.DRAINING, "DELETED": face.GONE}
@@ -45,11 +45,11 @@
         self.stopping: float | None = None           # since when
         self.leaving = False                         # all is over but its connections' ends
         self.controller = Controller(assignment.deployment, assignment.seed, loop.now)
-        self.desk, self.allocating = Desk(self), Allocating(self)
+        self.admission, self.allocating = Admission(self), Allocating(self)
         self.nodes = Nodes(loop, self.allocating, int(NODES_PART * assignment.sockets), assignment.connect_ms, assignment.idle_ms)
         for event in assignment.known:
             self.listed(event)
-        self.door = Door(loop, self.desk, assignment.listen, int(VIEWERS_PART * assignment.sockets))
+        self.listener = Listener(loop, self.admission, assignment.listen, int(VIEWERS_PART * assignment.sockets))
         self.follower = Follower(loop, assignment.changelog, assignment.last, self.listed)
         loop.at_turn_end(self.turn_ends)
         loop.after(TELL_MS, self.tell_counts)
@@ -60,8 +60,8 @@
 
     def tell_counts(self) -> None:
         self.loop.after(TELL_MS, self.tell_counts)
-        log.info("open %d, standing %d, viewers %d, lines %d, lag %.0f ms; %s", len(self.open), len(self.standing), len(self.door.viewers),
-                 self.nodes.lines(), self.loop.worst_lag, ", ".join(f"{name} {n}" for name, n in sorted(self.counts.items())))
+        log.info("open %d, standing %d, viewers %d, connections to nodes %d, lag %.0f ms; %s", len(self.open), len(self.standing), len(self.listener.viewers),
+                 self.nodes.connections(), self.loop.worst_lag, ", ".join(f"{name} {n}" for name, n in sorted(self.counts.items())))
         self.loop.worst_lag = 0.0
 
     # The configuration, the list, and the process's end
@@ -73,7 +73,7 @@
         self.assignment = found
         if found.deployment != before.deployment:
             self.feed(self.controller.retold, self.loop.now, found.deployment)
-        self.door.bound(int(VIEWERS_PART * found.sockets))
+        self.listener.bound(int(VIEWERS_PART * found.sockets))
         self.nodes.most, self.nodes.connect_ms, self.nodes.idle_ms = int(NODES_PART * found.sockets), found.connect_ms, found.idle_ms
         if (found.kinds, found.zones) != (before.kinds, before.zones):     # a name that was not known has its meaning now
             self.feed(self.controller.listed, self.loop.now, [self.line_of(node) for node in self.nodes.by_id.values() if not node.gone], False)
@@ -109,7 +109,7 @@
         self.feed(self.controller.listed, self.loop.now, lines, event.whole)
         for node in stopped:                         # a set-up that has not left yet does not go there any more
             for ply in list(node.open.values()):
-                if ply.line is not None and ply.line.state(ply.session) == life.UNSENT:
+                if ply.connection is not None and ply.connection.state(ply.session) == life.UNSENT:
                     self.allocating.drop_set_up(ply, life.TAKEN_BACK)
 
     def line_of(self, node: Node) -> face.NodeLine:
@@ -131,7 +131,7 @@
         if self.leaving:
             return
         for ply in list(self.open.values()):
-            self.desk.finish(ply, FAILED)
+            self.admission.finish(ply, FAILED)
         self.release_all()
         self.leave(self.loop.now + HEAR_MS)
 
@@ -139,21 +139,21 @@
         for ply in list(self.standing.values()):
             self.allocating.release(ply)
             self.allocating.settle_standing(ply)
-            self.door.send(ply.viewer, binary.RELEASE, ply.session, (binary.CAUSE, bytes([BROKEN])))
+            self.listener.send(ply.viewer, binary.RELEASE, ply.session, (binary.CAUSE, bytes([BROKEN])))
 
     def leave(self, latest: float) -> None:
         """Ends the process once what it has said is heard: a connection that ends with something unread takes that along."""
         self.leaving = True
-        if (self.door.unheard or self.nodes.unsent()) and self.loop.now < latest:
+        if (self.listener.unheard or self.nodes.unsent()) and self.loop.now < latest:
             self.loop.after(HEAR_LOOK_MS, lambda: self.leave(latest))
         else:
             self.follower.stop()
             more = True
             while more:
-                more = self.door.hear_last()
+                more = self.listener.hear_last()
                 self.release_all()                   # what was handed over just now
-                self.door.shut()
-            self.door.listener.close()
+                self.listener.shut()
+            self.listener.accepting.close()
             self.nodes.shut()
             self.part(self.loop.now + PART_MS)
 
@@ -168,9 +168,9 @@
         self.end_all()
 
     def turn_ends(self) -> None:
-        self.desk.take_in()
+        self.admission.take_in()
         self.decide()
-        idle = not (self.open or self.standing or self.door.unheard or self.leaving)
+        idle = not (self.open or self.standing or self.listener.unheard or self.leaving)
         if self.stopping is not None and idle and self.loop.now - self.stopping >= STOP_LEAST_MS:
             self.leave(self.loop.now + HEAR_MS)
 
@@ -184,10 +184,10 @@
             self.allocating.allocate(ply, verdict)
         elif verdict.answer is not None:
             declined = verdict.answer == face.DECLINED
-            self.desk.finish(ply, DECLINED if declined else FAILED, *([self.desk.away(verdict.retry_ms)] if declined else ()))
+            self.admission.finish(ply, DECLINED if declined else FAILED, *([self.admission.away(verdict.retry_ms)] if declined else ()))
         elif verdict.move and ply.stands:
             self.allocating.release(ply)
-            self.door.send(ply.viewer, binary.MOVE, ply.session)
+            self.listener.send(ply.viewer, binary.MOVE, ply.session)
             self.allocating.ended(ply, life.HELD, life.GIVEN_UP)
         elif verdict.rung is not None and ply.stands:
             self.count("steps")
--- a/laddergw/platform/nodes.py
+++ b/laddergw/platform/nodes.py
@@ -27,58 +27,59 @@
 
     def __init__(self, fleet: "Nodes", number: int, member):
         self.fleet, self.number, self.id, self.address = fleet, number, member.id, (member.host, member.port)
-        self.member, self.since, self.gone, self.silent, self.lines = member, member.since, False, 0, []
+        self.member, self.since, self.gone, self.silent, self.connections = member, member.since, False, 0, []
         self.heard = fleet.loop.now
         self.held: dict[str, Any] = {}       # plays that stand there
         self.open: dict[str, Any] = {}       # plays whose set-up is open there
         self.words: list[tuple[bytes, str, float]] = []   # what waits for a connection to be said (Connection.say)
 
     def dial(self) -> Connection:
-        line = Connection(self)
-        self.lines.append(line)
-        return line
+        connection = Connection(self)
+        self.connections.append(connection)
+        return connection
 
-    def free_line(self) -> Connection | None:
+    def free_connection(self) -> Connection | None:
         """An idle connection that is up, and not so idle that its node is about to close it, else a new one; where no more may be
         opened, the least used here, if there is one."""
         idle_ms = self.fleet.idle_ms
-        idle = [line for line in self.lines if not line.plays and line.loop.now - line.used < max(idle_ms - IDLE_LESS_MS, idle_ms / 2)]
-        up = [line for line in idle if line.up and line.test is None] or [line for line in idle if line.up or self.silent == 0]
+        fresh_ms = max(idle_ms - IDLE_LESS_MS, idle_ms / 2)
+        idle = [one for one in self.connections if not one.plays and one.loop.now - one.used < fresh_ms]
+        up = [one for one in idle if one.up and one.test is None] or [one for one in idle if one.up or self.silent == 0]
         if up:
             return up[0]
-        if self.fleet.room(of_held=not self.lines):
+        if self.fleet.room(of_held=not self.connections):
             return self.dial()
-        return min(self.lines, key=lambda line: len(line.plays), default=None)
+        return min(self.connections, key=lambda connection: len(connection.plays), default=None)
 
-    def said(self, line: Connection, message: rtsp.Message) -> None:
-        if message.session in line.plays and line.state(message.session) == life.UNSENT:
+    def said(self, connection: Connection, message: rtsp.Message) -> None:
+        if message.session in connection.plays and connection.state(message.session) == life.UNSENT:
             raise rtsp.Malformed("an answer to what has not left yet")   # believed, the rest would leave all the same
         if message.method:
-            return self.fleet.told(self, line, message)
+            return self.fleet.told(self, connection, message)
         if message.sequence == "2" and message.status:
-            line.said.pop(message.session, None)
-        if message.target == "" and line.test == message.session:
-            line.test = None
-        elif message.session in line.plays and message.status >= 200 and message.sequence == "1":
-            self.fleet.answered(self, line, message)
+            connection.said.pop(message.session, None)
+        if message.target == "" and connection.test == message.session:
+            connection.test = None
+        elif message.session in connection.plays and message.status >= 200 and message.sequence == "1":
+            self.fleet.answered(self, connection, message)
 
-    def line_ended(self, line: Connection, why: str | None) -> None:
+    def connection_ended(self, connection: Connection, why: str | None) -> None:
         """What the end of a connection proves of the plays that stand."""
         if self.words:
             self.fleet.waiting[self] = None
         if why == SHORT:                     # the next look dials again, when there may be room
             return
         self.fleet.let_speak(1)
-        if not line.up:
+        if not connection.up:
             self.silent += why != REFUSED
             if why == REFUSED or self.silent >= SILENCES:
                 return self.lose(why)
-        if self.held and not self.lines:
+        if self.held and not self.connections:
             self.dial() if not self.gone else self.lose("gone from the list")
 
     def renew(self) -> None:
         """After we have closed a connection: a release that the node wrote on it meanwhile comes again on the next that opens."""
-        if self.held and not self.gone and self.fleet.lines() < self.fleet.most:
+        if self.held and not self.gone and self.fleet.connections() < self.fleet.most:
             self.dial()
 
     def lose(self, why: str | None) -> None:
@@ -90,17 +91,17 @@
 
     def look(self, now: float) -> None:
         """Whether its machine still answers, while plays stand there."""
-        for line in [line for line in self.lines if line.test is not None and now - line.tested >= TEST_MS]:
+        for connection in [connection for connection in self.connections if connection.test is not None and now - connection.tested >= TEST_MS]:
             log.info("node %s: a test was not answered", self.id)
-            line.end(life.CUT)
+            connection.end(life.CUT)
             self.renew()
-        up = [line for line in self.lines if line.up]
+        up = [connection for connection in self.connections if connection.up]
         if up and up[0].test is None and now - self.heard >= QUIET_MS:
             up[0].test, up[0].tested = self.fleet.test_name(), now
             up[0].stream.write(rtsp.request("OPTIONS", "ping", up[0].test))
-        elif not self.lines and self.gone:
+        elif not self.connections and self.gone:
             self.lose("gone from the list")
-        elif not self.lines and self.fleet.room(of_held=True):
+        elif not self.connections and self.fleet.room(of_held=True):
             self.dial()
 
 
@@ -117,31 +118,31 @@
         self.count, self.ended, self.told, self.answered = allocating.count, allocating.ended, allocating.told, allocating.answered
         loop.after(LOOK_MS, self.look)
 
-    def lines(self) -> int:
-        return sum(len(node.lines) for node in self.by_number.values())
+    def connections(self) -> int:
+        return sum(len(node.connections) for node in self.by_number.values())
 
     def room(self, of_held: bool) -> bool:
         """Whether one more may be opened. Over the bound the oldest idle one makes room, first where nothing stands. `of_held`: also
         where plays stand: what their node has to tell comes on the next connection, and each of them has its turn."""
-        if self.lines() < self.most:
+        if self.connections() < self.most:
             return True
-        idle = [line for node in self.by_number.values() if of_held or not node.held for line in node.lines
-                if line.up and not line.plays and line.test is None and self.loop.now - line.since >= LOOK_MS]
+        idle = [connection for node in self.by_number.values() if of_held or not node.held for connection in node.connections
+                if connection.up and not connection.plays and connection.test is None and self.loop.now - connection.since >= LOOK_MS]
         if not idle:
             return False
-        oldest = min(idle, key=lambda line: (bool(line.node.held), line.since))
+        oldest = min(idle, key=lambda connection: (bool(connection.node.held), connection.since))
         self.count("closed for room")
-        oldest.node.lines.remove(oldest)
+        oldest.node.connections.remove(oldest)
         oldest.stream.close()
         return True
 
     def say(self, node: Node, data: bytes, ends: str = "") -> None:
         """On any connection that is up, or on the next that opens; one is opened past the bound too: what ends a play must leave."""
-        up = [line for line in node.lines if line.up]
-        line = next((line for line in up if not line.plays), None) or next(iter(up), None)
+        up = [connection for connection in node.connections if connection.up]
+        connection = next((connection for connection in up if not connection.plays), None) or next(iter(up), None)
         word = data, ends, self.loop.now + AGAIN_MS
-        if line is not None:
-            line.say(*word)
+        if connection is not None:
+            connection.say(*word)
         elif not node.gone:
             node.words.append(word)
             self.waiting[node] = None
@@ -151,31 +152,31 @@
         """Dials for so many of those who wait. Who finds no descriptor waits on, until another connection gives way."""
         for node in list(self.waiting)[:most]:
             del self.waiting[node]
-            if node.words and not node.lines and not node.gone:
+            if node.words and not node.connections and not node.gone:
                 self.room(of_held=True)
                 node.dial()
 
-    def give_way(self, line: Connection) -> None:
+    def give_way(self, connection: Connection) -> None:
         """It has said all, and nothing is open on it: one of those who wait gets its descriptor."""
-        if self.waiting and line in line.node.lines:
-            line.node.lines.remove(line)
-            line.stream.close()
+        if self.waiting and connection in connection.node.connections:
+            connection.node.connections.remove(connection)
+            connection.stream.close()
             self.let_speak(1)
 
     def unsent(self) -> bool:
         nodes = self.by_number.values()
-        return any(node.words and not node.gone for node in nodes) or any(line.stream.queued for node in nodes for line in node.lines)
+        return any(node.words and not node.gone for node in nodes) or any(connection.stream.queued for node in nodes for connection in node.connections)
 
     def shut(self) -> None:
         """The process's end: what was said to nodes goes out, then every connection ends in good order."""
         self.let_speak(len(self.waiting))
         for node in self.by_number.values():
-            lines, node.lines = node.lines, []
-            for line in lines:
-                words, node.words = ([], node.words) if line.up else (node.words, [])
+            connections, node.connections = node.connections, []
+            for connection in connections:
+                words, node.words = ([], node.words) if connection.up else (node.words, [])
                 for data, *_ in words:
-                    line.stream.write(data)
-                line.stream.close()
+                    connection.stream.write(data)
+                connection.stream.close()
 
     def test_name(self) -> str:
         self.tests += 1
@@ -203,15 +204,15 @@
             self.close(node)
 
     def close(self, node: Node) -> None:
-        for line in list(node.lines):
-            line.end(life.CUT)
+        for connection in list(node.connections):
+            connection.end(life.CUT)
         node.lose("another address")
         self.waiting.pop(node, None)
 
     def forget_gone(self) -> None:
         for node in [n for n in self.by_number.values() if n.gone and not n.held and not n.open]:
-            for line in list(node.lines):
-                line.end(life.CUT)
+            for connection in list(node.connections):
+                connection.end(life.CUT)
             del self.by_number[node.number]
             if self.by_address.get(node.address) is node:
                 del self.by_address[node.address]
--- a/laddergw/platform/plays.py
+++ b/laddergw/platform/plays.py
@@ -13,7 +13,7 @@
     def __init__(self, request: requests.Request, session: str, viewer: Viewer | None):
         self.request, self.session, self.id, self.viewer = request, session, request.ask.play, viewer
         self.node: Node | None = None            # where its allocation is
-        self.line: Connection | None = None            # where its set-up is open
+        self.connection: Connection | None = None            # where its set-up is open
         self.number, self.sent_at = -1, 0.0      # of its allocation
         self.timer = self.guard = None
         self.limit = 0.0                         # when its viewer stops waiting for its answer, by the loop's clock
--- a/laddergw/platform/viewers.py
+++ b/laddergw/platform/viewers.py
@@ -19,25 +19,25 @@
     """One connection from viewers. `spoke`: it asked for a play. `proven`: one stands by it, begun on it or handed over on it.
     A test proves nothing: fronts leave after theirs, and anyone can ask."""
 
-    def __init__(self, door: "Door"):
-        self.door, self.reader, self.plays, self.spoke, self.proven = door, binary.Reader(), {}, False, False
-        self.since = self.used = door.loop.now
+    def __init__(self, listener: "Listener"):
+        self.listener, self.reader, self.plays, self.spoke, self.proven = listener, binary.Reader(), {}, False, False
+        self.since = self.used = listener.loop.now
         self.half = None                     # since when a message has begun and not ended
 
     def opened(self, stream) -> None:
         self.stream = stream
-        self.door.come(self)
+        self.listener.come(self)
 
     def emptied(self, stream) -> None:
         pass
 
     def got(self, stream, data: bytes) -> None:
         self.reader.feed(data)
-        self.half = self.door.loop.now if self.half is None else self.half
+        self.half = self.listener.loop.now if self.half is None else self.half
         try:
             while self.stream is not None and (message := self.reader.next()) is not None:
-                self.half = self.used = self.door.loop.now
-                self.door.desk.heard(self, message)
+                self.half = self.used = self.listener.loop.now
+                self.listener.admission.heard(self, message)
         except binary.Malformed as error:
             return self.close(str(error))
         if not self.reader.buffer:
@@ -47,7 +47,7 @@
         if self.stream is None:
             return
         self.stream.write(binary.encode(kind, session, *parameters))
-        self.used = self.door.loop.now
+        self.used = self.listener.loop.now
         if self.stream is not None and self.stream.queued > UNSENT_MOST:
             self.close("it does not read")
 
@@ -56,25 +56,25 @@
 
     def close(self, why: str) -> None:
         if self.stream is not None:
-            self.door.desk.count("closed: " + why.partition(" of ")[0])
-            log.debug("viewers' connection closed: %s; %.0f ms old, idle %.0f", why, self.door.loop.now - self.since, self.door.loop.now - self.used)
+            self.listener.admission.count("closed: " + why.partition(" of ")[0])
+            log.debug("viewers' connection closed: %s; %.0f ms old, idle %.0f", why, self.listener.loop.now - self.since, self.listener.loop.now - self.used)
             self.stream.abort() if self.stream.queued else self.stream.close()   # who does not read would hold it open
 
     def closed(self, stream, why: str | None) -> None:
         self.stream = None
-        self.door.leave(self)
+        self.listener.leave(self)
         for ply in list(self.plays.values()):
-            self.door.desk.given_up(ply)
+            self.listener.admission.given_up(ply)
 
 
-class Door:
+class Listener:
     """All viewers' connections."""
 
-    def __init__(self, loop, desk, address: tuple[str, int], most: int):
-        self.loop, self.desk, self.most = loop, desk, most
+    def __init__(self, loop, admission, address: tuple[str, int], most: int):
+        self.loop, self.admission, self.most = loop, admission, most
         self.viewers: dict[Viewer, None] = {}        # oldest first
         self.unheard: dict[str, tuple[Viewer | None, bytes, float]] = {}   # releases: where they went, until when to keep them
-        self.listener = loop.listen(address, lambda stream: Viewer(self))
+        self.accepting = loop.listen(address, lambda stream: Viewer(self))
         loop.after(LOOK_MS, self.look)
 
     def come(self, viewer: Viewer) -> None:
@@ -102,7 +102,7 @@
     def hear_last(self) -> bool:
         """The process's end: all who have come are accepted, and what they have said is answered. Whether some wait for a descriptor,
         and connections that end now make room for them."""
-        starved = self.listener.accept_waiting()
+        starved = self.accepting.accept_waiting()
         for viewer in list(self.viewers):
             if viewer.stream is not None:
                 viewer.stream.read_now()
@@ -152,7 +152,7 @@
     def again(self, lost: Callable[[Viewer | None], bool], first: Viewer | None = None) -> None:
         """What went out on a connection that has ended, or found none that is proven, goes on another."""
         for session, (_, data, until) in [entry for entry in self.unheard.items() if lost(entry[1][0])]:
-            self.desk.count("told again")
+            self.admission.count("told again")
             self.pass_on(first, session, data, until)
 
     def prove(self, viewer: Viewer) -> None:
--- a/tests/platform_town.py
+++ b/tests/platform_town.py
@@ -100,7 +100,7 @@
 
     def director_side(self):
         """The director's end of the connection that came last."""
-        return next(reversed(self.director.door.viewers))
+        return next(reversed(self.director.listener.viewers))
 
     def node_got(self, side, m):
         if m.method == "OPTIONS":
--- a/tests/sockets_town.py
+++ b/tests/sockets_town.py
@@ -65,17 +65,17 @@
     def __init__(self, name):
         self.name, self.sock = name, socket.create_server(("127.0.0.1", 0))
         self.sock.setblocking(False)
-        self.port, self.lines = self.sock.getsockname()[1], []
+        self.port, self.connections = self.sock.getsockname()[1], []
 
     def accept(self):
         with contextlib.suppress(BlockingIOError):
             while True:
-                self.lines.append(Peer(self.sock.accept()[0], rtsp.Reader()))
+                self.connections.append(Peer(self.sock.accept()[0], rtsp.Reader()))
 
     def hear(self):
         """(line, message) of what came, requests and answers."""
         self.accept()
-        return [(line, message) for line in self.lines for message in line.hear()]
+        return [(line, message) for line in self.connections for message in line.hear()]
 
 
 class Town:
@@ -90,13 +90,13 @@
                    "known": {"seq": 1, "results": [event(1, *known, whole=True)]}} | changes
         found = assignments.of(tree(**changes | {"listen": "127.0.0.1:1"}))
         self.director = Director(self.loop, found._replace(listen=("127.0.0.1", 0)))
-        self.address, self.peers = self.director.door.listener.address, []
+        self.address, self.peers = self.director.listener.accepting.address, []
         test.addCleanup(self.close)
 
     def close(self):
         self.loop.close()
         for sock in [self.log, *(peer.sock for peer in self.peers), *(node.sock for node in self.nodes.values()),
-                     *(line.sock for node in self.nodes.values() for line in node.lines)]:
+                     *(line.sock for node in self.nodes.values() for line in node.connections)]:
             sock.close()
 
     def viewer(self):
@@ -130,7 +130,7 @@
     def side(self, viewer):
         """The director's end of a viewer's connection, once it is accepted."""
         mine = viewer.sock.getsockname()
-        return self.until(lambda: next((v.stream for v in self.director.door.viewers if v.stream.peer == mine), None))
+        return self.until(lambda: next((v.stream for v in self.director.listener.viewers if v.stream.peer == mine), None))
 
     def lies_there(self, stream, size=None):
         """Waits until so many bytes lie unread at the director's end of a connection, or, where no number is told, its peer's end."""
--- a/tests/test_orders_answers.py
+++ b/tests/test_orders_answers.py
@@ -21,7 +21,7 @@
         self.viewer.write(set_up(1, product=product))
         self.line, _ = self.town.come("a")
         self.director.controller.fleet.nodes[2].rest = 0.0
-        self.ply, self.back, self.left = self.director.open[SESSION], self.director.open[SESSION].line.stream, False
+        self.ply, self.back, self.left = self.director.open[SESSION], self.director.open[SESSION].connection.stream, False
 
     def says(self, data):
         """The node says something: it lies there; told when its connection is read."""
--- a/tests/test_orders_descriptors.py
+++ b/tests/test_orders_descriptors.py
@@ -33,7 +33,7 @@
         self.selector = selectors.DefaultSelector()
         self.addCleanup(self.selector.close)
         self.peers = []
-        self.addCleanup(lambda: [one.sock.close() for one in [*self.peers, *self.nodes, *(l for n in self.nodes for l in n.lines)]])
+        self.addCleanup(lambda: [one.sock.close() for one in [*self.peers, *self.nodes, *(l for n in self.nodes for l in n.connections)]])
 
     def members(self):
         return [member(node.name, node.port, cell=n % 3) | {"host_port": f"127.0.0.1:{node.port}"} for n, node in enumerate(self.nodes)]
@@ -133,7 +133,7 @@
     def test_one_that_has_spoken_among_many_that_come_at_once(self):
         """More than may be held come in one turn and say nothing; the one that has asked, and is not read yet, is not closed for them."""
         town = Town(self)
-        town.director.door.most, good = 20, town.viewer()
+        town.director.listener.most, good = 20, town.viewer()
         good.write(set_up(1))
         for _ in range(40):
             town.viewer()
--- a/tests/test_orders_ends.py
+++ b/tests/test_orders_ends.py
@@ -90,17 +90,17 @@
     def test_a_release_said_on_a_connection_that_never_comes_up(self):
         """The only connection to the node is on its way, for another play, and comes to nothing: the release goes on the next one."""
         viewer, line = self.stands()
-        for mine in list(self.town.director.nodes.by_id["a"].lines):
+        for mine in list(self.town.director.nodes.by_id["a"].connections):
             mine.stream.pause()                      # (busy, so that the next play has a connection of its own)
             mine.plays["busy"] = None
         select = self.town.loop.selector.select
         self.town.loop.selector.select = lambda wait: [(key, mask) for key, mask in select(wait)
                                                        if getattr(key.data, "peer", None) != ("127.0.0.1", self.town.nodes["a"].port)]
         viewer.write(set_up(2))
-        self.town.until(lambda: self.town.director.nodes.lines() == 2)
-        for mine in list(self.town.director.nodes.by_id["a"].lines)[:1]:
+        self.town.until(lambda: self.town.director.nodes.connections() == 2)
+        for mine in list(self.town.director.nodes.by_id["a"].connections)[:1]:
             del mine.plays["busy"]
-            self.town.director.nodes.by_id["a"].lines.remove(mine)
+            self.town.director.nodes.by_id["a"].connections.remove(mine)
             mine.stream.abort()
         viewer.write(binary.encode(binary.RELEASE, f"{1:016x}", (222, b"\x10")))
         self.town.until(lambda: not self.town.director.standing)
@@ -111,7 +111,7 @@
     def test_a_connection_that_we_close_at_a_node_that_never_reads(self):
         """What is queued for it never leaves: the connection ends all the same, and holds no descriptor."""
         self.town.idle_line()
-        line, = self.town.director.nodes.by_id["a"].lines
+        line, = self.town.director.nodes.by_id["a"].connections
         while not line.stream.queued:
             line.stream.write(rtsp.request("OPTIONS", "ping", "0" * 16) * 20)
         viewer = self.town.viewer()
--- a/tests/test_orders_files.py
+++ b/tests/test_orders_files.py
@@ -45,9 +45,9 @@
         viewer = town.viewer()
         viewer.write(set_up(1, product=name))
         node = town.nodes["a"]
-        town.until(lambda: node.accept() or node.lines)
+        town.until(lambda: node.accept() or node.connections)
         town.turns(3)
-        self.assertIn(f"Subject: {name}\r\n".encode(), node.lines[0].sock.recv(4096))
+        self.assertIn(f"Subject: {name}\r\n".encode(), node.connections[0].sock.recv(4096))
         viewer.write(binary.encode(binary.SET_UP, f"{2:016x}", (180, b"\xff\xfe"), (183, b"1500"), (192, b"7f3a9c21e0b4d655"),
                                    (195, b"home:0;copies:3;top:2"), (225, b"v=0")))
         refused, = town.until(viewer.hear)
@@ -182,7 +182,7 @@
         town.come("a")
         mine = town.director.assignment
         town.director.change(mine._replace(sockets=64, connect_ms=123.0))
-        self.assertEqual((len(town.director.door.viewers), town.director.nodes.most), (int(VIEWERS_PART * 64), int(NODES_PART * 64)))
+        self.assertEqual((len(town.director.listener.viewers), town.director.nodes.most), (int(VIEWERS_PART * 64), int(NODES_PART * 64)))
         self.assertEqual((town.director.nodes.connect_ms, len(town.director.open)), (123.0, 1))
         self.assertIsNone(viewers[0].hear() or viewers[0].ended)
 
--- a/tests/test_orders_leaving.py
+++ b/tests/test_orders_leaving.py
@@ -66,9 +66,9 @@
                 town.connections_first()
                 viewer = town.viewer()
                 viewer.write(set_up(2))
-                town.until(lambda: town.director.nodes.lines())
+                town.until(lambda: town.director.nodes.connections())
                 leaves(town, viewer, way)
-                line, = town.director.nodes.by_id["a"].lines
+                line, = town.director.nodes.by_id["a"].connections
                 town.test.assertTrue(select.select([], [line.stream.sock], [], 20)[1])   # it has come up
                 town.turns()
                 self.assertEqual([m.method for _, m in town.nodes["a"].hear()], [])
@@ -109,7 +109,7 @@
                 now = [10_000.0]
                 town = Town(self, now=lambda: now[0])
                 _, line = town.idle_line()
-                stream, = [line.stream for line in town.director.nodes.by_id["a"].lines]
+                stream, = [line.stream for line in town.director.nodes.by_id["a"].connections]
                 while not stream.queued:                 # to the brim; then as much is read as lets our system take the set-up, no more
                     stream.write(rtsp.request("OPTIONS", "ping", "0" * 16) * 20)
                 stream.take_back(stream.out[0])
@@ -118,7 +118,7 @@
                 viewer.write(set_up(2))
                 ply = town.until(lambda: town.director.open.get(f"{2:016x}"))
                 town.turns()
-                while ply.line.state(ply.session) != life.OUT:
+                while ply.connection.state(ply.session) != life.OUT:
                     line.sock.recv(4096)
                     town.turns(2)
                 while behind and not stream.queued:
@@ -157,7 +157,7 @@
                 town = Town(self, nodes=("a", "b"))
                 for name in "a", "b":
                     town.director.nodes.by_id[name].dial()       # up, so that nothing waits
-                town.until(lambda: all(line.up for node in town.director.nodes.by_id.values() for line in node.lines))
+                town.until(lambda: all(line.up for node in town.director.nodes.by_id.values() for line in node.connections))
                 viewer = town.viewer()
                 side = town.side(viewer)
                 viewer.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1 << 20)
@@ -165,7 +165,7 @@
                 viewer.write(set_up(2))
                 name, line = town.until(lambda: next(((name, found[0][0]) for name in town.nodes if (found := town.nodes[name].hear())), None))
                 line.write(answer(f"{2:016x}", 453, b""))
-                town.lies_there(town.director.open[f"{2:016x}"].line.stream, len(answer(f"{2:016x}", 453, b"")))
+                town.lies_there(town.director.open[f"{2:016x}"].connection.stream, len(answer(f"{2:016x}", 453, b"")))
                 viewer.sock.setblocking(True)
                 viewer.write(binary.encode(binary.TEST, "0" * 16, (222, b"\0")) * 9_000)
                 leaves(town, viewer, way)
--- a/tests/test_orders_list.py
+++ b/tests/test_orders_list.py
@@ -187,7 +187,7 @@
         line.write(answer(message.session))
         self.town.until(viewer.hear)
         line.close()                                               # its listener is the successor's from here on
-        self.town.until(lambda: self.town.nodes["a"].hear() or len(self.town.nodes["a"].lines) > 1)
+        self.town.until(lambda: self.town.nodes["a"].hear() or len(self.town.nodes["a"].connections) > 1)
         self.say(log, lines(self.event(2, phase="DELETED"), event(3, member("c", 1, since=1) | {"host_port": f"127.0.0.1:{self.town.nodes['a'].port}"})))
         self.assertEqual(self.town.director.standing, {})
         self.assertEqual([m.kind for m in self.town.until(viewer.hear)], [binary.RELEASE])
@@ -211,8 +211,8 @@
         self.town.connections_first()
         viewer = self.town.viewer()
         viewer.write(set_up(1))
-        self.town.until(lambda: self.town.director.nodes.lines())
-        name = next(node.id for node in self.town.director.nodes.by_id.values() if node.lines)
+        self.town.until(lambda: self.town.director.nodes.connections())
+        name = next(node.id for node in self.town.director.nodes.by_id.values() if node.connections)
         port = self.town.nodes[name].port
         log.sendall(lines(event(2, member(name, 1, phase="DRAINING", cell="ab".index(name)) | {"host_port": f"127.0.0.1:{port}"})))
         self.town.lies_there(self.town.director.follower.stream, 100)
--- a/tests/test_orders_repeats.py
+++ b/tests/test_orders_repeats.py
@@ -85,7 +85,7 @@
                 acts = [act]
                 town.director.allocating.allocate = lambda *what: (acts and acts.pop()(line), allocate(*what))   # between two lines
                 viewer.write(set_up(2, product="paid"))
-                town.until(lambda: town.director.counts["failed"] or town.nodes["b"].lines or town.nodes["b"].accept())
+                town.until(lambda: town.director.counts["failed"] or town.nodes["b"].connections or town.nodes["b"].accept())
                 town.turns()
                 # It has left once at the most: what was refused by our own system has not
                 left = town.director.counts["set-up: broken"] + town.director.counts["set-up: error"]
@@ -121,7 +121,7 @@
         town.director.controller.fleet.nodes[1].rest = 1e12              # b first
         self.late_connections(town, now[0] + 1_000.0)
         viewer.write(set_up(1, product="paid"))
-        town.until(lambda: town.director.nodes.lines())
+        town.until(lambda: town.director.nodes.connections())
         town.director.controller.fleet.nodes[1].rest = 0.0
         for _ in range(120):
             now[0] += 10.0
--- a/tests/test_orders_scarce.py
+++ b/tests/test_orders_scarce.py
@@ -89,7 +89,7 @@
         with scarce():
             late.connect(self.town.address)
             self.town.turns(3)
-            self.assertEqual(len(self.town.director.door.viewers), 1)
+            self.assertEqual(len(self.town.director.listener.viewers), 1)
 
     def test_a_dial_without_a_descriptor_tells_nothing_of_its_node(self):
         """The node has done nothing: it is neither ill nor paced, and a later play goes there."""
--- a/tests/test_orders_stopping.py
+++ b/tests/test_orders_stopping.py
@@ -49,7 +49,7 @@
             for _ in range(300):
                 late.append(self.town.viewer())
                 late[-1].write(set_up(3))
-        self.town.director.door.most = 1000
+        self.town.director.listener.most = 1000
         self.in_the_last_turn(act)
         self.town.director.stop()
         self.to_the_end()
@@ -89,12 +89,12 @@
         self.town.until(viewer.hear)
         line.close()
         self.town.director.stop()
-        self.in_the_last_turn(lambda: self.town.director.door.heard(message.session))
+        self.in_the_last_turn(lambda: self.town.director.listener.heard(message.session))
         say, node = self.town.director.allocating.say, self.town.director.nodes.by_id["a"]
 
         def told(where, data, *ends):
-            for line in list(node.lines):        # the node has just closed it
-                node.lines.remove(line)
+            for line in list(node.connections):        # the node has just closed it
+                node.connections.remove(line)
                 line.stream.abort()
             return say(where, data, *ends)
         self.town.director.allocating.say = told
@@ -107,7 +107,7 @@
         line, message = self.town.come("a")
         line.write(answer(message.session))
         self.town.turns(5)
-        stream = next(iter(self.town.director.door.viewers)).stream
+        stream = next(iter(self.town.director.listener.viewers)).stream
         while not stream.queued:
             stream.write(b"\0\x09\x06" + b"\0" * 8)      # progress, which means nothing
         self.town.director.stop()
@@ -168,7 +168,7 @@
         town = Town(self)
         viewer = town.viewer()
         viewer.write(set_up(2, product="none") + b"\xff" * 50)
-        town.director.door.desk.heard, heard = lambda *what: (heard(*what), viewer.write(b"\xff" * 50)), town.director.door.desk.heard
+        town.director.listener.admission.heard, heard = lambda *what: (heard(*what), viewer.write(b"\xff" * 50)), town.director.listener.admission.heard
         town.turns()
         found = viewer.hear()
         self.assertEqual(([m.parameters[binary.CAUSE][0] for m in found], viewer.ended), ([95], "end"))
@@ -181,7 +181,7 @@
             town.viewer().write(b"\xff" * 50)
             town.turns(2)
         self.assertLessEqual(len(town.loop.lingering), 16)
-        self.assertEqual(town.director.door.viewers, {})
+        self.assertEqual(town.director.listener.viewers, {})
         now[0] += 1_000.0
         town.turns(2)
         self.assertEqual(len(town.loop.lingering), 0)
@@ -191,11 +191,11 @@
         town = Town(self)
         viewer = town.viewer()
         town.turns(2)
-        side = next(iter(town.director.door.viewers))
+        side = next(iter(town.director.listener.viewers))
         while not side.stream.queued:
             side.write(binary.PROGRESS, "0" * 16)
         side.close("too many")
-        self.assertEqual((side.stream, len(town.director.door.viewers)), (None, 0))
+        self.assertEqual((side.stream, len(town.director.listener.viewers)), (None, 0))
         self.assertEqual(town.loop.lingering, {})
         viewer.hear()
 
--- a/tests/test_platform_nodes.py
+++ b/tests/test_platform_nodes.py
@@ -104,7 +104,7 @@
             town.director.allocating.late(town.director.open[f"{1:016x}"])
 
         def leave(town):
-            town.director.desk.viewer_ends(town.director_side(), f"{1:016x}")
+            town.director.admission.viewer_ends(town.director_side(), f"{1:016x}")
 
         def stop(town):
             town.director.end_all()
@@ -115,11 +115,11 @@
                     town.director.nodes.most = 1 if shared else 22
                     town.director.controller.fleet.nodes[2].rest = 1e12      # node b: all go to a
                     town.viewer()
-                    town.director.desk.heard(town.director_side(), message(set_up(1, product="paid")))
+                    town.director.admission.heard(town.director_side(), message(set_up(1, product="paid")))
                     if shared:
-                        town.director.desk.heard(town.director_side(), message(set_up(2, product="paid")))
+                        town.director.admission.heard(town.director_side(), message(set_up(2, product="paid")))
                     town.director.turn_ends()
-                    line, = town.director.nodes.by_id["a"].lines
+                    line, = town.director.nodes.by_id["a"].connections
                     self.assertEqual((line.up, len(line.plays)), (False, 1 + shared))
                     town.director.controller.fleet.nodes[2].rest, town.director.nodes.most = 0.0, 22
                     town.hosts["director"].soon(lambda: act(town))
@@ -138,7 +138,7 @@
         front = town.viewer()
         town.lines = Silent()
         for i, name in enumerate(names):
-            town.director.desk.heard(town.director_side(), message(set_up(i + 1, figures=f"home:0;copies:3;top:2;at:{name}")))
+            town.director.admission.heard(town.director_side(), message(set_up(i + 1, figures=f"home:0;copies:3;top:2;at:{name}")))
             town.hosts[name].at(town.world.now + 3000, lambda name=name: said.setdefault(name, town.world.now))
             # A node says what it has to tell on an open connection, and once more on the next that opens
             came = town.hosts[name].listeners[0]
@@ -160,7 +160,7 @@
         node = town.director.nodes.by_id["a"]
         for _ in range(5):
             node.dial()
-            line = node.lines[-1]
+            line = node.connections[-1]
             line.closed(line.stream, SHORT)
         self.assertEqual((node.silent, len(town.director.standing)), (0, 1))
 
@@ -169,7 +169,7 @@
         viewer = town.viewer()
         viewer.stream.write(set_up(1))
         town.run(50)
-        line, = town.director.nodes.by_id["a"].lines
+        line, = town.director.nodes.by_id["a"].connections
         town.sides["node a"].stream.pause()
         line.stream.write(b"x" * (WINDOW - 100))
         viewer.stream.write(set_up(2, product="paid"))
@@ -177,7 +177,7 @@
         self.assertEqual((line.state(f"{2:016x}"), line.stream.queued > 0, line.stream.taken), (life.UNSENT, True, line.stream.asked - line.stream.queued))
         viewer.stream.write(binary.encode(binary.RELEASE, f"{2:016x}", (222, b"\x10")))
         town.run(20)
-        self.assertEqual((line.stream.alive, len(town.director.nodes.by_id["a"].lines)), (False, 1))
+        self.assertEqual((line.stream.alive, len(town.director.nodes.by_id["a"].connections)), (False, 1))
         self.assertEqual(len(town.director.standing), 1)
 
     def test_an_answer_to_what_has_not_left(self):
@@ -187,7 +187,7 @@
             town.hosts["a"].silent = True
             town.viewer().stream.write(set_up(1, product="paid"))
             town.run(20)
-            line, = town.director.nodes.by_id["a"].lines
+            line, = town.director.nodes.by_id["a"].connections
             line.got(line.stream, said)
             self.assertFalse(line.stream.alive)
             self.assertEqual(town.director.counts["spoilt"], 1)
@@ -203,7 +203,7 @@
         town.run(50)
         new = town.director.nodes.by_id["new"]
         self.assertNotEqual(new.number, old.number)
-        self.assertEqual(len(new.lines), 0)
+        self.assertEqual(len(new.connections), 0)
         town.sides[f"node {old.id}"].stream.abort()
         town.run(600)
         self.assertEqual(len(town.director.standing), 0)
--- a/tests/test_platform_viewers.py
+++ b/tests/test_platform_viewers.py
@@ -91,7 +91,7 @@
         town.run(50)
         self.same("platform_heard", town)
         town.run(8500)
-        self.assertEqual(len(town.director.door.unheard), 0)
+        self.assertEqual(len(town.director.listener.unheard), 0)
 
     def test_floods(self):
         """Hundreds of silent connections, and hundreds of set-ups on one: bounded, and others are served."""
@@ -99,7 +99,7 @@
         town.lines = Silent()
         for n in range(300):
             town.viewer(f"silent {n}")
-        self.assertLessEqual(len(town.director.door.viewers), 32)
+        self.assertLessEqual(len(town.director.listener.viewers), 32)
         flood = town.viewer("flood")
         town.answers = {"a": 0, "b": 0}
         flood.stream.write(b"".join(set_up(1000 + n) for n in range(300)))
@@ -110,7 +110,7 @@
         town.viewer("good").stream.write(set_up(5))
         town.run(2500)
         self.assertTrue(any("good gets 9 5" in line for line in town.lines) or any("good gets 12 5 cause 42" in line for line in town.lines), town.lines)
-        self.assertLessEqual(len(town.director.door.viewers), 2)
+        self.assertLessEqual(len(town.director.listener.viewers), 2)
 
     def test_a_new_connection_is_not_closed_for_others(self):
         """Seen on sockets: of two that came together the first was closed for the second, its set-up unread."""
