A set-up that shares its connection never arrives either once it is given up

Forced on a real socket, seen failing before (test_orders_leaving, left_while_its_node_stands_still, shared=True): where descriptors run short set-ups share a connection; the viewer of one leaves while the node stands still, and the node began it when it woke, since only a connection without others was cut off (Allocating.drop_set_up). It is cut 100 ms after, if the node's system has not told to have all of that set-up; what was written behind it does not count (Connection.arrived).

--- a/laddergw/platform/allocating.py
+++ b/laddergw/platform/allocating.py
@@ -98,15 +98,17 @@
         all of what left, the connection is cut off, or a node that stood still or was away would begin it when it is back."""
         connection = ply.connection
         log.debug("%s.%d: %s on %s, set-up ends at byte %d", ply.session, ply.number, fact, connection, connection.ends[ply.session])
+        end = connection.ends[ply.session]
         state = connection.give_up(ply.session)
         late = self.director.loop.now - ply.sent_at >= ARRIVE_MS
-        away = state == life.OUT and not connection.plays and late and connection.stream.unacknowledged()
+        away = state == life.OUT and not connection.plays and late and not connection.arrived(end)
         if state == life.OUT and not away:
             connection.stream.write(rtsp.request("TEARDOWN", ply.request.title, ply.session))
         if not connection.plays and connection in connection.node.connections:
-            connection.node.connections.remove(connection)
-            connection.stream.abort() if away else connection.stream.close(ARRIVE_MS)
+            connection.end(life.CUT) if away else connection.close(ARRIVE_MS)
             connection.node.renew()
+        elif state == life.OUT:                      # others share it
+            self.director.loop.after(ARRIVE_MS, lambda: connection.cut_unless_arrived(end))
         self.ended(ply, state, fact)
 
     def ended(self, ply: Play, state: str, fact: str, report: tuple = ()) -> None:
--- a/laddergw/platform/connection.py
+++ b/laddergw/platform/connection.py
@@ -97,6 +97,21 @@
             self.node.renew()
         return state
 
+    def arrived(self, end: int) -> bool:
+        """Whether its node's system has told to have all up to there."""
+        return self.stream.taken - self.stream.unacknowledged() >= end
+
+    def cut_unless_arrived(self, end: int) -> None:
+        """A set-up that was given up and has not arrived must not begin later; what shares its connection ends with it."""
+        if self in self.node.connections and not self.arrived(end):
+            self.end(life.CUT)
+            self.node.renew()
+
+    def close(self, deliver_ms: float | None = None) -> None:
+        """Ends in good order, with nothing open on it; see Stream.close."""
+        self.node.connections.remove(self)
+        self.stream.close(deliver_ms)
+
     def end(self, fact: str) -> None:
         """Closes at once. What was open on it ends by that."""
         if self in self.node.connections:
--- a/laddergw/platform/nodes.py
+++ b/laddergw/platform/nodes.py
@@ -132,8 +132,7 @@
             return False
         oldest = min(idle, key=lambda connection: (bool(connection.node.held), connection.since))
         self.count("closed for room")
-        oldest.node.connections.remove(oldest)
-        oldest.stream.close()
+        oldest.close()
         return True
 
     def say(self, node: Node, data: bytes, ends: str = "") -> None:
@@ -159,8 +158,7 @@
     def give_way(self, connection: Connection) -> None:
         """It has said all, and nothing is open on it: one of those who wait gets its descriptor."""
         if self.waiting and connection in connection.node.connections:
-            connection.node.connections.remove(connection)
-            connection.stream.close()
+            connection.close()
             self.let_speak(1)
 
     def unsent(self) -> bool:
