--- a/tests/test_orders_leaving.py
+++ b/tests/test_orders_leaving.py
@@ -66,9 +66,9 @@
                 town.connections_first()
                 viewer = town.viewer()
                 viewer.write(set_up(2))
-                town.until(lambda: town.director.nodes.lines())
+                town.until(lambda: town.director.nodes.connections())
                 leaves(town, viewer, way)
-                line, = town.director.nodes.by_id["a"].lines
+                line, = town.director.nodes.by_id["a"].connections
                 town.test.assertTrue(select.select([], [line.stream.sock], [], 20)[1])   # it has come up
                 town.turns()
                 self.assertEqual([m.method for _, m in town.nodes["a"].hear()], [])
@@ -104,12 +104,12 @@
         """The node reads nothing and its system takes no more; ours has taken the set-up. The viewer leaves at once, or when it has been
         out for long; our own word that it is given up leaves, or waits as well. Then the node wakes, and reads all that comes: the set-up
         never does."""
-        for out_ms, behind in (1.0, False), (500.0, False), (1.0, True):
-            with self.subTest(out_ms, behind=behind):
+        for out_ms, behind, shared in (1.0, False, False), (500.0, False, False), (1.0, True, False), (1.0, False, True), (1.0, True, True):
+            with self.subTest(out_ms, behind=behind, shared=shared):
                 now = [10_000.0]
                 town = Town(self, now=lambda: now[0])
                 _, line = town.idle_line()
-                stream, = [line.stream for line in town.director.nodes.by_id["a"].lines]
+                stream, = [line.stream for line in town.director.nodes.by_id["a"].connections]
                 while not stream.queued:                 # to the brim; then as much is read as lets our system take the set-up, no more
                     stream.write(rtsp.request("OPTIONS", "ping", "0" * 16) * 20)
                 stream.take_back(stream.out[0])
@@ -118,23 +118,31 @@
                 viewer.write(set_up(2))
                 ply = town.until(lambda: town.director.open.get(f"{2:016x}"))
                 town.turns()
-                while ply.line.state(ply.session) != life.OUT:
+                while ply.connection.state(ply.session) != life.OUT:
                     line.sock.recv(4096)
                     town.turns(2)
                 while behind and not stream.queued:
                     stream.write(rtsp.request("OPTIONS", "ping", "0" * 16) * 20)
+                if shared:                               # another viewer's set-up goes on the same connection
+                    town.director.nodes.most = 1
+                    other = town.viewer()
+                    town.side(other)
+                    other.write(set_up(3))
+                    town.until(lambda: len(ply.connection.plays) == 2)
                 now[0] += out_ms
                 leaves(town, viewer, "closed")
                 town.turns()
                 now[0] += GONE_MS
                 town.turns(3)
-                self.assertEqual((len(town.director.open), len(town.director.controller.plays)), (0, 0))
+                self.assertEqual((set(town.director.open) - {f"{3:016x}"}, set(town.director.controller.plays) - {3}), (set(), set()))
+                self.assertTrue(shared or not town.director.open)
                 data = b""
                 with contextlib.suppress(BlockingIOError, ConnectionError):
                     while part := line.sock.recv(1 << 20):
                         data += part
                 self.assertIn(b"OPTIONS", data)
-                self.assertNotIn(b"SETUP", data)
+                self.assertNotIn(rtsp.request("SETUP", "7f3a9c21e0b4d655", f"{2:016x}")[:70], data)
+                self.assertTrue(shared or b"SETUP" not in data)
 
     def test_left_while_its_next_try_is_due(self):
         """The node is full; the end of the viewer comes in the same turn as that answer: nobody is asked a second time."""
@@ -157,7 +165,7 @@
                 town = Town(self, nodes=("a", "b"))
                 for name in "a", "b":
                     town.director.nodes.by_id[name].dial()       # up, so that nothing waits
-                town.until(lambda: all(line.up for node in town.director.nodes.by_id.values() for line in node.lines))
+                town.until(lambda: all(line.up for node in town.director.nodes.by_id.values() for line in node.connections))
                 viewer = town.viewer()
                 side = town.side(viewer)
                 viewer.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1 << 20)
@@ -165,7 +173,7 @@
                 viewer.write(set_up(2))
                 name, line = town.until(lambda: next(((name, found[0][0]) for name in town.nodes if (found := town.nodes[name].hear())), None))
                 line.write(answer(f"{2:016x}", 453, b""))
-                town.lies_there(town.director.open[f"{2:016x}"].line.stream, len(answer(f"{2:016x}", 453, b"")))
+                town.lies_there(town.director.open[f"{2:016x}"].connection.stream, len(answer(f"{2:016x}", 453, b"")))
                 viewer.sock.setblocking(True)
                 viewer.write(binary.encode(binary.TEST, "0" * 16, (222, b"\0")) * 9_000)
                 leaves(town, viewer, way)
