--- a/laddergw/platform/admission.py
+++ b/laddergw/platform/admission.py
@@ -97,7 +97,7 @@
     def away(self, ms: float | None) -> tuple[int, bytes]:
         return binary.AWAY, b"%d" % (ms or 0)
 
-    def viewer_ends(self, viewer: Viewer, session: str, again: bool = True) -> None:
+    def viewer_ends(self, viewer: Viewer, session: str) -> None:
         if ply := self.director.standing.get(session):        # it gave up as our answer left: what stood is released to it too
             log.debug("%s.%d: ended by its viewer", ply.session, ply.number)
             self.director.allocating.release(ply)
@@ -106,12 +106,14 @@
             self.director.allocating.ended(ply, life.HELD, life.GIVEN_UP)
         elif (ply := self.director.open.get(session)) and ply.viewer is viewer:
             return self.given_up(ply)
-        elif again:                              # its hand-over may be on its way on another connection
-            self.director.loop.after(CROSS_MS, lambda: self.viewer_ends(viewer, session, again=False))
-        else:
-            return None                          # (it was told that it is heard)
+        elif session not in self.director.open:      # its hand-over may be on its way on another connection
+            self.director.loop.after(CROSS_MS, lambda: self.overtaken(viewer, session))
         return viewer.write(binary.HEARD, session)
 
+    def overtaken(self, viewer: Viewer, session: str) -> None:
+        if (ply := self.director.standing.get(session)) and ply.request.at:
+            self.viewer_ends(viewer, session)
+
     def given_up(self, ply: Play) -> None:
         """The viewer waits no more: no answer is owed, and its allocation ends."""
         if self.director.open.pop(ply.session, None) is None:
--- a/laddergw/platform/connection.py
+++ b/laddergw/platform/connection.py
@@ -42,14 +42,13 @@
         self.stream.write(data)
         if ends:
             self.said[ends] = data, until
-            while next(iter(self.said.values()))[1] <= self.loop.now:    # a node need not say that it has heard
-                del self.said[next(iter(self.said))]
+            for session in [session for session, (_, until) in self.said.items() if until <= self.loop.now]:   # a node need not say
+                del self.said[session]                                                                        # that it has heard
 
-    def unheard(self) -> None:
-        """It has ended, and may have taken along what was said on it last: that goes on the next one."""
-        words = [(data, ends, until) for ends, (data, until) in self.said.items() if until > self.loop.now]
-        if words:
-            self.node.words += words
+    def leave(self) -> None:
+        """It is none of its node's any more: what waits to be told there waits for the next one."""
+        self.node.connections.remove(self)
+        if self.node.words and not self.node.connections:
             self.node.fleet.waiting[self.node] = None
 
     def emptied(self, stream) -> None:
@@ -109,14 +108,15 @@
 
     def close(self, deliver_ms: float | None = None) -> None:
         """Ends in good order, with nothing open on it; see Stream.close."""
-        self.node.connections.remove(self)
+        self.leave()
         self.stream.close(deliver_ms)
 
     def end(self, fact: str) -> None:
         """Closes at once. What was open on it ends by that."""
         if self in self.node.connections:
-            self.node.connections.remove(self)
-            self.unheard()
+            # It may have taken along what was said on it last: that goes on the next one
+            self.node.words += [(data, ends, until) for ends, (data, until) in self.said.items() if until > self.loop.now]
+            self.leave()
             plays = [(ply, self.settle(session)) for session, ply in list(self.plays.items())]
             self.stream.abort()
             for ply, state in plays:
--- a/laddergw/platform/nodes.py
+++ b/laddergw/platform/nodes.py
@@ -65,8 +65,6 @@
 
     def connection_ended(self, connection: Connection, why: str | None) -> None:
         """What the end of a connection proves of the plays that stand."""
-        if self.words:
-            self.fleet.waiting[self] = None
         if why == SHORT:                     # the next look dials again, when there may be room
             return
         self.fleet.let_speak(1)
--- a/tests/test_orders_ends.py
+++ b/tests/test_orders_ends.py
@@ -88,25 +88,55 @@
         self.assertEqual([m.method for _, m in self.town.nodes["a"].hear()], [])
 
     def test_a_release_said_on_a_connection_that_never_comes_up(self):
-        """The only connection to the node is on its way, for another play, and comes to nothing: the release goes on the next one."""
+        """The only connection to the node is on its way, for another play: it comes to nothing in time, or that play's viewer leaves. The
+        release goes on the next one."""
+        for leaves in False, True:
+            with self.subTest(leaves=leaves):
+                self.setUp()
+                viewer, line = self.stands()
+                node = self.town.director.nodes.by_id["a"]
+                mine, = node.connections
+                mine.plays["busy"] = None                # so that the next play has a connection of its own
+                select = self.town.loop.selector.select
+                self.town.loop.selector.select = lambda wait: [(key, mask) for key, mask in select(wait)
+                                                               if getattr(key.data, "peer", None) != ("127.0.0.1", self.town.nodes["a"].port)]
+                viewer.write(set_up(2))
+                self.town.until(lambda: len(node.connections) == 2)
+                del mine.plays["busy"]
+                node.connections.remove(mine)
+                mine.stream.abort()
+                viewer.write(binary.encode(binary.RELEASE, f"{1:016x}", (222, b"\x10")))
+                self.town.until(lambda: not self.town.director.standing)
+                if leaves:
+                    viewer.write(END)
+                    self.town.until(lambda: not self.town.director.open)
+                else:
+                    self.pass_(400)
+                self.town.loop.selector.select = select
+                self.assertEqual([m.session for m in self.tears()], [f"{1:016x}"])
+
+    def test_a_release_that_waited_for_long_is_said_all_the_same(self):
+        """Past the time for which it is told again; and it is told once."""
         viewer, line = self.stands()
-        for mine in list(self.town.director.nodes.by_id["a"].connections):
-            mine.stream.pause()                      # (busy, so that the next play has a connection of its own)
-            mine.plays["busy"] = None
-        select = self.town.loop.selector.select
-        self.town.loop.selector.select = lambda wait: [(key, mask) for key, mask in select(wait)
-                                                       if getattr(key.data, "peer", None) != ("127.0.0.1", self.town.nodes["a"].port)]
-        viewer.write(set_up(2))
-        self.town.until(lambda: self.town.director.nodes.connections() == 2)
-        for mine in list(self.town.director.nodes.by_id["a"].connections)[:1]:
-            del mine.plays["busy"]
-            self.town.director.nodes.by_id["a"].connections.remove(mine)
-            mine.stream.abort()
-        viewer.write(binary.encode(binary.RELEASE, f"{1:016x}", (222, b"\x10")))
-        self.town.until(lambda: not self.town.director.standing)
-        self.pass_(400)                              # its time is over
-        self.town.loop.selector.select = select
+        line.close()
+        node = self.town.director.nodes.by_id["a"]
+        self.town.until(lambda: not node.connections or node.connections[0].up)
+        self.town.director.nodes.waiting, node.words = {node: None}, [(rtsp.request("TEARDOWN", "x", f"{1:016x}"), f"{1:016x}", self.now[0] - 1.0)]
+        for mine in list(node.connections):
+            mine.end("cut")
         self.assertEqual([m.session for m in self.tears()], [f"{1:016x}"])
+        self.assertTrue(node.connections)
+
+    def test_an_end_of_nothing_before_a_set_up_of_the_same_name(self):
+        """The end is looked at again for a hand-over; a play that is asked for behind it is another one."""
+        viewer = self.town.viewer()
+        viewer.write(END, set_up(2))
+        line, message = self.town.come("a")
+        self.pass_(200)
+        line.write(answer(message.session))
+        self.town.until(lambda: [m for m in viewer.hear() if m.kind == binary.ANSWER])
+        self.pass_(200)
+        self.assertEqual((list(self.town.director.standing), viewer.hear()), ([f"{2:016x}"], []))
 
     def test_a_connection_that_we_close_at_a_node_that_never_reads(self):
         """What is queued for it never leaves: the connection ends all the same, and holds no descriptor."""
