--- a/laddergw/fleet/answers.py
+++ b/laddergw/fleet/answers.py
@@ -6,7 +6,8 @@
 
 def unknown(book: Book, now: float) -> list[str]:
     """What stands behind every answer."""
-    said = []
+    said = [f"{len(processes)} processes run as {director}: {', '.join(sorted(process.name for _, process in processes))}"
+            for director, processes in sorted(book.running(now).items()) if len(processes) > 1]
     for process in in_order(book):
         if now - process.heard_ms >= SILENT_MS and not process.gone:
             said.append(f"{process.name} silent since {seconds(now - process.heard_ms)} ago: what it does now is not known")
--- a/laddergw/fleet/book.py
+++ b/laddergw/fleet/book.py
@@ -146,19 +146,29 @@
         self.kept_stands &= used
 
     def seats(self, kind: str, number: int, now: float) -> list[Seat]:
-        """Each director as its latest process tells, for the rollout of that number; those that stopped or are no more are none."""
-        latest: dict[str, Process] = {}
-        for _, process in sorted(self.processes.items()):
-            if not process.gone and process.turns and process.heard_ms >= latest.get(process.director, process).heard_ms:
-                latest[process.director] = process
+        """Each director as its process tells, for the rollout of that number; those that stopped or are no more are none. Where several
+        of one name are heard, the one that began last is the director, and each other one a seat of its own, under its own name."""
         found = []
-        for director, process in sorted(latest.items()):
+        for name, process in sorted((row for rows in self.running(now).values() for row in rows), key=lambda row: row[0]):
             on, said = self.stands[process.last().stand].of(kind), process.said
             came = said.came if said.came[0] == number else (0, "", "", "")
-            found.append(Seat(director, process.name, said.zone, now - process.heard_ms < SILENT_MS, process.heard_ms, on.hash if on else "", kind in said.takes,
+            found.append(Seat(name, process.name, said.zone, now - process.heard_ms < SILENT_MS, process.heard_ms, on.hash if on else "", kind in said.takes,
                               came[2], came[3], said.trouble, process.still_ms, process.still_at))
         return found
 
+    def running(self, now: float) -> dict[str, list[tuple[str, Process]]]:
+        """Of each director the processes that are heard, the last begun first, or the one that was heard last; each with the name of its seat."""
+        of: dict[str, list[Process]] = {}
+        for process in self.processes.values():
+            if not process.gone and process.turns:
+                of.setdefault(process.director, []).append(process)
+        found = {}
+        for director, processes in of.items():
+            heard = [one for one in processes if now - one.heard_ms < SILENT_MS] or [max(processes, key=lambda one: (one.heard_ms, one.name))]
+            heard.sort(key=lambda one: (-one.turns[min(one.turns)].since_ms, one.name))
+            found[director] = [(one.name if place else director, one) for place, one in enumerate(heard)]
+        return found
+
     def result(self, process: Process, key: Key, more: int) -> None:
         """More answers were given, by the version of what can be wanted."""
         if more and key.action in (PLAYING, DECLINED, FAILED) and (held := process.turns.get(key.turn)) is not None:
--- a/tests/runner.py
+++ b/tests/runner.py
@@ -17,7 +17,7 @@
 ROOT = pathlib.Path(__file__).parent.parent
 LIST, MOST = ROOT / "KNOWN-RED.txt", 3
 APART = (
-    ("tests.test_budgets", "tests.test_cold_fleet", "tests.test_fleet_planner"),                         # these only compute
+    ("tests.test_budgets", "tests.test_cold_fleet", "tests.test_fleet_planner", "tests.test_fleet_hard"),          # these compute, but for the last
     ("tests.test_budget_processes", "tests.test_fleet_processes", "tests.test_platform_fleet", "tests.test_switch"),   # these wait for processes
 )
 SLOWEST = 8                # tests whose time is told: all of them together have six minutes
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -122,6 +122,21 @@
                          [("program", ["d0-a", "d1-b"], 3), *sorted([("limits", ["d1-b"], 2), ("limits", ["d0-a"], 1)], key=lambda row: row[1] != found[1]["directors"])])
         self.assertEqual(found[0]["since_wall_ms"], 1e6 - 2_500.0)
 
+    def test_two_processes_under_one_name(self):
+        """Each that is heard has a seat; the one that began last is the director, whichever spoke last. One that is silent beside another has none."""
+        stamps, told = Stamps(), Told()
+        stamps.on(STANDS[1], 0.0)
+        self.book.merge("d1-a", told.part(stamps), 100.0, 10_400.0)        # it began 2.3 s after d1-b
+        for heard, now in (("d1-b", 11_000.0), ("d1-a", 11_100.0)):
+            self.book.processes[heard].heard(now, 1)
+            with self.subTest(heard):
+                seats = self.book.seats(versions.LIMITS, 1, now)
+                self.assertEqual([(seat.director, seat.process) for seat in seats], [("d0", "d0-a"), ("d1", "d1-a"), ("d1-b", "d1-b")])
+                self.assertEqual(answers.unknown(self.book, now)[0], "2 processes run as d1: d1-a, d1-b")
+        self.book.processes["d1-a"].heard(17_000.0, 2)
+        self.assertEqual([seat.process for seat in self.book.seats(versions.LIMITS, 1, 17_000.0)], ["d0-a", "d1-a"])
+        self.assertNotIn("2 processes", answers.unknown(self.book, 17_000.0)[0])
+
     def test_who_acted_on_what_and_when(self):
         at = lambda ms: answers.director(self.book, "d0", 1e6 - (10_500.0 - ms), 10_500.0, 1e6)["processes"][0]
         self.assertEqual([at(ms)["stand"] for ms in (7_000.0, 8_500.0, 9_500.0)], [None, STANDS[0].id, STANDS[1].id])
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -4,42 +4,23 @@
 import pathlib
 import shutil
 import signal
-import subprocess
-import sys
 import tempfile
 import unittest
 
 from laddergw.lab import audit
-from laddergw.lab.fleet_processes import FleetProcesses
 from laddergw.lab.limits import sound
 from laddergw.lab.plant import WARES, plant
 from laddergw.lab.script import Trouble
-from laddergw.lab.stage_processes import CouldNotRun
 from laddergw.planner import wire
+from tests.fleet_commands import COMMAND_MS, Commanding
 
-COMMAND_MS = 30_000.0      # one command: the interpreter, its imports, a few answers
 
-
-class Asking(FleetProcesses):
+class Asking(Commanding):
     """Asks with the operators' command while all processes run, and once more with both planners gone."""
 
-    def __init__(self, *given):
-        super().__init__(*given)
-        self.answers: dict[str, tuple[int, str]] = {}
-
     def want(self) -> None:
         """Nothing but what `take_out` wants."""
 
-    def command(self, *words: str) -> None:
-        ended, house = [], self.file("asked.scm")
-        with open(self.file(f"d0.{self.starts[0]}.scm")) as told, open(house, "w") as asked:
-            asked.write(told.read().replace('(listen "127.0.0.1" 0)', '(listen "%s" %d)' % self.addresses[0]))
-        with open(self.file("answer.txt"), "w+") as out:
-            self.loop.spawn([sys.executable, "-m", "laddergw.cli", "fleet", *words, house], ended.append, stdout=out, stderr=subprocess.STDOUT)
-            self.wait(lambda: ended, COMMAND_MS, " ".join(words))
-            out.seek(0)
-            self.answers[words[-1] if words[0] == "audit" else " ".join(words)] = ended[0], out.read()
-
     def before_end(self) -> None:
         super().before_end()
         self.command("verify")
@@ -112,18 +93,6 @@
         self.command("stragglers")
         self.kept = [pathlib.Path(self.limits(number)).read_text() == text for number in range(self.plant.directors)]
 
-    def until(self, done, what: str) -> None:
-        """Asks again until it is so, a little later each time."""
-        latest = self.loop.now + COMMAND_MS
-        while not done():
-            self.assert_before(latest, what)
-            due = self.loop.now + 200
-            self.wait(lambda: self.loop.now >= due, 1_000, what)
-
-    def assert_before(self, latest: float, what: str) -> None:
-        if self.loop.now > latest:
-            raise CouldNotRun(f"{what}: not within {COMMAND_MS:.0f} ms")
-
     def collect_of(self, source: str) -> list:
         with open(self.file(f"{source}.jsonl"), "rb") as stream:
             return [json.loads(line) for line in stream if line.endswith(b"\n")]
