--- a/benchmarks/broken_fleets.py
+++ b/benchmarks/broken_fleets.py
@@ -1,6 +1,6 @@
 """The bad day of tests/test_platform_fleet.py with every director broken on purpose in one way: what the judge says of it.
 
-usage: python -m benchmarks.broken_fleets [NAME ...], from the repository's root; "none" is the program as it is. Some 17 s each.
+usage: python -m benchmarks.broken_fleets [NAME[:DIRECTORS:RATE:SEED] ...], from the repository's root; "none" is the program as it is. Some 17 s each.
 Ends with 1 if a broken fleet keeps every term, or the whole one does not.
 """
 import sys
@@ -25,12 +25,16 @@
 def main(names):
     wrong = 0
     for name in names or BROKEN:
+        name, *figures = name.split(":")
+        directors, rate, seed = map(float, figures or (DIRECTORS, RATE, SEED))
         code = f"{HOLDS}{BROKEN[name]}; runpy.run_module('laddergw.platform', run_name='__main__')"
-        records = Town(DIRECTORS, NODES, RATE, SECONDS, BAD_DAY, SEED, run=f'exec {sys.executable} -c "{code}"').run()
+        records = Town(int(directors), NODES, rate, SECONDS, BAD_DAY, int(seed), run=f'exec {sys.executable} -c "{code}"').run()
         found = judge(records, TERMS)
         wrong += bool(found) == (name == "none")
         said = [one for one in found if not one.startswith("director")] + [one for one in found if one.startswith("director")]
-        print(f"{name}: {len(found)} broken, most at a cold node over chance {excess(records, TERMS):.1f}; {'; '.join(said[:2])[:200]}")
+        whats = [what for _, what, _ in records]
+        print(f"{name}, {directors:g} directors, {rate:g} viewers a second, seed {seed:g}: asked {whats.count('asked')}, set-ups {whats.count('arrived')}, "
+              f"left {whats.count('left')}, starts {whats.count('director starts')}; {len(found)} broken, most at a cold node over chance {excess(records, TERMS):.1f}; {'; '.join(said[:2])[:200]}")
     return 1 if wrong else 0
 
 
