What lies on a connection as the process ends is read to its end, not one read of it

Forced on a real socket, seen failing before (test_orders_stopping, more_than_one_read_in_the_very_last_turn): 900 set-ups, 148 KB, lie there in the last turn; 590 were declined, the rest was dropped with the close (Listener.hear_last read each connection once, 64 KB).

--- a/laddergw/platform/viewers.py
+++ b/laddergw/platform/viewers.py
@@ -10,6 +10,7 @@
 OPEN_MOST = 64             # open set-ups of one connection: a front's pool holds a few, a flood hundreds
 UNSENT_MOST = 256 * 1024   # bytes that wait for a peer that does not read
 REFUSED_HERE = 95          # cause for what cannot be used: trying it again helps nobody
+READS_LAST = 64            # of one connection at the process's end, 64 KB each: as much as its system may hold, and no peer reads on for ever
 GONE_MS = 8_000.0          # a release that nobody has heard for so long is given up
 
 log = logging.getLogger("laddergw.platform")
@@ -104,8 +105,11 @@
         and connections that end now make room for them."""
         starved = self.accepting.accept_waiting()
         for viewer in list(self.viewers):
-            if viewer.stream is not None:
-                viewer.stream.read_now()
+            for _ in range(READS_LAST):
+                if viewer.stream is not None:
+                    viewer.stream.read_now()
+                if viewer.stream is None or not viewer.stream.more:
+                    break
         return starved and any(v.stream is not None and not v.stream.queued for v in self.viewers)
 
     def shut(self) -> None:
--- a/tests/test_orders_stopping.py
+++ b/tests/test_orders_stopping.py
@@ -1,4 +1,5 @@
 """The end of a director and of its connections: what came is answered, what was said arrives. Real connections, the bad order every time."""
+import socket
 import unittest
 
 from laddergw.platform.director import HEAR_MS, PART_MS, STOP_LEAST_MS
@@ -35,8 +36,8 @@
             return leave(latest)
         self.town.director.leave = last
 
-    def causes(self, viewer):
-        return [(m.session[-1], m.parameters[binary.CAUSE][0]) for m in viewer.hear() if m.kind == binary.RELEASE]
+    def causes(self, viewer, digits=1):
+        return [(m.session[-digits:], m.parameters[binary.CAUSE][0]) for m in viewer.hear() if m.kind == binary.RELEASE]
 
     def test_what_comes_in_the_very_last_turn_is_answered(self):
         """On an open connection, on one that waits to be accepted, and on hundreds that do."""
@@ -57,6 +58,24 @@
         # (300 sessions of one name: the first is turned away as all are, none is open)
         self.assertEqual([(self.causes(one), one.ended) for one in late], [([("3", AWAY)], "end")] * 300)
 
+    def test_more_than_one_read_in_the_very_last_turn(self):
+        """Hundreds of set-ups lie on one connection: each is declined, also those behind what one read takes."""
+        viewer = self.town.viewer()
+        side = self.town.side(viewer)
+        viewer.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1 << 20)
+        side.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 20)
+        data = b"".join(set_up(n) for n in range(1, 901))
+
+        def act():
+            viewer.sock.setblocking(True)
+            viewer.write(data)
+            viewer.sock.setblocking(False)
+            self.town.lies_there(side, len(data))
+        self.in_the_last_turn(act)
+        self.town.director.stop()
+        self.to_the_end()
+        self.assertEqual(len({session for session, cause in self.causes(viewer, 16) if cause == AWAY}), 900)
+
     def test_a_play_handed_over_in_the_very_last_turn_is_released(self):
         """It would stand at its node with nobody to hold it."""
         viewer = self.town.viewer()
