--- a/tests/test_budget_processes.py
+++ b/tests/test_budget_processes.py
@@ -8,6 +8,7 @@
 from collections import Counter
 
 from laddergw.lab import audit
+from laddergw.lab.apart_processes import PLANNERS
 from laddergw.lab.budget_processes import STORM_PART, WHOLE, BudgetProcesses
 from laddergw.lab.plant import WARES, plant
 from laddergw.lab.script import Trouble, fault
@@ -19,8 +20,8 @@
 
 
 class Stopped(BudgetProcesses):
-    """In the middle of a storm, once two edges at least have spent, the planner that grants is stopped for longer than a lease and an
-    edge is killed as it spends. Both come back, the storm goes on, and then nobody comes any more."""
+    """In the middle of a storm, once two edges at least have spent, the planner that grants is stopped, an edge is cut off from both planners
+    with what it holds, and another is killed as it spends. All come back, the storm goes on, and then nobody comes any more."""
 
     def let_them_come(self) -> None:
         super().let_them_come()
@@ -32,6 +33,9 @@
             self.loop.after(100, self.look)
             return
         self.planners[0].send_signal(signal.SIGSTOP)
+        for number in range(PLANNERS):
+            self.lines.by_ends["d0", f"p{number}"].fault("cut")
+            self.loop.after(STOP_MS + AWAY_MS, lambda number=number: self.lines.by_ends["d0", f"p{number}"].fault("heal"))
         self.loop.after(STOP_MS, lambda: self.planners[0].send_signal(signal.SIGCONT))
         self.loop.after(KILL_MS, lambda: self.conductor.strike(Trouble(0, "kill", 2)))
         self.loop.after(KILL_MS + AWAY_MS, lambda: self.conductor.strike(Trouble(0, "start", 2)))
@@ -59,6 +63,8 @@
         drawn = [facts for _, what, facts in records if what == "budget drawn"]
         self.assertGreaterEqual(len(drawn), SPENT, said)
         self.assertGreater(len({facts["source"] for facts in drawn}), 1)
+        struck = [(facts["line"], facts["fault"]) for _, what, facts in records if what == "line fault"]
+        self.assertLessEqual({(f"d0>p{number}", "cut") for number in range(PLANNERS)}, set(struck))
         row, = stage.shown["budgets"]
         self.assertEqual((row["whole"], row["charged"] <= WHOLE, len(row["held"]) >= 3), (WHOLE, True, True), row)
         self.assertEqual(stage.shown["issuer"], stage.issuer)
