A file of limits that cannot be written has its test, and what was begun of it goes

A write that failed left its begun file beside (seen failing: limits_file.replaced); it is taken away.

--- a/laddergw/director/limits_file.py
+++ b/laddergw/director/limits_file.py
@@ -3,6 +3,7 @@
 A version is taken once two looks in a row saw the same, so that a file cut in mid-write is not taken for one. What cannot be read or is refused changes
 nothing; it is told once. The check runs beside the director: in a process of its own, or, in memory, at once.
 """
+import contextlib
 import hashlib
 import os
 import pickle
@@ -128,6 +129,8 @@
             os.fsync(stream.fileno())
         os.replace(fresh, path)
     except OSError as error:
+        with contextlib.suppress(OSError):       # on a full disk a part of it lies there
+            os.unlink(fresh)
         return f"cannot be written: {error.strerror}"
     return None
 
--- a/tests/test_fleet_rollouts.py
+++ b/tests/test_fleet_rollouts.py
@@ -4,6 +4,7 @@
 import shutil
 import unittest
 
+from laddergw.director.limits_file import replaced
 from laddergw.fleet import versions, wanted
 from laddergw.fleet.bringing import PIECE_BYTES
 from laddergw.fleet.rights import LEASE_MS, MARGIN_MS
@@ -59,6 +60,28 @@
         self.until_done()
         self.assertEqual(self.on_it(), set(range(5)))
 
+    def test_one_whose_file_cannot_be_written_is_on_it_until_it_begins_anew(self):
+        """And then it is sent it a second time."""
+        blocked = os.path.join(self.folder, f"limits.2.{os.getpid()}.new")
+        os.mkdir(blocked)
+        self.want(GOOD)
+        self.until_done()
+        self.assertEqual(self.on_it(), set(range(5)))
+        with open(os.path.join(self.folder, "limits.2"), "rb") as stream:
+            self.assertEqual(stream.read(), b"(limits)")
+        os.rmdir(blocked)
+        self.restart(2)
+        self.assertEqual(self.on_it(), {0, 1, 3, 4})
+        self.town.run(3_000)
+        self.assertEqual(self.until_done()["state"], "done")
+        self.assertEqual(self.on_it(), set(range(5)))
+
+    def test_a_write_that_fails_leaves_nothing_behind(self):
+        path = os.path.join(self.folder, "taken")
+        os.mkdir(path)
+        self.assertIn("cannot be written", replaced(path, GOOD))
+        self.assertEqual([name for name in os.listdir(self.folder) if name.endswith(".new")], [])
+
     def test_one_that_is_refused_halts_and_touches_nobody(self):
         before = {number: side.audit.held[versions.LIMITS].hash for number, side in self.sides.items()}
         self.want(BAD, name="f" * 16)
