--- a/tests/sockets_town.py
+++ b/tests/sockets_town.py
@@ -113,6 +113,12 @@
         for _ in range(number):
             self.turn()
 
+    def passes(self, now, ms):
+        """So long of the clock that was handed in, `now` its list of one, a turn each 10 ms."""
+        for _ in range(int(ms / 10)):
+            now[0] += 10.0
+            self.turn()
+
     def connections_first(self):
         """Of the events of one turn, connections that come up and queues that move on are told before what was read."""
         select = self.loop.selector.select
--- a/tests/test_orders_ends.py
+++ b/tests/test_orders_ends.py
@@ -14,9 +14,7 @@
         self.town = Town(self, now=lambda: self.now[0])
 
     def pass_(self, ms):
-        for _ in range(int(ms / 10)):
-            self.now[0] += 10.0
-            self.town.turn()
+        self.town.passes(self.now, ms)
 
     def test_a_name_used_again_while_its_first_play_is_not_over(self):
         """No connection may be opened, so the first play's set-up comes to nothing in the next turn; in that turn its viewer takes it back
--- a/tests/test_orders_list.py
+++ b/tests/test_orders_list.py
@@ -25,9 +25,7 @@
         self.ends = []
 
     def pass_(self, ms):
-        for _ in range(int(ms / 10)):
-            self.now[0] += 10.0
-            self.town.turn()
+        self.town.passes(self.now, ms)
 
     def come(self, most_ms):
         """The next connection at the change log within that time: what it asked for, and the socket."""
--- a/tests/test_orders_scarce.py
+++ b/tests/test_orders_scarce.py
@@ -37,9 +37,7 @@
         self.town = Town(self, now=lambda: self.now[0])
 
     def pass_(self, ms):
-        for _ in range(int(ms / 10)):
-            self.now[0] += 10.0
-            self.town.turn()
+        self.town.passes(self.now, ms)
 
     def test_a_stop_while_the_listener_waits_for_a_descriptor(self):
         """A connection that could not be accepted waits as the order to stop comes: the process ends, and it gets its answer and an end."""
