The five seconds of a closed connection have their test; a set-up is looked for by its whole name

What a slow reader and one that has stopped get of a closed connection was told in docs/platform.md and held by no test: without the renewal the first fails, without the limit the second (each seen with that line taken out). The look for the given-up set-up ended within its session's name and would have taken another's for it; it is compared to the name's end now, and fails still where a shared connection is not cut (seen).

--- a/tests/test_orders_ends.py
+++ b/tests/test_orders_ends.py
@@ -1,4 +1,5 @@
 """Ends that cross what they end: names used again, hand-overs overtaken, closes that wait. Real connections, the bad order every time."""
+import contextlib
 import unittest
 
 from laddergw.signalling import binary, rtsp
@@ -16,6 +17,28 @@
     def pass_(self, ms):
         self.town.passes(self.now, ms)
 
+    def test_a_closed_connection_waits_for_who_reads_slowly_and_not_for_who_has_stopped(self):
+        """What is queued goes on as long as its peer takes something each five seconds; five without, and it ends."""
+        for reads in True, False:
+            with self.subTest(reads=reads):
+                self.setUp()
+                _, line = self.town.idle_line()
+                mine, = self.town.director.nodes.by_id["a"].connections
+                while mine.stream.queued < 8 << 20:      # far past what both systems hold
+                    mine.stream.write(rtsp.request("OPTIONS", "ping", "0" * 16) * 2_000)
+                mine.close()
+                for _ in range(3):
+                    if reads:
+                        had = mine.stream.taken
+                        self.town.until(lambda: self.drained(line) and mine.stream.taken > had)
+                    self.pass_(3_000)
+                self.assertEqual(mine.stream.sock is not None, reads)
+
+    def drained(self, line):
+        with contextlib.suppress(BlockingIOError):
+            line.sock.recv(1 << 20)
+        return True
+
     def test_a_name_used_again_while_its_first_play_is_not_over(self):
         """No connection may be opened, so the first play's set-up comes to nothing in the next turn; in that turn its viewer takes it back
         and asks again under the same name. The decisions' account of the node holds what is there, and no more."""
--- a/tests/test_orders_leaving.py
+++ b/tests/test_orders_leaving.py
@@ -9,6 +9,7 @@
 from tests.platform_town import answer, set_up
 from tests.sockets_town import Town
 
+SET_UP_NAMED = 80          # bytes of a set-up as a node gets it, to the end of its session's name
 GONE_MS = 100.0            # after this no attempt may begin for who has left: the users' term
 RELEASE = binary.encode(binary.RELEASE, f"{2:016x}", (222, b"\x10"))
 WAYS = {
@@ -141,7 +142,7 @@
                     while part := line.sock.recv(1 << 20):
                         data += part
                 self.assertIn(b"OPTIONS", data)
-                self.assertNotIn(rtsp.request("SETUP", "7f3a9c21e0b4d655", f"{2:016x}")[:70], data)
+                self.assertNotIn(rtsp.request("SETUP", "7f3a9c21e0b4d655", f"{2:016x}")[:SET_UP_NAMED], data)
                 self.assertTrue(shared or b"SETUP" not in data)
 
     def test_left_while_its_next_try_is_due(self):
