Logs and counts: every close, refusal, release and state of a node, by session and connection

One play's story is all lines with its session's 16 digits, at DEBUG; the counts stand in the line each 10 s.

--- a/laddergw/platform/admission.py
+++ b/laddergw/platform/admission.py
@@ -46,15 +46,18 @@
         except requests.Unusable as error:
             self.director.count("unusable")
             if self.director.counts["unusable"] <= TOLD_MOST:
-                log.info("unusable: %s", error)
+                log.info("%s: refused on %s, unusable: %s", session, viewer, error)
             return viewer.refuse(session)
         viewer.spoke = True
         if request.at:
             return self.handed_over(viewer, session, request)
         if self.director.broken or self.director.stopping is not None or len(viewer.plays) >= OPEN_MOST:
-            self.director.count("turned away")
+            why = "the director stops" if self.director.stopping is not None else "the module failed" if self.director.broken else "too many on its connection"
+            log.debug("%s: refused on %s, %s", session, viewer, why)
+            self.director.count("turned away: " + why)
             return viewer.refuse(session, DECLINED, self.away(self.director.assignment.deployment.retry_max_ms))
         self.director.count("asked")
+        log.debug("%s: set-up of %s on %s, waits %.0f ms", session, request.product, viewer, request.ask.wait_ms)
         ply = self.director.open[session] = viewer.plays[session] = Play(request, session, viewer)
         ply.limit = self.director.loop.now + max(0.0, request.ask.wait_ms - self.director.loop.stalled - EARLY_MS)
         ply.guard = self.director.loop.at(ply.limit + GUARD_MS, lambda: self.overdue(ply))
@@ -82,11 +85,13 @@
         """A play that stands at a node already; it may be one that is held here."""
         node = self.director.nodes.by_id.get(request.at)
         if node is None or node.gone:
+            log.info("%s: handed over from %s, which is not in the list", session, request.at)
             self.director.count("handed over from nowhere")
             return viewer.refuse(session)
         self.director.listener.prove(viewer)
         if session not in self.director.standing:
             self.director.count("handed over")
+            log.debug("%s: handed over on %s, plays at node %s", session, viewer, node.id)
             ply = self.director.standing[session] = node.held[session] = Play(request, session, viewer)
             ply.node, ply.number, ply.stands = node, 0, True
             self.director.feed(self.director.controller.handed_over, self.director.loop.now, request.ask, node.number)
@@ -99,7 +104,7 @@
 
     def viewer_ends(self, viewer: Viewer, session: str) -> None:
         if ply := self.director.standing.get(session):        # it gave up as our answer left: what stood is released to it too
-            log.debug("%s.%d: ended by its viewer", ply.session, ply.number)
+            log.debug("%s.%d: ended by its viewer on %s", ply.session, ply.number, viewer)
             self.director.allocating.release(ply)
             self.director.listener.send(viewer, binary.RELEASE, session, (binary.CAUSE, bytes([ENDED])))
             self.director.feed(self.director.controller.left, self.director.loop.now, ply.id)
@@ -129,6 +134,7 @@
         """The last guard of the one answer: whatever holds it up, it is failed in time."""
         ply.guard = None
         if ply.session in self.director.open:
+            log.info("%s: overdue, failed by the last guard", ply.session)
             self.director.count("overdue")
             self.director.feed(self.director.controller.left, self.director.loop.now, ply.id)
             if ply.session in self.director.open:
@@ -140,7 +146,7 @@
             return
         ply.viewer.plays.pop(ply.session, None)
         ply.stop_timers()
-        log.debug("%s: answered with cause %d", ply.session, cause)
+        log.debug("%s: answered with cause %d on %s after %d set-ups", ply.session, cause, ply.viewer, ply.number + 1)
         self.director.count("declined" if cause == DECLINED else "failed")
         ply.viewer.refuse(ply.session, cause, *more)
         self.director.allocating.give_up(ply)
@@ -154,6 +160,6 @@
         self.director.standing[ply.session] = ply.node.held[ply.session] = ply
         ply.viewer.write(binary.ANSWER, ply.session, (binary.DESCRIPTION, description))
         self.director.listener.prove(ply.viewer)
-        log.debug("%s.%d: plays", ply.session, ply.number)
+        log.debug("%s.%d: plays, answered on %s", ply.session, ply.number, ply.viewer)
         self.director.count("playing")
         self.director.feed(self.director.controller.playing, self.director.loop.now, ply.id, ply.number, self.director.loop.now - ply.sent_at, ply.node.number)
--- a/laddergw/platform/allocating.py
+++ b/laddergw/platform/allocating.py
@@ -28,6 +28,8 @@
         node = ply.node = self.director.nodes.by_number.get(verdict.node)
         connection = None if node is None or node.gone or verdict.timeout_ms <= 0 else node.free_connection()
         if connection is None:
+            log.debug("%s.%d: not sent, node %s is %s", ply.session, ply.number, node and node.id,
+                      "unknown" if node is None else "gone" if node.gone else "without a connection" if verdict.timeout_ms > 0 else "left no time")
             return self.tell_end(ply, face.NEVER_SENT)
         r = ply.request
         node.open[ply.session], ply.connection = ply, connection
@@ -41,6 +43,7 @@
         self.director.nodes.say(node, data, ends)
 
     def release(self, ply: Play) -> None:
+        log.debug("%s.%d: release to node %s", ply.session, ply.number, ply.node.id)
         self.say(ply.node, rtsp.request("TEARDOWN", ply.request.title, ply.session, (("Reason", f"cause={ENDED}"),)), ply.session)
 
     def answered(self, node: Node, connection: Connection, message: rtsp.Message) -> None:
@@ -52,6 +55,7 @@
         state = connection.settle(ply.session)
         ply.connection = None
         node.open.pop(ply.session, None)
+        log.debug("%s.%d: node %s answers %d after %.0f ms", ply.session, ply.number, node.id, message.status, self.director.loop.now - ply.sent_at)
         if fact == life.THERE:
             return self.director.admission.stand(ply, message.body)
         return self.ended(ply, state, fact, self.report(message))
@@ -71,7 +75,11 @@
         ply = node.held.get(message.session) or connection.plays.get(message.session)
         if message.method == "TEARDOWN":
             connection.stream.write(rtsp.answer(200, "OK", message.sequence or "2", message.session))
-            if ply is not None:
+            if ply is None:
+                log.debug("%s: released by node %s on %s, held by nobody%s", message.session, node.id, connection,
+                          ", its set-up is open on another connection" if message.session in node.open else "")
+                self.count("released by its node, held by nobody")
+            else:
                 cause = message.headers.get("reason", "").removeprefix("cause=")
                 log.debug("%s.%d: released by its node, cause %s", ply.session, ply.number, cause[:8])
                 state = life.HELD if ply.stands else connection.state(ply.session)
--- a/laddergw/platform/connection.py
+++ b/laddergw/platform/connection.py
@@ -30,6 +30,7 @@
 
     def opened(self, stream) -> None:
         self.up = True
+        log.debug("node %s: %s opened after %.0f ms", self.node.id, self, self.loop.now - self.since)
         self.speaks()
         words, self.node.words = self.node.words, []
         for word in words:
@@ -108,12 +109,15 @@
 
     def close(self, deliver_ms: float | None = None) -> None:
         """Ends in good order, with nothing open on it; see Stream.close."""
+        log.debug("node %s: %s closed by us in good order", self.node.id, self)
         self.leave()
         self.stream.close(deliver_ms)
 
     def end(self, fact: str) -> None:
         """Closes at once. What was open on it ends by that."""
         if self in self.node.connections:
+            log.debug("node %s: %s ends, what was open on it as %s; %d releases go again", self.node.id, self, fact, len(self.said))
+            self.node.fleet.count("connections to nodes ended: " + fact)
             # It may have taken along what was said on it last: that goes on the next one
             self.node.words += [(data, ends, until) for ends, (data, until) in self.said.items() if until > self.loop.now]
             self.leave()
@@ -124,6 +128,6 @@
 
     def closed(self, stream, why: str | None) -> None:
         if self in self.node.connections:
-            log.debug("node %s: %s ends: %s", self.node.id, self, why)
+            log.debug("node %s: %s: %s", self.node.id, self, why or "closed by its node")
             self.end(life.TAKEN_BACK if why == SHORT else life.CUT)   # without a descriptor its node has heard nothing, and has no part in it
             self.node.connection_ended(self, why)
--- a/laddergw/platform/director.py
+++ b/laddergw/platform/director.py
@@ -100,6 +100,8 @@
                 node.lose("started anew")
                 node.since = member.since
             node.gone = False
+            if node.member.state != member.state or node.member is member:
+                log.debug("node %s: %s at event %d", node.id, member.state, event.number)
             if member.state == "DELETED":
                 self.nodes.is_gone(node)
             if member.state != "SERVING":
--- a/laddergw/platform/nodes.py
+++ b/laddergw/platform/nodes.py
@@ -56,8 +56,8 @@
             raise rtsp.Malformed("an answer to what has not left yet")   # believed, the rest would leave all the same
         if message.method:
             return self.fleet.told(self, connection, message)
-        if message.sequence == "2" and message.status:
-            connection.said.pop(message.session, None)
+        if message.sequence == "2" and message.status and connection.said.pop(message.session, None):
+            log.debug("%s: release heard by node %s", message.session, self.id)
         if message.target == "" and connection.test == message.session:
             connection.test = None
         elif message.session in connection.plays and message.status >= 200 and message.sequence == "1":
--- a/laddergw/platform/viewers.py
+++ b/laddergw/platform/viewers.py
@@ -24,9 +24,14 @@
         self.listener, self.reader, self.plays, self.spoke, self.proven = listener, binary.Reader(), {}, False, False
         self.since = self.used = listener.loop.now
         self.half = None                     # since when a message has begun and not ended
+        self.name = listener.next_name()
+
+    def __str__(self) -> str:
+        return self.name
 
     def opened(self, stream) -> None:
         self.stream = stream
+        log.debug("%s: opened by %s", self, stream.peer)
         self.listener.come(self)
 
     def emptied(self, stream) -> None:
@@ -58,11 +63,14 @@
     def close(self, why: str) -> None:
         if self.stream is not None:
             self.listener.admission.count("closed: " + why.partition(" of ")[0])
-            log.debug("viewers' connection closed: %s; %.0f ms old, idle %.0f", why, self.listener.loop.now - self.since, self.listener.loop.now - self.used)
+            log.debug("%s: closed by us: %s; %.0f ms old, idle %.0f, %d set-ups open", self, why, self.listener.loop.now - self.since,
+                      self.listener.loop.now - self.used, len(self.plays))
             self.stream.abort() if self.stream.queued else self.stream.close()   # who does not read would hold it open
 
     def closed(self, stream, why: str | None) -> None:
         self.stream = None
+        log.debug("%s: ends: %s; %d set-ups open", self, why or "closed by its peer or by us", len(self.plays))
+        self.listener.admission.count("viewers' connections ended: " + (why or "in good order"))
         self.listener.leave(self)
         for ply in list(self.plays.values()):
             self.listener.admission.given_up(ply)
@@ -75,9 +83,15 @@
         self.loop, self.admission, self.most = loop, admission, most
         self.viewers: dict[Viewer, None] = {}        # oldest first
         self.unheard: dict[str, tuple[Viewer | None, bytes, float]] = {}   # releases: where they went, until when to keep them
+        self.names = 0
         self.accepting = loop.listen(address, lambda stream: Viewer(self))
         loop.after(LOOK_MS, self.look)
 
+    def next_name(self) -> str:
+        """Of a viewers' connection, for the log."""
+        self.names += 1
+        return f"viewers' connection {self.names}"
+
     def come(self, viewer: Viewer) -> None:
         self.viewers[viewer] = None
         self.make_room(viewer)
@@ -130,6 +144,8 @@
             elif not viewer.spoke and now - viewer.since >= SPEAK_MS:    # who spoke has its answers, and may be speaking again
                 viewer.close("nothing of use")
         for session in [session for session, (_, _, until) in self.unheard.items() if now >= until]:
+            log.info("%s: its release was never heard, on %s", session, self.unheard[session][0] or "no connection")
+            self.admission.count("releases never heard")
             del self.unheard[session]
 
     def way_to(self, first: Viewer | None) -> Viewer | None:
@@ -146,12 +162,16 @@
     def pass_on(self, first: Viewer | None, session: str, data: bytes, until: float) -> None:
         viewer = self.way_to(first)
         self.unheard[session] = viewer, data, until
+        log.debug("%s: release to its viewer on %s", session, viewer or "the next connection that brings a play")
+        self.admission.count("releases sent" if viewer is not None else "releases that wait")
         if viewer is not None:
             viewer.used = self.loop.now
             viewer.stream.write(data)
 
     def heard(self, session: str) -> None:
-        self.unheard.pop(session, None)
+        if self.unheard.pop(session, None) is not None:
+            log.debug("%s: release heard by its viewer", session)
+            self.admission.count("releases heard")
 
     def again(self, lost: Callable[[Viewer | None], bool], first: Viewer | None = None) -> None:
         """What went out on a connection that has ended, or found none that is proven, goes on another."""
