--- /dev/null
+++ b/tests/test_lost_requests.py
@@ -0,0 +1,75 @@
+"""Requests that were lost under faults: a real director as a process, the fault's order forced by its peers."""
+import unittest
+
+from laddergw.signalling import binary
+from tests.director_process import DirectorProcess, name_of
+from tests.platform_town import answer, release, set_up
+
+RELEASED_S = 1.0           # what stood and is over: its viewer's release comes so long after its node's, by the protocol page
+SLACK_S = 0.05             # each of the protocol's time limits grows by this
+
+
+class LostRequests(unittest.TestCase):
+    def setUp(self):
+        self.town = DirectorProcess(self)
+
+    def plays(self, viewer, session):
+        """A play that stands at the node: the node's end of its connection."""
+        side = self.town.set_up(viewer, session)
+        side.write(answer(name_of(session)))
+        self.town.hears(viewer, binary.ANSWER, session)
+        return side
+
+    # Guards against a play that stands for ever because its node's release overtook its node's answer on another connection.
+    def test_a_release_that_overtakes_its_answer_on_another_connection(self):
+        viewer = self.town.viewer()
+        first = self.town.set_up(viewer, 1)
+        second = self.town.set_up(viewer, 2)
+        self.assertIsNot(first, second)
+        second.write(release(1, 16))
+        self.town.acknowledged(second, 1)
+        first.write(answer(name_of(1)))
+        self.town.hears(viewer, binary.RELEASE, 1, RELEASED_S + SLACK_S)
+
+    # Guards against a release that waits although a viewer that was declined has an open connection to carry it.
+    def test_a_release_goes_to_a_viewer_that_is_declined(self):
+        first = self.town.viewer()
+        side = self.plays(first, 1)
+        first.close()
+        side.write(release(1, 16))
+        self.town.acknowledged(side, 1)
+        second = self.town.viewer()
+        second.write(set_up(2))
+        self.town.hears(second, binary.RELEASE, 1, RELEASED_S + SLACK_S)
+
+    # Guards against a play that stands for ever because a reset took its node's release along while another connection was up.
+    def test_a_release_that_a_reset_took_along_comes_on_a_new_connection(self):
+        viewer = self.town.viewer()
+        first, second = self.town.set_up(viewer, 1), self.town.set_up(viewer, 2)
+        for session, side in (1, first), (2, second):
+            side.write(answer(name_of(session)))
+            self.town.hears(viewer, binary.ANSWER, session)
+        first.reset()
+        node, known = self.town.nodes["a"], len(self.town.nodes["a"].connections)
+        self.town.wait(lambda: len(node.connections) > known, "a new connection to the node", RELEASED_S + SLACK_S)
+        node.connections[-1].write(release(1, 16))
+        self.town.hears(viewer, binary.RELEASE, 1, RELEASED_S + SLACK_S)
+
+    # Guards against passing on a description cut short by a wrong length whose rest comes in another segment.
+    def test_an_answer_whose_length_is_too_short_in_two_segments(self):
+        viewer = self.town.viewer()
+        first, second = self.town.set_up(viewer, 1), self.town.set_up(viewer, 2)
+        whole = answer(name_of(1), body=b"v=0\r\no=abc\r\n").replace(b"Content-Length: 12", b"Content-Length: 5")
+        end = whole.index(b"v=0") + 5
+        first.write(whole[:end])
+        for unknown in 8, 9:                           # the second is read in a later turn than the first segment
+            second.write(release(unknown, 16))
+            self.town.acknowledged(second, unknown)
+        first.write(whole[end:])
+        second.write(answer(name_of(2)))
+        self.town.hears(viewer, binary.ANSWER, 2)
+        self.assertEqual([m for m in viewer.heard if (m.kind, m.session) == (binary.ANSWER, name_of(1))], [])
+
+
+if __name__ == "__main__":
+    unittest.main()
