A node's release that overtakes its answer on another connection ends the set-up

Callers saw: a session that stays up after its media node has ended it; no release ever comes (rule lost). Cause: Allocating.told looked for a session among those that stand at the node and those whose set-up is open on the very connection that brought the release. A node says its release on any connection. Read before the answer, it found nobody, was acknowledged with 200, and the node never said it again; then the answer made the session stand for good. Why it works: sessions are looked up by their node, whatever connection speaks. Where the set-up has left on another connection it is given up there as after a time-out, so the answer that is on its way belongs to nobody; the module hears that it may have run.

--- a/laddergw/platform/allocating.py
+++ b/laddergw/platform/allocating.py
@@ -72,23 +72,31 @@
 
     def told(self, node: Node, connection: Connection, message: rtsp.Message) -> None:
         """A media node speaks of a play: a note, or its release."""
-        ply = node.held.get(message.session) or connection.plays.get(message.session)
+        ply = node.held.get(message.session) or node.open.get(message.session)
         if message.method == "TEARDOWN":
             connection.stream.write(rtsp.answer(200, "OK", message.sequence or "2", message.session))
             if ply is None:
-                log.debug("%s: released by node %s on %s, held by nobody%s", message.session, node.id, connection,
-                          ", its set-up is open on another connection" if message.session in node.open else "")
+                log.debug("%s: released by node %s on %s, held by nobody", message.session, node.id, connection)
                 self.count("released by its node, held by nobody")
             else:
-                cause = message.headers.get("reason", "").removeprefix("cause=")
-                log.debug("%s.%d: released by its node, cause %s", ply.session, ply.number, cause[:8])
-                state = life.HELD if ply.stands else connection.state(ply.session)
-                self.ended(ply, state, life.end(int(cause) if cause.isdigit() else 0), self.report(message))
+                self.released(ply, connection, message)
         elif message.method == "ANNOUNCE" and ply is not None and ply.stands:
             kind, value = NOTES.get(message.headers.get("x-note", "")), message.headers.get("figure", "")
             if kind is not None and requests.FIGURE.fullmatch(value):
                 self.director.feed(self.director.controller.note, self.director.loop.now, ply.id, node.number, kind, float(value))
 
+    def released(self, ply: Play, connection: Connection, message: rtsp.Message) -> None:
+        """A media node has released a play, or one whose set-up is open: on any connection, so maybe before its answer is read."""
+        cause = message.headers.get("reason", "").removeprefix("cause=")
+        log.debug("%s.%d: released by its node on %s, cause %s", ply.session, ply.number, connection, cause[:8])
+        fact, report = life.end(int(cause) if cause.isdigit() else 0), self.report(message)
+        if ply.stands:
+            self.ended(ply, life.HELD, fact, report)
+        elif ply.connection is connection:
+            self.ended(ply, connection.state(ply.session), fact, report)
+        elif ply.connection.state(ply.session) == life.OUT:
+            self.drop_set_up(ply, fact, report)        # an answer that is still on its way belongs to nobody
+
     def late(self, ply: Play) -> None:
         """The module's time-out for this allocation."""
         ply.timer = None
@@ -101,7 +109,7 @@
         elif ply.untold is not None:
             self.tell(ply)
 
-    def drop_set_up(self, ply: Play, fact: str) -> None:
+    def drop_set_up(self, ply: Play, fact: str, report: tuple = ()) -> None:
         """Gives a set-up up. Its connection ends too: what may still come on it belongs to nobody. While its node's system has not
         all of what left, the connection is cut off, or a node that stood still or was away would begin it when it is back."""
         connection = ply.connection
@@ -117,7 +125,7 @@
             connection.node.renew()
         elif state == life.OUT:                      # others share it
             self.director.loop.after(ARRIVE_MS, lambda: connection.cut_unless_arrived(end))
-        self.ended(ply, state, fact)
+        self.ended(ply, state, fact, report)
 
     def ended(self, ply: Play, state: str, fact: str, report: tuple = ()) -> None:
         """An allocation has ended; the module is told, and a viewer whose play stood."""
