A release without a connection leaves on the first one that asks for a play

Callers saw: a session that is over for its media node and for us, and its release does not come while the viewer's front has an open connection to us (rule lost: 1 s where it can be sent). Cause: a release that finds no connection waited for one that is proven, by a play that stands on it. A front whose next request is declined, or waits for its node, never proves its connection, and with 200 directors the next play can be seconds away. Sending to one that has merely asked was allowed already, but was looked at only when a release was made. Why it works: a connection's first request for a play takes along what has no carrier; it goes again once a connection is proven, as before. Testers and silent connections still carry nothing. The kept releases are a module of their own (releases.py), typed.

--- a/laddergw/platform/admission.py
+++ b/laddergw/platform/admission.py
@@ -33,7 +33,7 @@
         elif message.kind == binary.TEST:
             viewer.write(binary.TESTED, message.session, (binary.CAUSE, bytes([self.director.stopping is None])))
         elif message.kind == binary.HEARD:
-            self.director.listener.heard(message.session)
+            self.director.listener.releases.acknowledged(message.session)
         elif message.kind != binary.PROGRESS:
             viewer.close("a director's message")
 
@@ -48,7 +48,7 @@
             if self.director.counts["unusable"] <= TOLD_MOST:
                 log.info("%s: refused on %s, unusable: %s", session, viewer, error)
             return viewer.refuse(session)
-        viewer.spoke = True
+        self.director.listener.spoke(viewer)
         if request.at:
             return self.handed_over(viewer, session, request)
         if self.director.broken or self.director.stopping is not None or len(viewer.plays) >= OPEN_MOST:
--- a/laddergw/platform/director.py
+++ b/laddergw/platform/director.py
@@ -146,7 +146,7 @@
     def leave(self, latest: float) -> None:
         """Ends the process once what it has said is heard: a connection that ends with something unread takes that along."""
         self.leaving = True
-        if (self.listener.unheard or self.nodes.unsent()) and self.loop.now < latest:
+        if (self.listener.releases or self.nodes.unsent()) and self.loop.now < latest:
             self.loop.after(HEAR_LOOK_MS, lambda: self.leave(latest))
         else:
             self.follower.stop()
@@ -172,7 +172,7 @@
     def turn_ends(self) -> None:
         self.admission.take_in()
         self.decide()
-        idle = not (self.open or self.standing or self.listener.unheard or self.leaving)
+        idle = not (self.open or self.standing or self.listener.releases or self.leaving)
         if self.stopping is not None and idle and self.loop.now - self.stopping >= STOP_LEAST_MS:
             self.leave(self.loop.now + HEAR_MS)
 
--- /dev/null
+++ b/laddergw/platform/releases.py
@@ -0,0 +1,82 @@
+"""Keeps the releases that viewers have not acknowledged, and which connection carries each.
+
+A release is sent again where its connection ends before its viewer has said that it heard it. A connection on which a play has
+stood is preferred; one that has asked for a play is used until there is such a one.
+"""
+import logging
+from typing import TYPE_CHECKING, Callable, Iterable, NamedTuple
+
+if TYPE_CHECKING:
+    from laddergw.platform.viewers import Viewer
+
+KEPT_MS = 8_000.0          # a release that nobody has acknowledged for so long is given up: what stood counts as lost by then
+
+log = logging.getLogger("laddergw.platform")
+
+
+class Pending(NamedTuple):
+    """A release that is not acknowledged. `carrier`: the connection that it was written to last, or None while there is none."""
+    carrier: "Viewer | None"
+    data: bytes
+    until: float             # ms of the loop's clock
+
+
+class Releases:
+    """Releases on their way to viewers, by session. `viewers`: all connections; `count(what)` adds to the director's counts."""
+
+    def __init__(self, loop, viewers: Iterable["Viewer"], count: Callable[[str], None]):
+        self.loop, self.viewers, self.count = loop, viewers, count
+        self.pending: dict[str, Pending] = {}
+
+    def __bool__(self) -> bool:
+        """Whether any is not acknowledged yet."""
+        return bool(self.pending)
+
+    def send(self, preferred: "Viewer | None", session: str, data: bytes) -> None:
+        """Sends a release, by `preferred` while that connection is open, and keeps it until its viewer acknowledges it."""
+        self.write(preferred, session, data, self.loop.now + KEPT_MS)
+
+    def write(self, preferred: "Viewer | None", session: str, data: bytes, until: float) -> None:
+        carrier = self.carrier_for(preferred)
+        self.pending[session] = Pending(carrier, data, until)
+        log.debug("%s: release to its viewer on %s", session, carrier or "the next connection that asks for a play")
+        self.count("releases sent" if carrier is not None else "releases that wait")
+        if carrier is not None:
+            carrier.used = self.loop.now
+            carrier.stream.write(data)
+
+    def carrier_for(self, preferred: "Viewer | None") -> "Viewer | None":
+        """The connection that a play came on, else the last used that is proven, else the last used that asked for a play."""
+        if preferred is not None and preferred.stream is not None:
+            return preferred
+        able = [viewer for viewer in self.viewers if viewer.spoke and viewer.stream is not None]
+        return max(able, key=lambda viewer: (viewer.proven, viewer.used), default=None)
+
+    def acknowledged(self, session: str) -> None:
+        if self.pending.pop(session, None) is not None:
+            log.debug("%s: release heard by its viewer", session)
+            self.count("releases heard")
+
+    def connection_ended(self, viewer: "Viewer") -> None:
+        """What it carried goes on another connection."""
+        self.send_again(lambda carrier: carrier is viewer)
+
+    def connection_spoke(self, viewer: "Viewer") -> None:
+        """It has asked for a play for the first time: it carries what has no connection yet."""
+        self.send_again(lambda carrier: carrier is None, viewer)
+
+    def connection_proven(self, viewer: "Viewer") -> None:
+        """A play stands by it: it carries what went to connections that showed less."""
+        if viewer.stream is not None:
+            self.send_again(lambda carrier: carrier is None or not carrier.proven, viewer)
+
+    def send_again(self, affected: Callable[["Viewer | None"], bool], preferred: "Viewer | None" = None) -> None:
+        for session, release in [entry for entry in self.pending.items() if affected(entry[1].carrier)]:
+            self.count("releases sent again")
+            self.write(preferred, session, release.data, release.until)
+
+    def forget_old(self) -> None:
+        for session in [session for session, release in self.pending.items() if self.loop.now >= release.until]:
+            release = self.pending.pop(session)
+            log.info("%s: its release was never heard, on %s", session, release.carrier or "no connection")
+            self.count("releases never heard")
--- a/laddergw/platform/viewers.py
+++ b/laddergw/platform/viewers.py
@@ -1,7 +1,7 @@
 """The viewers' side: connections, their messages, and bounds against those who say nothing or too much."""
 import logging
-from typing import Callable
 
+from laddergw.platform.releases import Releases
 from laddergw.signalling import binary
 
 SPEAK_MS = 2_000.0         # an unproven connection with nothing open, or half a message, is closed after this: 3 s are allowed
@@ -11,7 +11,6 @@
 UNSENT_MOST = 256 * 1024   # bytes that wait for a peer that does not read
 REFUSED_HERE = 95          # cause for what cannot be used: trying it again helps nobody
 READS_LAST = 64            # of one connection at the process's end, 64 KB each: as much as its system may hold, and no peer reads on for ever
-GONE_MS = 8_000.0          # a release that nobody has heard for so long is given up
 
 log = logging.getLogger("laddergw.platform")
 
@@ -82,7 +81,7 @@
     def __init__(self, loop, admission, address: tuple[str, int], most: int):
         self.loop, self.admission, self.most = loop, admission, most
         self.viewers: dict[Viewer, None] = {}        # oldest first
-        self.unheard: dict[str, tuple[Viewer | None, bytes, float]] = {}   # releases: where they went, until when to keep them
+        self.releases = Releases(loop, self.viewers, admission.count)
         self.names = 0
         self.accepting = loop.listen(address, lambda stream: Viewer(self))
         loop.after(LOOK_MS, self.look)
@@ -133,7 +132,7 @@
 
     def leave(self, viewer: Viewer) -> None:
         self.viewers.pop(viewer, None)
-        self.again(lambda carrier: carrier is viewer)
+        self.releases.connection_ended(viewer)
 
     def look(self) -> None:
         self.loop.after(LOOK_MS, self.look)
@@ -143,43 +142,19 @@
                 viewer.close("half a message")
             elif not viewer.spoke and now - viewer.since >= SPEAK_MS:    # who spoke has its answers, and may be speaking again
                 viewer.close("nothing of use")
-        for session in [session for session, (_, _, until) in self.unheard.items() if now >= until]:
-            log.info("%s: its release was never heard, on %s", session, self.unheard[session][0] or "no connection")
-            self.admission.count("releases never heard")
-            del self.unheard[session]
-
-    def way_to(self, first: Viewer | None) -> Viewer | None:
-        """A connection for what ends a play: the one it came on, else the last used that is proven, else that spoke."""
-        if first is not None and first.stream is not None:
-            return first
-        spoke = [v for v in self.viewers if v.spoke and v.stream is not None]
-        return max(spoke, key=lambda v: (v.proven, v.used), default=None)
-
-    def send(self, first: Viewer | None, kind: int, session: str, *parameters: tuple[int, bytes]) -> None:
-        """What ends a play, until its viewer has said that it heard it: a connection may end with it unread."""
-        self.pass_on(first, session, binary.encode(kind, session, *parameters), self.loop.now + GONE_MS)
-
-    def pass_on(self, first: Viewer | None, session: str, data: bytes, until: float) -> None:
-        viewer = self.way_to(first)
-        self.unheard[session] = viewer, data, until
-        log.debug("%s: release to its viewer on %s", session, viewer or "the next connection that brings a play")
-        self.admission.count("releases sent" if viewer is not None else "releases that wait")
-        if viewer is not None:
-            viewer.used = self.loop.now
-            viewer.stream.write(data)
-
-    def heard(self, session: str) -> None:
-        if self.unheard.pop(session, None) is not None:
-            log.debug("%s: release heard by its viewer", session)
-            self.admission.count("releases heard")
-
-    def again(self, lost: Callable[[Viewer | None], bool], first: Viewer | None = None) -> None:
-        """What went out on a connection that has ended, or found none that is proven, goes on another."""
-        for session, (_, data, until) in [entry for entry in self.unheard.items() if lost(entry[1][0])]:
-            self.admission.count("told again")
-            self.pass_on(first, session, data, until)
+        self.releases.forget_old()
+
+    def send(self, preferred: Viewer | None, kind: int, session: str, *parameters: tuple[int, bytes]) -> None:
+        """What ends a play, until its viewer has acknowledged it: a connection may end with it unread."""
+        self.releases.send(preferred, session, binary.encode(kind, session, *parameters))
+
+    def spoke(self, viewer: Viewer) -> None:
+        """It has asked for a play."""
+        if not viewer.spoke:
+            viewer.spoke = True
+            self.releases.connection_spoke(viewer)
 
     def prove(self, viewer: Viewer) -> None:
+        """A play stands by it."""
         viewer.spoke = viewer.proven = True
-        if viewer.stream is not None:
-            self.again(lambda carrier: carrier is None or not carrier.proven, viewer)
+        self.releases.connection_proven(viewer)
--- a/tests/test_orders_stopping.py
+++ b/tests/test_orders_stopping.py
@@ -108,7 +108,7 @@
         self.town.until(viewer.hear)
         line.close()
         self.town.director.stop()
-        self.in_the_last_turn(lambda: self.town.director.listener.heard(message.session))
+        self.in_the_last_turn(lambda: self.town.director.listener.releases.acknowledged(message.session))
         say, node = self.town.director.allocating.say, self.town.director.nodes.by_id["a"]
 
         def told(where, data, *ends):
--- a/tests/test_platform_viewers.py
+++ b/tests/test_platform_viewers.py
@@ -80,7 +80,7 @@
         town.run(10)
         first.stream.abort()
         town.run(10)
-        town.lines.append("# no connection is left: it waits for the next that brings a play, not for one that says nothing")
+        town.lines.append("# no connection is left: it waits for the next that asks for a play, not for one that says nothing")
         town.sides["second"].stream.abort()
         town.run(10)
         side.stream.write(release(3, 16))
@@ -91,7 +91,7 @@
         town.run(50)
         self.same("platform_heard", town)
         town.run(8500)
-        self.assertEqual(len(town.director.listener.unheard), 0)
+        self.assertEqual(len(town.director.listener.releases.pending), 0)
 
     def test_floods(self):
         """Hundreds of silent connections, and hundreds of set-ups on one: bounded, and others are served."""
