A node hears of a play's end on its other connection where a reset took the word along

Callers saw: a media node goes on with a session whose viewer has left, for as long as no new connection to it is opened. Cause: Connection.end put what may have been lost among the words for the next connection that opens; while another one is up none is opened for them. Evidence: tests/test_lost_requests.py, two plays on two connections, the TEARDOWN of one unread as its connection is reset. Before: AssertionError: in 1.05 s not seen: TEARDOWN of session 1 at node a. Why it works: it is said like any other word, on a connection that is up, else on the next one. The time for which it is told again is kept.

--- a/laddergw/platform/connection.py
+++ b/laddergw/platform/connection.py
@@ -118,11 +118,12 @@
         if self in self.node.connections:
             log.debug("node %s: %s ends, what was open on it as %s; %d releases go again", self.node.id, self, fact, len(self.said))
             self.node.fleet.count("connections to nodes ended: " + fact)
-            # It may have taken along what was said on it last: that goes on the next one
-            self.node.words += [(data, ends, until) for ends, (data, until) in self.said.items() if until > self.loop.now]
             self.leave()
             plays = [(ply, self.settle(session)) for session, ply in list(self.plays.items())]
             self.stream.abort()
+            for ends, (data, until) in self.said.items():      # it may have taken along what was said on it last
+                if until > self.loop.now:
+                    self.node.fleet.say(self.node, data, ends, until)
             for ply, state in plays:
                 self.node.fleet.ended(ply, state, fact)
 
--- a/laddergw/platform/nodes.py
+++ b/laddergw/platform/nodes.py
@@ -133,11 +133,11 @@
         oldest.close()
         return True
 
-    def say(self, node: Node, data: bytes, ends: str = "") -> None:
+    def say(self, node: Node, data: bytes, ends: str = "", until: float | None = None) -> None:
         """On any connection that is up, or on the next that opens; one is opened past the bound too: what ends a play must leave."""
         up = [connection for connection in node.connections if connection.up]
         connection = next((connection for connection in up if not connection.plays), None) or next(iter(up), None)
-        word = data, ends, self.loop.now + AGAIN_MS
+        word = data, ends, self.loop.now + AGAIN_MS if until is None else until
         if connection is not None:
             connection.say(*word)
         elif not node.gone:
--- a/tests/director_process.py
+++ b/tests/director_process.py
@@ -34,7 +34,7 @@
         test.addCleanup(folder.cleanup)
         self.change_log = socket.create_server(("127.0.0.1", 0))
         known = [member(name, node.port, cell=cell) | {"host_port": f"127.0.0.1:{node.port}"} for cell, (name, node) in enumerate(self.nodes.items())]
-        self.running = Running(pathlib.Path(folder.name), "n0", self.change_log.getsockname()[1],
+        self.running = Running(pathlib.Path(folder.name), "n0", self.change_log.getsockname()[1], log_level="DEBUG",
                                known={"seq": 1, "results": [event(1, *known, whole=True)]}, **changes)
         test.addCleanup(self.close)
         os.set_blocking(self.running.process.stderr.fileno(), False)
--- a/tests/sockets_town.py
+++ b/tests/sockets_town.py
@@ -17,6 +17,7 @@
 from tests.platform_town import answer, event, member, release, set_up, tree
 
 PATIENCE_S = 20.0          # of the test, for what is to come
+QUEUE_FULL_S = 0.05        # a connection on loopback that is not up after this waits for room in its listener's queue
 POLL_END = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
@@ -65,13 +66,32 @@
     def __init__(self, name):
         self.name, self.sock = name, socket.create_server(("127.0.0.1", 0))
         self.sock.setblocking(False)
-        self.port, self.connections = self.sock.getsockname()[1], []
+        self.port, self.connections, self.waiting = self.sock.getsockname()[1], [], []
 
     def accept(self):
+        if self.waiting:
+            return
         with contextlib.suppress(BlockingIOError):
             while True:
                 self.connections.append(Peer(self.sock.accept()[0], rtsp.Reader()))
 
+    def stop_accepting(self):
+        """From now on connections to it stay on their way: the queue of those that wait to be accepted is full."""
+        self.sock.listen(0)
+        self.accept()
+        while not self.waiting or select.select([], [self.waiting[-1]], [], QUEUE_FULL_S)[1]:
+            self.waiting.append(socket.socket())
+            self.waiting[-1].setblocking(False)
+            self.waiting[-1].connect_ex(("127.0.0.1", self.port))
+
+    def accept_again(self):
+        """Takes all that wait; the system brings up what is on its way when it tries next."""
+        for sock in self.waiting:
+            sock.close()
+        self.waiting = []
+        self.sock.listen(128)
+        self.accept()
+
     def hear(self):
         """(line, message) of what came, requests and answers."""
         self.accept()
--- a/tests/test_lost_requests.py
+++ b/tests/test_lost_requests.py
@@ -45,16 +45,30 @@
     # Guards against a play that stands for ever because a reset took its node's release along while another connection was up.
     def test_a_release_that_a_reset_took_along_comes_on_a_new_connection(self):
         viewer = self.town.viewer()
-        first, second = self.town.set_up(viewer, 1), self.town.set_up(viewer, 2)
-        for session, side in (1, first), (2, second):
-            side.write(answer(name_of(session)))
-            self.town.hears(viewer, binary.ANSWER, session)
+        first, _ = self.both_play(viewer)
         first.reset()
         node, known = self.town.nodes["a"], len(self.town.nodes["a"].connections)
         self.town.wait(lambda: len(node.connections) > known, "a new connection to the node", RELEASED_S + SLACK_S)
         node.connections[-1].write(release(1, 16))
         self.town.hears(viewer, binary.RELEASE, 1, RELEASED_S + SLACK_S)
 
+    def both_play(self, viewer):
+        """Two plays that stand, on two connections of the node."""
+        first, second = self.town.set_up(viewer, 1), self.town.set_up(viewer, 2)
+        for session, side in (1, first), (2, second):
+            side.write(answer(name_of(session)))
+            self.town.hears(viewer, binary.ANSWER, session)
+        return first, second
+
+    # Guards against a node that is never told of a play's end because a reset took the word along while another connection was up.
+    def test_a_teardown_that_a_reset_took_along_goes_on_the_other_connection(self):
+        viewer = self.town.viewer()
+        self.both_play(viewer)
+        viewer.write(binary.encode(binary.RELEASE, name_of(1), (binary.CAUSE, b"\x10")))
+        side, _ = self.town.asked("a", "TEARDOWN", 1)
+        side.reset()
+        self.town.asked("a", "TEARDOWN", 1, RELEASED_S + SLACK_S)
+
     # Guards against passing on a description cut short by a wrong length whose rest comes in another segment.
     def test_an_answer_whose_length_is_too_short_in_two_segments(self):
         viewer = self.town.viewer()
--- a/tests/test_platform_start.py
+++ b/tests/test_platform_start.py
@@ -69,14 +69,14 @@
 class Running:
     """One director by the deploy file's own line, its log read as it comes."""
 
-    def __init__(self, folder, name, log_port=4001, descriptors=None, **changes):
+    def __init__(self, folder, name, log_port=4001, descriptors=None, log_level="INFO", **changes):
         self.name, self.path, self.log, self.at = name, folder / f"{name}.json", "", None
         self.held = held_port()
         self.port = self.held.getsockname()[1]
         self.write(log_port, **changes)
         run = (f"ulimit -n {descriptors}; " if descriptors else "") + RUN.replace(".venv/bin/python", sys.executable)
         self.process = subprocess.Popen(["/bin/sh", "-c", run], cwd=ROOT, stdin=subprocess.DEVNULL, stderr=subprocess.PIPE,
-                                        env=os.environ | {"PROXY_CONFIG": str(self.path), "PYTHONDONTWRITEBYTECODE": "1"})
+                                        env=os.environ | {"PROXY_CONFIG": str(self.path), "PYTHONDONTWRITEBYTECODE": "1", "LADDERGW_LOG": log_level})
 
     def write(self, log_port, **changes):
         """A new file in place of the old one, whole at once."""
