Connections that come up late end no plays of a node that answers on another

Callers saw: sessions released as broken though their media node plays them; the node goes on with them, told by nobody. Cause: two dials in a row that do not come up counted as the node's end, whatever else is up, and each waited only as long as a set-up's dial may (250 ms in the users' settings) where connections come up as late as 1 s. Evidence: tests/test_lost_requests.py, two set-ups dial into a full accept queue beside a play that stands on an open connection. Why it works: silence counts where no connection is left, up or coming up; a dial that only holds plays waits for 1 s and carries no set-up once a set-up's own wait is over.

--- a/laddergw/platform/connection.py
+++ b/laddergw/platform/connection.py
@@ -15,14 +15,14 @@
 class Connection:
     """See the module."""
 
-    def __init__(self, node: "Node"):
+    def __init__(self, node: "Node", limit_ms: float):
         self.node, self.loop, self.reader, self.up, self.test = node, node.fleet.loop, rtsp.Reader(), False, None
         self.since = self.used = self.loop.now
         self.plays: dict[str, Any] = {}      # whose set-ups are open on it
         self.ends: dict[str, int] = {}       # where in the stream each of their set-ups ends
         self.set_ups: dict[str, bytes] = {}
         self.said: dict[str, tuple[bytes, float]] = {}   # releases that it has not told to have heard, and until when they are told again
-        self.stream = self.loop.dial(node.address, self, node.fleet.connect_ms)
+        self.stream = self.loop.dial(node.address, self, limit_ms)
 
     def __str__(self) -> str:
         stream = self.stream
--- a/laddergw/platform/nodes.py
+++ b/laddergw/platform/nodes.py
@@ -17,7 +17,8 @@
 LOOK_MS = 500.0            # pace of looking after nodes that hold plays
 QUIET_MS = 1_500.0         # what a node says proves that it lives; so long after its last word it is tested. With a look (each LOOK_MS), the
 TEST_MS = 1_000.0          # test (it passes at once: unanswered for so long its connection is dead), another look
-SILENCES = 2               # and so many connections in a row that never come up, a machine is found gone within some 4 s, half of the 8
+SILENCES = 2               # and so many connections in a row that never come up, a machine is found gone within 6 s of the 8
+HOLD_DIAL_MS = 1_000.0     # wait for a connection that carries no set-up: a late one still brings what its node has to tell
 
 log = logging.getLogger("laddergw.platform")
 
@@ -33,8 +34,8 @@
         self.open: dict[str, Any] = {}       # plays whose set-up is open there
         self.words: list[tuple[bytes, str, float]] = []   # what waits for a connection to be said (Connection.say)
 
-    def dial(self) -> Connection:
-        connection = Connection(self)
+    def dial(self, limit_ms: float = HOLD_DIAL_MS) -> Connection:
+        connection = Connection(self, limit_ms)
         self.connections.append(connection)
         return connection
 
@@ -44,13 +45,16 @@
         idle_ms = self.fleet.idle_ms
         fresh_ms = max(idle_ms - IDLE_LESS_MS, idle_ms / 2)
         idle = [one for one in self.connections if not one.plays and one.loop.now - one.used < fresh_ms]
-        up = [one for one in idle if one.up and one.test is None] or [one for one in idle if one.up or self.silent == 0]
+        up = [one for one in idle if one.up and one.test is None] or [one for one in idle if one.up or self.soon_up(one)]
         if up:
             return up[0]
         if self.fleet.room(of_held=not self.connections):
-            return self.dial()
+            return self.dial(self.fleet.connect_ms)
         return min(self.connections, key=lambda connection: len(connection.plays), default=None)
 
+    def soon_up(self, connection: Connection) -> bool:
+        return self.silent == 0 and connection.loop.now - connection.since < self.fleet.connect_ms
+
     def said(self, connection: Connection, message: rtsp.Message) -> None:
         if message.session in connection.plays and connection.state(message.session) == life.UNSENT:
             raise rtsp.Malformed("an answer to what has not left yet")   # believed, the rest would leave all the same
@@ -70,7 +74,7 @@
         self.fleet.let_speak(1)
         if not connection.up:
             self.silent += why != REFUSED
-            if why == REFUSED or self.silent >= SILENCES:
+            if why == REFUSED or (self.silent >= SILENCES and not self.connections):
                 return self.lose(why)
         if self.held and not self.connections:
             self.dial() if not self.gone else self.lose("gone from the list")
--- a/tests/test_lost_requests.py
+++ b/tests/test_lost_requests.py
@@ -60,6 +60,19 @@
             self.town.hears(viewer, binary.ANSWER, session)
         return first, second
 
+    # Guards against plays that are told as lost because two connections in a row came up late, though their node answers on another.
+    def test_connections_that_come_up_late_end_no_plays_of_a_node_that_answers(self):
+        viewer, node = self.town.viewer(), self.town.nodes["a"]
+        self.plays(viewer, 1)
+        side = self.town.set_up(viewer, 2, product="paid", patience="6000")      # one connection is up, and busy
+        node.stop_accepting()
+        viewer.write(set_up(3) + set_up(4))
+        for session in 3, 4:
+            self.town.hears(viewer, binary.RELEASE, session)
+        side.write(answer(name_of(2)))
+        self.town.hears(viewer, binary.ANSWER, 2)
+        self.assertEqual([m for m in viewer.heard if m.session == name_of(1)], [])
+
     # Guards against a node that is never told of a play's end because a reset took the word along while another connection was up.
     def test_a_teardown_that_a_reset_took_along_goes_on_the_other_connection(self):
         viewer = self.town.viewer()
