A connection that may have taken a node's release along is made again, until one comes up

Callers saw: a session that stands for good after its media node has ended it (rule lost). After a reset we opened one only where no other was left; and one that we opened after a close of ours, and that did not come up, was not tried again while another was up. Evidence: tests/test_lost_requests.py on a real process: two connections up, one is reset; a new connection that does not come up at first (full accept queue). Why it works: the node owes us a connection from then on, until one opens or nothing stands there; each end of a dial and each look (500 ms) tries again, within the bound.

--- a/laddergw/platform/connection.py
+++ b/laddergw/platform/connection.py
@@ -29,7 +29,7 @@
         return f"connection {id(self):x} ({'up' if self.up else 'coming up'}, {stream.taken} of {stream.asked} bytes gone, {len(self.plays)} set-ups)"
 
     def opened(self, stream) -> None:
-        self.up = True
+        self.up, self.node.owes_connection = True, False
         log.debug("node %s: %s opened after %.0f ms", self.node.id, self, self.loop.now - self.since)
         self.speaks()
         words, self.node.words = self.node.words, []
--- a/laddergw/platform/nodes.py
+++ b/laddergw/platform/nodes.py
@@ -33,12 +33,20 @@
         self.held: dict[str, Any] = {}       # plays that stand there
         self.open: dict[str, Any] = {}       # plays whose set-up is open there
         self.words: list[tuple[bytes, str, float]] = []   # what waits for a connection to be said (Connection.say)
+        self.owes_connection = False         # one has ended that may have taken along what the node said: it says that again on a new one
 
     def dial(self, limit_ms: float = HOLD_DIAL_MS) -> Connection:
         connection = Connection(self, limit_ms)
         self.connections.append(connection)
         return connection
 
+    def dial_owed(self) -> None:
+        """Opens the connection that is owed, unless one is coming up or none may be opened: then the next look does."""
+        self.owes_connection = self.owes_connection and bool(self.held) and not self.gone
+        coming_up = any(not connection.up for connection in self.connections)
+        if self.owes_connection and not coming_up and self.fleet.connections() < self.fleet.most:
+            self.dial()
+
     def free_connection(self) -> Connection | None:
         """An idle connection that is up, and not so idle that its node is about to close it, else a new one; where no more may be
         opened, the least used here, if there is one."""
@@ -78,11 +86,15 @@
                 return self.lose(why)
         if self.held and not self.connections:
             self.dial() if not self.gone else self.lose("gone from the list")
+        elif connection.up and why is not None:        # not in good order
+            self.renew()
+        else:
+            self.dial_owed()
 
     def renew(self) -> None:
-        """After we have closed a connection: a release that the node wrote on it meanwhile comes again on the next that opens."""
-        if self.held and not self.gone and self.fleet.connections() < self.fleet.most:
-            self.dial()
+        """After a connection that may have taken along a release of its node: that comes again on the next one that opens."""
+        self.owes_connection = True
+        self.dial_owed()
 
     def lose(self, why: str | None) -> None:
         self.words = []
@@ -105,6 +117,7 @@
             self.lose("gone from the list")
         elif not self.connections and self.fleet.room(of_held=True):
             self.dial()
+        self.dial_owed()
 
 
 class Nodes:
--- a/tests/test_lost_requests.py
+++ b/tests/test_lost_requests.py
@@ -60,6 +60,17 @@
             self.town.hears(viewer, binary.ANSWER, session)
         return first, second
 
+    # Guards against a node's release that waits for good because the new connection for it did not come up at its first try.
+    def test_a_new_connection_that_does_not_come_up_is_tried_again(self):
+        viewer, node = self.town.viewer(), self.town.nodes["a"]
+        first, second = self.both_play(viewer)
+        node.stop_accepting()
+        first.reset()
+        self.town.wait(lambda: "no connection in time" in self.town.running.log, "a connection that does not come up")
+        node.accept_again()
+        known = len(node.connections)
+        self.town.wait(lambda: len(node.connections) > known, "another new connection to the node")
+
     # Guards against plays that are told as lost because two connections in a row came up late, though their node answers on another.
     def test_connections_that_come_up_late_end_no_plays_of_a_node_that_answers(self):
         viewer, node = self.town.viewer(), self.town.nodes["a"]
