Set-ups that are open on a connection are answered before we close it, slow writers wait

Callers saw: a set-up that was accepted, and its connection closed without an answer (rule lost). Evidence: tests/test_lost_requests.py on a real process. Before: a slow writer: AssertionError not raised (its connection ended); bytes that cannot be read: in 20 s not seen: message 12 on session 1. Why it works: a connection with a set-up open is not closed for half a message; where it must be closed, each open set-up is answered as failed first, in one place.

--- a/laddergw/platform/admission.py
+++ b/laddergw/platform/admission.py
@@ -6,7 +6,8 @@
 
 from laddergw.platform import allocation as life
 from laddergw.platform import requests
-from laddergw.platform.plays import DECLINED, ENDED, FAILED, Play
+from laddergw.platform.causes import DECLINED, ENDED, FAILED
+from laddergw.platform.plays import Play
 from laddergw.platform.viewers import OPEN_MOST, Viewer
 from laddergw.signalling import binary
 
--- a/laddergw/platform/allocating.py
+++ b/laddergw/platform/allocating.py
@@ -6,7 +6,8 @@
 from laddergw.platform import requests
 from laddergw.platform.connection import Connection
 from laddergw.platform.nodes import Node
-from laddergw.platform.plays import BROKEN, ENDED, Play
+from laddergw.platform.causes import BROKEN, ENDED
+from laddergw.platform.plays import Play
 from laddergw.signalling import binary, description, rtsp
 
 ARRIVE_MS = 100.0          # what a node's system has not told to have after this it shall not get: acknowledgements wait 40 ms at most, and
--- a/laddergw/platform/director.py
+++ b/laddergw/platform/director.py
@@ -17,7 +17,8 @@
 from laddergw.platform.admission import Admission
 from laddergw.platform.following import Follower
 from laddergw.platform.nodes import Node, Nodes
-from laddergw.platform.plays import BROKEN, DECLINED, FAILED, Play
+from laddergw.platform.causes import BROKEN, DECLINED, FAILED
+from laddergw.platform.plays import Play
 from laddergw.platform.viewers import Listener
 from laddergw.signalling import binary, changes, rtsp
 
--- a/laddergw/platform/plays.py
+++ b/laddergw/platform/plays.py
@@ -4,8 +4,6 @@
 from laddergw.platform.nodes import Node
 from laddergw.platform.viewers import Viewer
 
-DECLINED, FAILED, ENDED, BROKEN = 42, 41, 16, 41     # causes: of refusals, and of releases of what stood
-
 
 class Play:
     """One play, from its set-up to its release."""
--- a/laddergw/platform/viewers.py
+++ b/laddergw/platform/viewers.py
@@ -1,6 +1,7 @@
 """The viewers' side: connections, their messages, and bounds against those who say nothing or too much."""
 import logging
 
+from laddergw.platform.causes import FAILED, UNUSABLE
 from laddergw.platform.releases import Releases
 from laddergw.signalling import binary
 
@@ -9,7 +10,6 @@
 FRESH_MS = 50.0            # a new connection is not closed for others before it can have spoken
 OPEN_MOST = 64             # open set-ups of one connection: a front's pool holds a few, a flood hundreds
 UNSENT_MOST = 256 * 1024   # bytes that wait for a peer that does not read
-REFUSED_HERE = 95          # cause for what cannot be used: trying it again helps nobody
 READS_LAST = 64            # of one connection at the process's end, 64 KB each: as much as its system may hold, and no peer reads on for ever
 
 log = logging.getLogger("laddergw.platform")
@@ -23,6 +23,7 @@
         self.listener, self.reader, self.plays, self.spoke, self.proven = listener, binary.Reader(), {}, False, False
         self.since = self.used = listener.loop.now
         self.half = None                     # since when a message has begun and not ended
+        self.closing = False
         self.name = listener.next_name()
 
     def __str__(self) -> str:
@@ -56,16 +57,32 @@
         if self.stream is not None and self.stream.queued > UNSENT_MOST:
             self.close("it does not read")
 
-    def refuse(self, session: str, cause: int = REFUSED_HERE, *more: tuple[int, bytes]) -> None:
+    def refuse(self, session: str, cause: int = UNUSABLE, *more: tuple[int, bytes]) -> None:
         self.write(binary.RELEASE, session, (binary.CAUSE, bytes([cause])), *more)
 
     def close(self, why: str) -> None:
-        if self.stream is not None:
+        """Ends the connection; set-ups that are open on it are answered as failed first."""
+        if self.stream is not None and not self.closing:
+            self.closing = True
             self.listener.admission.count("closed: " + why.partition(" of ")[0])
             log.debug("%s: closed by us: %s; %.0f ms old, idle %.0f, %d set-ups open", self, why, self.listener.loop.now - self.since,
                       self.listener.loop.now - self.used, len(self.plays))
+            for ply in list(self.plays.values()):
+                self.listener.admission.finish(ply, FAILED)
+            if self.stream is None:
+                return
             self.stream.abort() if self.stream.queued else self.stream.close()   # who does not read would hold it open
 
+    def outstays(self, now: float) -> str | None:
+        """Why it is to be closed for want of anything of use; never while a set-up is open on it."""
+        if self.plays:
+            return None
+        if self.half is not None and now - self.half >= SPEAK_MS:
+            return "half a message"
+        if not self.spoke and now - self.since >= SPEAK_MS:     # who spoke has its answers, and may be speaking again
+            return "nothing of use"
+        return None
+
     def closed(self, stream, why: str | None) -> None:
         self.stream = None
         log.debug("%s: ends: %s; %d set-ups open", self, why or "closed by its peer or by us", len(self.plays))
@@ -138,10 +155,10 @@
         self.loop.after(LOOK_MS, self.look)
         now = self.loop.now
         for viewer in list(self.viewers):
-            if viewer.half is not None and now - viewer.half >= SPEAK_MS:
-                viewer.close("half a message")
-            elif not viewer.spoke and now - viewer.since >= SPEAK_MS:    # who spoke has its answers, and may be speaking again
-                viewer.close("nothing of use")
+            if viewer.outstays(now):
+                viewer.stream.read_now()                 # what came meanwhile may be a set-up
+            if viewer.stream is not None and (why := viewer.outstays(now)):
+                viewer.close(why)
         self.releases.forget_old()
 
     def send(self, preferred: Viewer | None, kind: int, session: str, *parameters: tuple[int, bytes]) -> None:
--- a/tests/test_lost_requests.py
+++ b/tests/test_lost_requests.py
@@ -1,12 +1,14 @@
 """Requests that were lost under faults: a real director as a process, the fault's order forced by its peers."""
 import unittest
 
+from laddergw.platform.causes import FAILED
 from laddergw.signalling import binary
 from tests.director_process import DirectorProcess, name_of
 from tests.platform_town import answer, release, set_up
 
 RELEASED_S = 1.0           # what stood and is over: its viewer's release comes so long after its node's, by the protocol page
 SLACK_S = 0.05             # each of the protocol's time limits grows by this
+HALF_S = 2.5               # longer than a message may take from its first byte to its last, and than the pace of looking for it
 
 
 class LostRequests(unittest.TestCase):
@@ -121,6 +123,25 @@
         message = self.town.hears(viewer, binary.ANSWER, 1)
         self.assertEqual(message.parameters[binary.DESCRIPTION], b"v=0")
 
+    # Guards against closing a connection with a set-up open on it because another message on it is written slowly.
+    def test_a_slow_writer_keeps_its_open_set_up(self):
+        viewer = self.town.viewer()
+        side = self.town.set_up(viewer, 1, product="paid", patience="6000")
+        viewer.write(set_up(2)[:20])
+        with self.assertRaises(AssertionError):        # nothing is heard, no end either, while a message may take 2 s
+            self.town.wait(lambda: viewer.heard or viewer.ended, "an answer or an end", HALF_S)
+        side.write(answer(name_of(1)))
+        self.town.hears(viewer, binary.ANSWER, 1)
+
+    # Guards against closing a connection for bytes that are no message without an answer to the set-ups open on it.
+    def test_open_set_ups_are_answered_before_a_connection_is_closed_for_what_cannot_be_read(self):
+        viewer = self.town.viewer()
+        self.town.set_up(viewer, 1, product="paid")
+        viewer.write(b"\x00\x00\x00\x00")
+        message = self.town.hears(viewer, binary.RELEASE, 1)
+        self.assertEqual(message.parameters[binary.CAUSE], bytes([FAILED]))
+        self.town.wait(lambda: viewer.ended == "end", "the connection's end in good order")
+
 
 if __name__ == "__main__":
     unittest.main()
