A viewer's wait counts from before its connection was accepted

Cause: after a stand-still the wait is cut by what the turn came late, but a connection that waited to be accepted is read one turn later, which did not. Before: Lists differ: [] != [12] (nothing was answered, the set-up left for its node). Why it works: a connection keeps the stand-still of the turn that accepted it until it has been read once. 30 tests pass.

--- a/laddergw/platform/admission.py
+++ b/laddergw/platform/admission.py
@@ -60,7 +60,7 @@
         self.director.count("asked")
         log.debug("%s: set-up of %s on %s, waits %.0f ms", session, request.product, viewer, request.ask.wait_ms)
         ply = self.director.open[session] = viewer.plays[session] = Play(request, session, viewer)
-        ply.limit = self.director.loop.now + max(0.0, request.ask.wait_ms - self.director.loop.stalled - EARLY_MS)
+        ply.limit = self.director.loop.now + max(0.0, request.ask.wait_ms - viewer.stalled - EARLY_MS)
         ply.guard = self.director.loop.at(ply.limit + GUARD_MS, lambda: self.overdue(ply))
         return self.fresh.append(ply)
 
--- a/laddergw/platform/viewers.py
+++ b/laddergw/platform/viewers.py
@@ -24,6 +24,7 @@
         self.since = self.used = listener.loop.now
         self.half = None                     # since when a message has begun and not ended
         self.closing = False
+        self.stalled = listener.loop.stalled     # ms for which it may have waited to be accepted, and what it said first with it
         self.name = listener.next_name()
 
     def __str__(self) -> str:
@@ -40,12 +41,14 @@
     def got(self, stream, data: bytes) -> None:
         self.reader.feed(data)
         self.half = self.listener.loop.now if self.half is None else self.half
+        self.stalled = max(self.stalled, self.listener.loop.stalled)
         try:
             while self.stream is not None and (message := self.reader.next()) is not None:
                 self.half = self.used = self.listener.loop.now
                 self.listener.admission.heard(self, message)
         except binary.Malformed as error:
             return self.close(str(error))
+        self.stalled = 0.0
         if not self.reader.buffer:
             self.half = None
 
--- a/tests/test_orders_leaving.py
+++ b/tests/test_orders_leaving.py
@@ -146,6 +146,18 @@
                 self.assertNotIn(rtsp.request("SETUP", "7f3a9c21e0b4d655", f"{2:016x}")[:SET_UP_NAMED], data)
                 self.assertTrue(shared or b"SETUP" not in data)
 
+    # Guards against a set-up for a viewer whose wait ran out while its connection waited to be accepted by a process that stood still.
+    def test_a_wait_that_ran_out_before_its_connection_was_accepted(self):
+        now = [10_000.0]
+        town = Town(self, now=lambda: now[0])
+        town.turns(3)
+        viewer = town.viewer()
+        viewer.write(set_up(2, patience="150"))
+        now[0] += 800.0
+        town.turns(6)
+        self.assertEqual([m.kind for m in viewer.hear()], [binary.RELEASE])
+        self.assertEqual(town.nodes["a"].hear(), [])
+
     def test_left_while_its_next_try_is_due(self):
         """The node is full; the end of the viewer comes in the same turn as that answer: nobody is asked a second time."""
         for way in WAYS:
