--- /dev/null
+++ b/laddergw/lab/soak/viewers.py
@@ -0,0 +1,209 @@
+"""Viewers as peers of a trial: one front for each director keeps connections to it and asks for plays on them."""
+import itertools
+import random
+from typing import Any
+
+from laddergw.lab.soak.messages import set_up
+from laddergw.lab.soak.nodes import Conditions
+from laddergw.lab.soak.peers import Owner, PieceWriter
+from laddergw.lab.soak.terms import CELLS, Product
+from laddergw.signalling import binary
+
+DIAL_MS = 2_000.0
+IDLE_MS = 4_000.0          # a connection without a session on it is closed after this
+CROSS_MS = 50.0            # a set-up that crosses a close within this goes again on a new connection, once
+REFUSALS = 34, 42, 102     # causes that let a viewer come again
+ON_OPEN = 0.7              # part of the requests that go on a connection that is open already
+LEAVES, LEAVES_MS = 0.15, 300.0          # part of the viewers that leave before their answer, within so long
+LEAVES_EARLY = 0.6                       # the same while viewers leave early
+ENDS, ENDS_MS = 0.1, 1_500.0             # part of the viewers that end what plays, within so long
+REPEATS = 0.8                            # part of those turned away that ask again at once, while they do
+TITLES = 60
+GARBAGE = (b"\xff" * 50, b"\0\3abc", b"", set_up(9)[:30], b"\0\x09\x63" + b"\0" * 8, b"GET / HTTP/1.1\r\n\r\n")
+
+
+class Request:
+    """One viewer's request, from its last byte to its release."""
+
+    def __init__(self, session: str, product: Product):
+        self.session, self.product = session, product
+        self.asked_ms: float | None = None
+        self.crossed = False
+        self.state = "waits"         # then "plays", "over"
+
+
+class FrontSide(Owner):
+    """One connection to a director's process."""
+
+    def __init__(self, front: "Front"):
+        self.front, self.reader, self.requests = front, binary.Reader(), {}
+        self.process, self.writer, self.waiting = front.place.process, PieceWriter(front.loop, front.draw), []
+        self.used_ms = front.loop.now
+        self.number = next(front.numbers)
+
+    def opened(self, stream) -> None:
+        super().opened(stream)
+        self.front.sides.append(self)
+        waiting, self.waiting = self.waiting, []
+        for request in waiting:
+            self.send(request)
+
+    def ask(self, request: Request) -> None:
+        self.requests[request.session] = request
+        if self.stream is None:
+            self.waiting.append(request)
+        else:
+            self.send(request)
+
+    def send(self, request: Request) -> None:
+        self.used_ms = self.front.loop.now
+        draw, product = self.front.draw, request.product
+        message = set_up(int(request.session, 16), product.name, str(int(product.wait_ms)), f"{draw.randrange(TITLES):016x}",
+                         f"home:{draw.randrange(CELLS)};copies:2;top:2;viewer:{request.session}", "1200.0",
+                         f"{request.session}\r\nc=IN IP4 10.0.0.9\r\nm=audio 31000 RTP/AVP 0\r\n".encode())
+        self.writer.write(self.stream, message, "pieces" in self.front.conditions, lambda: self.asked(request))
+
+    def asked(self, request: Request) -> None:
+        request.asked_ms = self.front.loop.now
+        self.front.record("asked again" if request.crossed else "asked", session=request.session, director=self.front.place.name,
+                          wait_ms=request.product.wait_ms, product=request.product.name, connection=self.number)
+        part = LEAVES_EARLY if "leave_early" in self.front.conditions else LEAVES
+        if self.front.draw.random() < part:
+            self.front.loop.after(LEAVES_MS * self.front.draw.random(), lambda: self.leave(request))
+
+    def leave(self, request: Request) -> None:
+        """The viewer waits no more: it says so, or its connection ends where nothing else is on it."""
+        if request.state != "waits" or self.requests.get(request.session) is not request or self.stream.sock is None:
+            return
+        request.state = "over"
+        del self.requests[request.session]
+        self.front.record("left", session=request.session)
+        if self.requests or self.front.draw.random() < 0.5:
+            self.say(binary.RELEASE, request.session, (binary.CAUSE, b"\x10"))
+        elif self.front.draw.random() < 0.5:
+            self.stream.close()
+        else:
+            self.stream.abort()
+
+    def say(self, kind: int, session: str, *parameters: tuple[int, bytes]) -> None:
+        """Behind what is being written in pieces."""
+        self.writer.write(self.stream, binary.encode(kind, session, *parameters), False)
+
+    def heard(self, message: binary.Message) -> None:
+        self.used_ms = self.front.loop.now
+        request = self.requests.get(message.session) or self.front.standing.get(message.session)
+        if message.kind == binary.ANSWER:
+            text = message.parameters[binary.DESCRIPTION].decode(errors="replace")
+            self.front.record("answered", session=message.session, answer="plays", text=text)
+            if request is not None:
+                self.stands(request)
+        elif message.kind == binary.RELEASE:
+            self.say(binary.HEARD, message.session)
+            self.released(message, request)
+        elif message.kind == binary.MOVE and request is not None and request.state == "plays":
+            self.front.over(request)
+
+    def stands(self, request: Request) -> None:
+        request.state = "plays"
+        self.front.standing[request.session] = request
+        if self.front.draw.random() < ENDS:
+            self.front.loop.after(ENDS_MS * self.front.draw.random(), lambda: self.front.end(request))
+
+    def released(self, message: binary.Message, request: Request | None) -> None:
+        if request is None or request.state == "over":
+            return
+        self.requests.pop(request.session, None)
+        if request.state == "plays":
+            return self.front.over(request)
+        cause = message.parameters[binary.CAUSE][0]
+        request.state = "over"
+        self.front.record("answered", session=request.session, answer="declined" if cause in REFUSALS else "failed")
+        if cause in REFUSALS and "repeat_at_once" in self.front.conditions and self.front.draw.random() < REPEATS:
+            self.front.ask(request.product)
+
+    def closed(self, stream, why: str | None) -> None:
+        if self in self.front.sides:
+            self.front.sides.remove(self)
+            self.front.record("connection ended", director=self.front.place.name, connection=self.number)
+        for request in list(self.requests.values()):
+            if request.state == "waits":
+                self.front.cut_off(self, request)
+
+
+class Front:
+    """The viewers of one director's place."""
+
+    def __init__(self, loop, draw: random.Random, record, conditions: Conditions, place: Any, next_session):
+        self.loop, self.draw, self.record, self.conditions, self.place, self.next_session = loop, draw, record, conditions, place, next_session
+        self.sides: list[FrontSide] = []
+        self.numbers = itertools.count()
+        self.standing: dict[str, Request] = {}
+
+    def ask(self, product: Product) -> None:
+        """A new viewer's request, on an open connection or on a new one; nobody comes where no process is."""
+        if self.place.process is not None:
+            self.carrier().ask(Request(self.next_session(), product))
+
+    def carrier(self) -> FrontSide:
+        usable = [side for side in self.sides if side.process is self.place.process and side.stream.sock is not None]
+        if usable and (not self.place.takes or self.draw.random() < ON_OPEN):
+            return self.draw.choice(usable)
+        side = FrontSide(self)
+        self.loop.dial(self.place.address, side, DIAL_MS)
+        return side
+
+    def end(self, request: Request) -> None:
+        """A viewer ends what plays, on any connection."""
+        if request.state == "plays" and self.sides:
+            self.record("ended by its viewer", session=request.session)
+            request.state = "over"
+            self.standing.pop(request.session, None)
+            self.draw.choice(self.sides).say(binary.RELEASE, request.session, (binary.CAUSE, b"\x10"))
+
+    def over(self, request: Request) -> None:
+        request.state = "over"
+        self.standing.pop(request.session, None)
+        self.record("released", session=request.session)
+
+    def cut_off(self, side: FrontSide, request: Request) -> None:
+        """A connection ended with a request on it that has no answer."""
+        if request.asked_ms is None:
+            request.state = "over"                   # its last byte never left
+        elif side.process.pid in self.place.trial.killed:
+            request.state = "over"
+            self.record("cut", session=request.session)
+        elif self.loop.now - request.asked_ms <= CROSS_MS and not request.crossed and self.place.process is not None:
+            self.record("crossed a close", session=request.session, director=self.place.name, stopping=self.place.stopping)
+            request.crossed, request.asked_ms = True, None
+            again = FrontSide(self)
+            self.loop.dial(self.place.address, again, DIAL_MS)
+            again.ask(request)
+        else:
+            request.state = "over"
+            self.record("closed without an answer", session=request.session)
+
+    def close_idle(self) -> None:
+        """Ends connections with no session on them; called by the trial now and then."""
+        for side in list(self.sides):
+            if not any(request.state != "over" for request in side.requests.values()) and self.loop.now - side.used_ms >= IDLE_MS:
+                side.stream.close()
+
+    def misbehave(self) -> None:
+        """One client that sends what cannot be used, and reads what comes."""
+        if self.place.takes:
+            self.loop.dial(self.place.address, BadClient(self.draw.choice(GARBAGE)), DIAL_MS)
+
+
+class BadClient(Owner):
+    """Says something of no use and waits to be refused or closed."""
+
+    def __init__(self, data: bytes):
+        self.data = data
+
+    def opened(self, stream) -> None:
+        super().opened(stream)
+        if self.data:
+            stream.write(self.data)
+
+    def got(self, stream, data: bytes) -> None:
+        pass
--- a/laddergw/platform/allocating.py
+++ b/laddergw/platform/allocating.py
@@ -12,7 +12,7 @@
 
 ARRIVE_MS = 60.0           # what a node's system has not told to have after this it shall not get: acknowledgements wait 40 ms at most, and
                            # nothing may begin 100 ms after its viewer has left, of which a turn may have passed before we read that
-REST_MS = 50.0             # a description that may be cut short is passed on once so long nothing more has come
+REST_MS = 250.0            # a description that may be cut short is passed on once so long nothing more has come
 
 NOTES = {"got": face.DELIVERED, "level": face.RUNG_NOW, "port": face.LINK_ASKED, "spine": face.UPLINK_ASKED}
 
--- a/tests/runner.py
+++ b/tests/runner.py
@@ -20,6 +20,7 @@
 APART = (
     ("tests.test_budgets", "tests.test_cold_fleet", "tests.test_fleet_planner", "tests.test_fleet_hard"),          # these compute, but for the last
     ("tests.test_budget_processes", "tests.test_fleet_processes", "tests.test_platform_fleet", "tests.test_switch"),   # these wait for processes
+    ("tests.test_soak",),                                                          # and this plays many at once
 )
 SLOWEST = 8                # tests whose time is told: all of them together have six minutes
 
