--- a/laddergw/lab/soak/judge.py
+++ b/laddergw/lab/soak/judge.py
@@ -19,13 +19,14 @@
 UNTOLD_MS = 4_000.0        # what the change log cannot tell counts as told so long after it went away,
 UNREACHED_MS = 6_000.0     # or so long after it had it and could be reached, where it stayed away for longer
 READY_MS, READY_PART = 10_000.0, 0.9
+PASSED_ON = "product", "title", "offer"  # fields of a set-up that pass on unchanged
 
 
 def judge(records: Iterable[tuple], terms: Terms) -> list[Break]:
     """All that is broken."""
     records = sorted(records, key=lambda record: record[0])
     rules = answers(records), made(records), once(records, terms.paid), gone(records), drains(records, terms.grace_ms), cold(records, terms), \
-        processes(records, terms), releases(records)
+        processes(records, terms), releases(records), unchanged(records), refusals(records, terms.paid)
     return [broken for rule in rules for broken in rule]
 
 
@@ -63,6 +64,31 @@
             if "text" in facts and facts["text"] not in [one["text"] for _, _, one in given.get(session, ())]]
 
 
+def unchanged(records) -> list[Break]:
+    """Product, title and description reach a media node as the viewer sent them."""
+    sent, broken = {}, []
+    for _, what, facts in records:
+        if what in ("asked", "asked again"):
+            sent[facts["session"]] = facts
+        elif what == "arrived" and facts["session"] in sent:
+            asked = sent[facts["session"]]
+            changed = [name for name in PASSED_ON if asked.get(name) != facts.get(name)]
+            if changed:
+                broken.append(Break("lost", f"changed on its way, {', '.join(changed)}: {facts['session']}", facts["session"]))
+    return broken
+
+
+def refusals(records, paid: set[str]) -> list[Break]:
+    """Nobody is told that trying again is harmless of a product that runs once and may have run."""
+    broken = []
+    for session, told in by_session(records, "arrived", "over", "answered").items():
+        may_have_run = sum(what == "arrived" and facts["product"] in paid for _, what, facts in told) - sum(
+            what == "over" and facts.get("never_ran", False) for _, what, facts in told)
+        if may_have_run > 0 and any(what == "answered" and facts["answer"] == "declined" for _, what, facts in told):
+            broken.append(Break("dup", f"declined, though it may have run: {session}", session))
+    return broken
+
+
 def once(records, paid: set[str]) -> list[Break]:
     """No product that runs once is set up a second time where the first may have run; no play is out at two nodes."""
     broken = []
--- a/laddergw/lab/soak/nodes.py
+++ b/laddergw/lab/soak/nodes.py
@@ -13,6 +13,7 @@
 FULL, FAILS, MUTE = 0.08, 0.03, 0.01     # parts of set-ups that a node refuses, fails, and never answers
 SPOILT = 0.4                             # part of the good answers that are spoilt while answers are
 ENDED = 16                               # cause of a release: the session has come to its end
+ADDRESSES = "rtsp://media/"              # begins every address
 QUEUE = 1024                             # connections that wait to be accepted
 FILLERS = 2                              # connections that fill a queue of none
 
@@ -46,7 +47,8 @@
     def heard(self, message) -> None:
         node, session = self.node, message.headers["session"]
         if message.method == "SETUP":
-            node.record("arrived", session=session, node=node.id, product=message.headers["subject"])
+            node.record("arrived", session=session, node=node.id, product=message.headers["subject"],
+                        title=message.target.removeprefix(ADDRESSES), offer=message.body.decode(errors="replace"))
             self.out[session] = message.headers["subject"]
             self.decide(session)
         elif message.method == "TEARDOWN":
--- a/laddergw/lab/soak/viewers.py
+++ b/laddergw/lab/soak/viewers.py
@@ -26,12 +26,17 @@
     """One viewer's request, from its last byte to its release."""
 
     def __init__(self, session: str, product: Product):
-        self.session, self.product = session, product
+        self.session, self.product, self.title = session, product, ""
         self.asked_ms: float | None = None
         self.crossed = False
         self.state = "waits"         # then "plays", "over"
 
 
+def offer_of(session: str) -> str:
+    """The description that a viewer sends for a session."""
+    return f"{session}\r\nc=IN IP4 10.0.0.9\r\nm=audio 31000 RTP/AVP 0\r\n"
+
+
 class FrontSide(Owner):
     """One connection to a director's process."""
 
@@ -58,15 +63,16 @@
     def send(self, request: Request) -> None:
         self.used_ms = self.front.loop.now
         draw, product = self.front.draw, request.product
-        message = set_up(int(request.session, 16), product.name, str(int(product.wait_ms)), f"{draw.randrange(TITLES):016x}",
-                         f"home:{draw.randrange(CELLS)};copies:2;top:2;viewer:{request.session}", "1200.0",
-                         f"{request.session}\r\nc=IN IP4 10.0.0.9\r\nm=audio 31000 RTP/AVP 0\r\n".encode())
+        request.title = f"{draw.randrange(TITLES):016x}"
+        message = set_up(int(request.session, 16), product.name, str(int(product.wait_ms)), request.title,
+                         f"home:{draw.randrange(CELLS)};copies:2;top:2;viewer:{request.session}", "1200.0", offer_of(request.session).encode())
         self.writer.write(self.stream, message, "pieces" in self.front.conditions, lambda: self.asked(request))
 
     def asked(self, request: Request) -> None:
         request.asked_ms = self.front.loop.now
         self.front.record("asked again" if request.crossed else "asked", session=request.session, director=self.front.place.name,
-                          wait_ms=request.product.wait_ms, product=request.product.name, connection=self.number)
+                          wait_ms=request.product.wait_ms, product=request.product.name, title=request.title, offer=offer_of(request.session),
+                          connection=self.number)
         part = LEAVES_EARLY if "leave_early" in self.front.conditions else LEAVES
         if self.front.draw.random() < part:
             self.front.loop.after(LEAVES_MS * self.front.draw.random(), lambda: self.leave(request))
--- a/tests/test_soak_judge.py
+++ b/tests/test_soak_judge.py
@@ -17,8 +17,8 @@
     return at, "over", {"session": session, "node": node, "never_ran": never_ran, "lag": 0.0}
 
 
-def answered(at, session, lag=0.0):
-    return at, "answered", {"session": session, "answer": "declined", "lag": lag}
+def answered(at, session, lag=0.0, answer="failed"):
+    return at, "answered", {"session": session, "answer": answer, "lag": lag}
 
 
 def told(at, node="a"):
@@ -29,7 +29,7 @@
     return when, what, facts
 
 
-GOOD = [asked(0, "1"), arrived(20, "1", product="paid"), over(40, "1", never_ran=True), arrived(50, "1", "b", "paid"), answered(90, "1"), over(900, "1", "b"),
+GOOD = [asked(0, "1", product="paid"), arrived(20, "1", product="paid"), over(40, "1", never_ran=True), arrived(50, "1", "b", "paid"), answered(90, "1"), over(900, "1", "b"),
         asked(100, "2"), arrived(120, "2"), at(130, "left", session="2"), over(140, "2"), told(500), at(0, "director starts", director="n0"),
         at(300, "director ready", director="n0"), at(2_000, "director ended", director="n0", status=0, fine=(0,)),
         at(1_000, "started", node="c"), *(arrived(1_500 + n, f"{n + 10}", "c") for n in range(10))]
@@ -122,6 +122,18 @@
         self.broken(*self.stood(stops), part="still stood")
         self.assertEqual(judge([*GOOD, *self.stood(at(600, "director killed", director="n0"), at(610, "director ended", director="n0", status=-9, fine=(-9,)))], TERMS), [])
 
+    def test_fields_pass_on_unchanged(self):
+        sent = asked(0, "8", title="t", offer="o"), answered(500, "8")
+        came = at(20, "arrived", session="8", node="a", product="guide", title="t", offer="o", lag=0.0)
+        self.assertEqual(judge([*GOOD, *sent, came], TERMS), [])
+        for name in "title", "offer", "product":
+            self.broken(*sent, (20, "arrived", came[2] | {name: "x"}), part=f"changed on its way, {name}")
+
+    def test_what_may_have_run_once_is_not_called_harmless_to_try_again(self):
+        sent = asked(0, "8", product="paid"), arrived(20, "8", product="paid")
+        self.assertEqual(judge([*GOOD, *sent, over(40, "8", never_ran=True), answered(50, "8", answer="declined")], TERMS), [])
+        self.broken(*sent, over(40, "8"), answered(50, "8", answer="declined"), part="may have run")
+
     def test_limits(self):
         self.broken(at(5, "held", director="n0", descriptors=TERMS.sockets + 1, memory_mb=10.0), part="descriptors")
         self.broken(at(5, "held", director="n0", descriptors=10, memory_mb=TERMS.memory_mb + 1), part="MB")
