The loop no longer rests after 500 turns in a row without a wait

A turn's own bounds stay: reads, accepts, timers, deferred calls; a listener without descriptors still rests 50 ms.

--- a/laddergw/loop/sockets.py
+++ b/laddergw/loop/sockets.py
@@ -18,9 +18,6 @@
 
 BACKLOG = 1024             # connections that wait in the kernel: a burst while a turn runs
 LONGEST_WAIT_MS = 100.0    # wait of one turn: a stand-still of the process is seen to within this
-WAITED_MS = 0.2            # a look at the sockets that took so long has waited; one that finds something at once takes some us
-TURNS_MOST, REST_MS = 500, 1.0   # after so many turns in a row without a wait the loop rests so long: whatever keeps it
-                           # busy, others on its core get theirs. At 0.1 ms a turn, the shortest with work in it, 2% of its time
 LINGERS = 16               # closed connections that still wait for their peers' ends; one more, and the oldest is cut off: a flood of
                            # connections that we close must not hold descriptors
 
@@ -49,10 +46,10 @@
 class SocketLoop(BaseLoop):
     """The loop that programs run on. Work in one turn is bounded: one read a stream, so many accepts and timers."""
 
-    def __init__(self, clock: Callable[[], float] = clock, selector=None, sleep: Callable[[float], None] = time.sleep):
+    def __init__(self, clock: Callable[[], float] = clock, selector=None):
         super().__init__(clock())
-        self.clock, self.selector, self.sleep = clock, selector or selectors.DefaultSelector(), sleep
-        self.open_streams = self.failed_accepts = self.unwaited = 0   # unwaited: turns in a row
+        self.clock, self.selector = clock, selector or selectors.DefaultSelector()
+        self.open_streams = self.failed_accepts = 0
         self.last_error, self.signals, self.wakeup, self.over = None, {}, None, False
 
     def reading(self) -> float:
@@ -162,7 +159,7 @@
         """Waits for what comes, then tells sockets before timers: what came in time is in time."""
         due = self.timers.next()
         wait = 0.0 if self.calls else wait_ms(self.now, due, LONGEST_WAIT_MS)
-        before, looked = self.now, self.clock()
+        before = self.now
         events = self.selector.select(math.ceil(wait) / 1000)
         self.now = self.clock()
         self.lagged(max(0.0, self.now - before - wait - 1.0), self.now - before)
@@ -176,10 +173,6 @@
         self.run_calls()
         self.run_timers()
         self.end_turn()
-        self.unwaited = 0 if self.now - looked >= WAITED_MS else self.unwaited + 1
-        if self.unwaited >= TURNS_MOST:
-            self.unwaited = 0
-            self.sleep(REST_MS / 1000)
 
     def run(self) -> None:
         while self.running:
