At its end a director lets nobody in before it closes the first connection

Cause: the listener was closed after the viewers' connections; who came again in between stood in its queue as it closed. Before: Lists differ: ['let in'] != ['refused'].

--- a/laddergw/platform/director.py
+++ b/laddergw/platform/director.py
@@ -156,7 +156,6 @@
                 more = self.listener.hear_last()
                 self.release_all()                   # what was handed over just now
                 self.listener.shut()
-            self.listener.accepting.close()
             self.nodes.shut()
             self.part(self.loop.now + PART_MS)
 
--- a/laddergw/platform/viewers.py
+++ b/laddergw/platform/viewers.py
@@ -135,15 +135,21 @@
 
     def hear_last(self) -> bool:
         """The process's end: all who have come are accepted, and what they have said is answered. Whether some wait for a descriptor,
-        and connections that end now make room for them."""
+        and connections that end now make room for them. Else nobody else is let in before the first connection is closed: whose set-up
+        crosses that comes again at once, and would be cut off a second time."""
         starved = self.accepting.accept_waiting()
+        if not starved:
+            self.accepting.close()
         for viewer in list(self.viewers):
             for _ in range(READS_LAST):
                 if viewer.stream is not None:
                     viewer.stream.read_now()
                 if viewer.stream is None or not viewer.stream.more:
                     break
-        return starved and any(v.stream is not None and not v.stream.queued for v in self.viewers)
+        more = starved and any(v.stream is not None and not v.stream.queued for v in self.viewers)
+        if not more:
+            self.accepting.close()
+        return more
 
     def shut(self) -> None:
         for viewer in list(self.viewers):
--- a/tests/test_orders_stopping.py
+++ b/tests/test_orders_stopping.py
@@ -120,6 +120,25 @@
         self.to_the_end()
         self.assertEqual([m.method for _, m in self.town.nodes["a"].hear() if m.method != "OPTIONS"], ["TEARDOWN"])
 
+    # Guards against a set-up that crosses a stop's close and is cut off a second time, on the new connection that it goes again on.
+    def test_who_comes_again_at_the_last_close_is_refused(self):
+        self.town.viewer()
+        self.town.turns(3)
+        listener, seen = self.town.director.listener, []
+        shut = listener.shut
+
+        def shut_and_come_again():
+            shut()
+            try:
+                with socket.create_connection(self.town.address):
+                    seen.append("let in")
+            except ConnectionRefusedError:
+                seen.append("refused")
+        listener.shut = shut_and_come_again
+        self.town.director.stop()
+        self.to_the_end()
+        self.assertEqual(seen, ["refused"])
+
     def test_a_viewer_that_does_not_read_holds_nobody_up(self):
         viewer = self.town.viewer()
         viewer.write(set_up(1))
