No connection comes up between a stopping director's last accept and its listener's close

Callers saw (by reading, listed as not forced until now): a connection that comes up in these microseconds, with its set-up written, is reset as the listener closes. Before, with a filter that takes everything: Lists differ: [('127.0.0.1', 55974), ('127.0.0.1', 55986)] != [('127.0.0.1', 55974)]. Why it works: the listening socket gets a filter that drops all packets, so nothing comes up any more; those that are up are accepted, then it closes. Connections that were accepted keep no filter.

--- a/laddergw/loop/listener.py
+++ b/laddergw/loop/listener.py
@@ -1,7 +1,10 @@
 """A listening socket on the loop: accepts so many a turn, and rests where no descriptor is left."""
+import array
+import contextlib
 import errno
 import selectors
 import socket
+import struct
 from typing import TYPE_CHECKING, Callable
 
 from laddergw.loop.base import Owner
@@ -12,6 +15,8 @@
 
 ACCEPTS = 128              # connections accepted in one turn by one listener
 ACCEPT_REST_MS = 50.0      # a listener that finds no descriptor rests so long: its socket would stay readable all the while
+SO_ATTACH_FILTER = 26      # of Linux, which Python's socket module does not name
+DROP_ALL = struct.pack("=HBBI", 0x06, 0, 0, 0)   # one instruction of a socket filter: take no byte of any packet
 NO_ROOM = errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM
 
 
@@ -44,8 +49,17 @@
             self.loop.adopt(sock, peer, self.accept)
         return True
 
+    def stop_connecting(self) -> None:
+        """No connection comes up any more: the system drops what asks for one. Those that are up wait to be accepted."""
+        program = array.array("B", DROP_ALL)
+        address, _ = program.buffer_info()
+        with contextlib.suppress(OSError):       # where the system has no such filters, some microseconds stay open
+            self.sock.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, struct.pack("HP", 1, address))
+
     def accept_waiting(self) -> bool:
         """All of the backlog, at the end: what is not accepted when the listener closes is reset. Whether some wait for a descriptor."""
+        if self.sock is not None:
+            self.stop_connecting()
         while self.ready():
             pass
         return self.starved
--- a/tests/test_orders_stopping.py
+++ b/tests/test_orders_stopping.py
@@ -1,4 +1,5 @@
 """The end of a director and of its connections: what came is answered, what was said arrives. Real connections, the bad order every time."""
+import select
 import socket
 import unittest
 
@@ -120,6 +121,19 @@
         self.to_the_end()
         self.assertEqual([m.method for _, m in self.town.nodes["a"].hear() if m.method != "OPTIONS"], ["TEARDOWN"])
 
+    # Guards against a connection that comes up between a stopping director's last accept and its listener's close, and is reset.
+    def test_no_connection_comes_up_between_the_last_accept_and_the_close(self):
+        listener = self.town.director.listener.accepting
+        early, late = socket.create_connection(self.town.address), socket.socket()
+        self.addCleanup(early.close)
+        self.addCleanup(late.close)
+        listener.stop_connecting()
+        late.setblocking(False)
+        late.connect_ex(self.town.address)
+        listener.accept_waiting()
+        self.assertEqual([v.stream.peer for v in self.town.director.listener.viewers], [early.getsockname()])
+        self.assertEqual(select.select([], [late], [], 0.05)[1], [], "it has come up")
+
     # Guards against a set-up that crosses a stop's close and is cut off a second time, on the new connection that it goes again on.
     def test_who_comes_again_at_the_last_close_is_refused(self):
         self.town.viewer()
