Dense trials on another deployment's settings: time limits, rules and products are its own

Names with accents pass in RTSP headers towards the trial's nodes, whose reader takes any text there; what directors accept is as before.

--- a/laddergw/cli/rehearsing.py
+++ b/laddergw/cli/rehearsing.py
@@ -44,7 +44,7 @@
     if name == "soak" and day is None:
         from laddergw.cli.rehearsing_soak import soak
         from laddergw.lab.soak.plan import Sizes
-        return soak(seeds or str(seed), plan, Sizes(directors, seconds), config, report, keep, jobs, smaller)
+        return soak(seeds or str(seed), plan, Sizes(directors, seconds, config is not None), config, report, keep, jobs, smaller)
     if name == "apart" and day is None:
         return apart(seed, usual(), report, memory, keep, log, kills)
     if name == "fleet" and day is None:
--- a/laddergw/lab/soak/nodes.py
+++ b/laddergw/lab/soak/nodes.py
@@ -1,5 +1,6 @@
 """Media nodes as peers of a trial: they answer set-ups, play, say when a play is over, and fail as the plan tells."""
 import random
+import re
 import selectors
 import socket
 import time
@@ -13,6 +14,7 @@
 FULL, FAILS, MUTE = 0.08, 0.03, 0.01     # parts of set-ups that a node refuses, fails, and never answers
 SPOILT = 0.4                             # part of the good answers that are spoilt while answers are
 ENDED = 16                               # cause of a release: the session has come to its end
+ANY_TEXT = re.compile(rb"([A-Za-z0-9-]{1,40}): ?([^\r\n]*)")    # a header's line: products have names in any language
 ADDRESSES = "rtsp://media/"              # begins every address
 QUEUE = 1024                             # connections that wait to be accepted
 FILLERS = 2                              # connections that fill a queue of none
@@ -32,7 +34,7 @@
     """One connection from a director, by its number."""
 
     def __init__(self, node: "Node", director: int):
-        self.node, self.director, self.reader, self.out = node, director, rtsp.Reader(), {}
+        self.node, self.director, self.reader, self.out = node, director, rtsp.Reader(ANY_TEXT), {}
         self.writer = PieceWriter(node.loop, node.draw)
 
     def opened(self, stream) -> None:
--- a/laddergw/lab/soak/plan.py
+++ b/laddergw/lab/soak/plan.py
@@ -40,14 +40,15 @@
     nodes: int
     rate: float              # requests a second
     seconds: float
-    limits_ms: tuple[float, ...]
+    limits_ms: tuple[float, ...]   # of the products; empty: the deployment's own
     faults: tuple[Fault, ...]
 
 
 class Sizes(NamedTuple):
-    """What the command line fixes of a plan, or None where it is drawn."""
+    """What the command line fixes of a plan, or None where it is drawn. `own_limits`: time limits are the deployment's."""
     directors: int | None = None
     seconds: float | None = None
+    own_limits: bool = False
 
 
 def draw(seed: int, products: int, sizes: Sizes = Sizes()) -> Plan:
@@ -56,7 +57,7 @@
     seconds = sizes.seconds or SECONDS
     directors = sizes.directors or chance.randint(*DIRECTORS)
     nodes, rate = chance.randint(*NODES), chance.uniform(*RATE)
-    limits = tuple(chance.choice(LIMITS_MS) for _ in range(products))
+    limits = () if sizes.own_limits else tuple(chance.choice(LIMITS_MS) for _ in range(products))
     faults: list[Fault] = []
     for _ in range(chance.randint(*SCENES)):
         faults += scene(chance, faults, seconds * 1000)
--- a/laddergw/lab/soak/trial.py
+++ b/laddergw/lab/soak/trial.py
@@ -136,6 +136,6 @@
 
 def trial_of(plan: Plan, terms: Terms, **options: Any) -> Trial:
     """The trial of a plan: its faults become the script."""
-    products = tuple(product._replace(limit_ms=limit) for product, limit in zip(terms.products, plan.limits_ms))
+    products = tuple(product._replace(limit_ms=limit) for product, limit in zip(terms.products, plan.limits_ms)) or terms.products
     script = [(fault.at_ms, lambda trial, fault=fault: Faults(trial).begin(fault)) for fault in plan.faults]
     return Trial(plan.directors, plan.nodes, plan.rate, plan.seconds, script, plan.seed, terms=terms._replace(products=products), **options)
--- a/laddergw/signalling/rtsp.py
+++ b/laddergw/signalling/rtsp.py
@@ -44,15 +44,15 @@
     return f"RTSP/1.0 {status} {reason}\r\nCSeq: {sequence}\r\nSession: {session}\r\nContent-Length: 0\r\n\r\n".encode("ascii")
 
 
-def head_of(head: bytes) -> tuple:
-    """The parts of a message's first lines."""
+def head_of(head: bytes, header: re.Pattern[bytes] = HEADER) -> tuple:
+    """The parts of a message's first lines; `header` matches a line's name and text."""
     first, *lines = head.split(b"\r\n")
     match = FIRST_LINE.fullmatch(first)
     if match is None or len(lines) > MOST_HEADERS:
         raise Malformed(f"first line {first[:60]!r}")
     headers = {}
     for line in lines:
-        parts = HEADER.fullmatch(line)
+        parts = header.fullmatch(line)
         if parts is None:
             raise Malformed(f"header {line[:60]!r}")
         name = parts[1].decode().lower()
@@ -71,8 +71,8 @@
 class Reader:
     """Takes bytes as they come and hands out whole messages."""
 
-    def __init__(self) -> None:
-        self.buffer = bytearray()
+    def __init__(self, header: re.Pattern[bytes] = HEADER) -> None:
+        self.buffer, self.header = bytearray(), header
         self.head: tuple | None = None
 
     def feed(self, data: bytes) -> None:
@@ -84,7 +84,7 @@
             end = self.buffer.find(b"\r\n\r\n", 0, LONGEST)
             if end < 0:
                 return self.starts_well()
-            self.head = head_of(bytes(self.buffer[:end]))
+            self.head = head_of(bytes(self.buffer[:end]), self.header)
             del self.buffer[:end + 4]
         *parts, length = self.head
         if len(self.buffer) < length:
