--- a/laddergw/lab/soak/nodes.py
+++ b/laddergw/lab/soak/nodes.py
@@ -97,7 +97,9 @@
         if way == "broken off":
             self.stream.write(whole[:self.node.draw.randrange(1, len(whole))])
             return self.stream.abort()
-        return self.write({"short": short, "noise": b"\x00\xff" * 20, "empty": answer(session, 200, b""),
+        if way == "short":                           # what shows that its length is wrong comes a moment later
+            return self.writer.write(self.stream, short, True)
+        return self.write({"noise": b"\x00\xff" * 20, "empty": answer(session, 200, b""),
                            "huge": whole.replace(b"Content-Length: ", b"Content-Length: 99999")}[way])
 
     def closed(self, stream, why: str | None) -> None:
