--- a/benchmarks/broken_soak.py
+++ b/benchmarks/broken_soak.py
@@ -3,6 +3,7 @@
 usage: python -m benchmarks.broken_soak [NAME ...], from the repository's root. A seed takes some 12 s; four ways side by side.
 Ends with 1 if a broken director keeps every rule for ten seeds, or is seen by another rule than its own.
 """
+
 import multiprocessing
 import sys
 import tempfile
@@ -21,6 +22,7 @@
 
 class Broken(NamedTuple):
     """A way to break a director: statements run before it starts, and the rule that has to see it."""
+
     code: str
     rule: str
 
@@ -32,13 +34,30 @@
     "ends at once": Broken(BROKEN_FLEETS["ends at once"], "lost"),
     "sends paid plays again": Broken(BROKEN_FLEETS["sends paid plays again"], "twice"),
     "does not end": Broken(BROKEN_FLEETS["does not end"], "lost"),
-    "forgets releases": Broken("from laddergw.platform import releases; releases.Releases.send = lambda *args: None", "lost"),
-    "passes on what is cut short": Broken("from laddergw.signalling import description; description.may_be_cut = lambda *args: False", "lost"),
-    "answers twice": Broken("from laddergw.platform import admission as a; stand = a.Admission.stand; "
-                            "a.Admission.stand = lambda self, ply, text: (ply.viewer.write(9, ply.session, (225, text)), stand(self, ply, text))", "twice"),
-    "never answers": Broken("from laddergw.platform import admission as a; a.Admission.finish = lambda self, ply, *more: self.director.open.pop(ply.session, None)", "lost"),
-    "grows": Broken(f"held = bytearray({int(USUAL.memory_mb) << 20}); held[::4096] = held[::4096]", "limits"),
-    "fails in its calls": Broken("from laddergw.platform import following as f; f.Follower.take = lambda *args: 1 / 0", "crash"),
+    "forgets releases": Broken(
+        "from laddergw.platform import releases; releases.Releases.send = lambda *args: None",
+        "lost",
+    ),
+    "passes on what is cut short": Broken(
+        "from laddergw.signalling import description; description.may_be_cut = lambda *args: False",
+        "lost",
+    ),
+    "answers twice": Broken(
+        "from laddergw.platform import admission as a; stand = a.Admission.stand; "
+        "a.Admission.stand = lambda self, ply, text: (ply.viewer.write(9, ply.session, (225, text)), stand(self, ply, text))",
+        "twice",
+    ),
+    "never answers": Broken(
+        "from laddergw.platform import admission as a; a.Admission.finish = lambda self, ply, *more: self.director.open.pop(ply.session, None)",
+        "lost",
+    ),
+    "grows": Broken(
+        f"held = bytearray({int(USUAL.memory_mb) << 20}); held[::4096] = held[::4096]", "limits"
+    ),
+    "fails in its calls": Broken(
+        "from laddergw.platform import following as f; f.Follower.take = lambda *args: 1 / 0",
+        "crash",
+    ),
 }
 
 
@@ -47,7 +66,13 @@
     code = f"{HOLDS}{BROKEN[name].code}; import runpy; runpy.run_module('laddergw.platform', run_name='__main__')"
     for seed in SEEDS:
         with tempfile.TemporaryDirectory() as folder:
-            result = play(plan.draw(seed, len(USUAL.products)), USUAL, SETTINGS, folder, run=f'exec {sys.executable} -c "{code}"')
+            result = play(
+                plan.draw(seed, len(USUAL.products)),
+                USUAL,
+                SETTINGS,
+                folder,
+                run=f'exec {sys.executable} -c "{code}"',
+            )
         mine = [broken for broken in result.breaks if broken.rule == BROKEN[name].rule]
         if mine:
             return name, seed, f"{mine[0].rule}: {mine[0].what} ({len(result.breaks)} breaks)"
@@ -59,7 +84,10 @@
     with multiprocessing.Pool(JOBS) as pool:
         for name, seed, what in pool.imap_unordered(seen_in, names or list(BROKEN)):
             missed += not seed
-            print(f"{name}: " + (f"seen in seed {seed}, " if seed else "NOT SEEN, ") + what[:160], flush=True)
+            print(
+                f"{name}: " + (f"seen in seed {seed}, " if seed else "NOT SEEN, ") + what[:160],
+                flush=True,
+            )
     return 1 if missed else 0
 
 
--- a/laddergw/cli/rehearsing_soak.py
+++ b/laddergw/cli/rehearsing_soak.py
@@ -1,4 +1,5 @@
 """laddergw rehearse soak: dense trials of the platform's director over seeds, judged by the rules of its protocol."""
+
 import json
 import multiprocessing
 import os
@@ -23,23 +24,36 @@
 from laddergw.lab.soak.terms import Terms, terms_of
 
 EXIT_BROKEN, EXIT_COULD_NOT = 1, 2
-SOCKETS = 256              # descriptors that each director may hold
+SOCKETS = 256  # descriptors that each director may hold
 SEEDS = re.compile(r"(\d{1,9})(?:-(\d{1,9}))?")
-SAY_EVERY_S = 30.0         # of progress, where nobody watches a terminal
-SHRINK_PLAYS = 3           # of each smaller plan: orders are not exact
-SHRINK_MOST = 60           # smaller plans
+SAY_EVERY_S = 30.0  # of progress, where nobody watches a terminal
+SHRINK_PLAYS = 3  # of each smaller plan: orders are not exact
+SHRINK_MOST = 60  # smaller plans
 
 
 class Refused(Exception):
     """Input that is not taken; the text is one line that says why."""
 
 
-def soak(seeds: str, plan: Path | None, sizes: plans.Sizes, config: Path | None, report: Path | None, keep: Path | None, jobs: int, smaller: Path | None) -> None:
+def soak(
+    seeds: str,
+    plan: Path | None,
+    sizes: plans.Sizes,
+    config: Path | None,
+    report: Path | None,
+    keep: Path | None,
+    jobs: int,
+    smaller: Path | None,
+) -> None:
     """Plays the plans and ends the command: 1 where a rule is broken, 2 where it could not run."""
     try:
         settings = settings_of(config)
         terms = terms_of(settings, SOCKETS)
-        chosen = [plan_of(plan)] if plan is not None else [plans.draw(seed, len(terms.products), sizes) for seed in seeds_of(seeds)]
+        chosen = (
+            [plan_of(plan)]
+            if plan is not None
+            else [plans.draw(seed, len(terms.products), sizes) for seed in seeds_of(seeds)]
+        )
     except Refused as error:
         typer.echo(str(error), err=True)
         raise typer.Exit(EXIT_COULD_NOT) from None
@@ -90,7 +104,9 @@
         return f"seed {chosen.seed}: {error}"
 
 
-def played(chosen: list[plans.Plan], terms: Terms, settings: dict[str, Any], base: str, jobs: int) -> list[Result]:
+def played(
+    chosen: list[plans.Plan], terms: Terms, settings: dict[str, Any], base: str, jobs: int
+) -> list[Result]:
     """All results that came, in the order of their seeds; an interrupt ends with those there are."""
     tasks = [(plan, terms, settings, os.path.join(base, f"seed-{plan.seed}")) for plan in chosen]
     results: list[Result] = []
@@ -116,27 +132,54 @@
         nonlocal said
         if time.monotonic() - said >= SAY_EVERY_S:
             said = time.monotonic()
-            typer.echo(f"{len(results)} of {total} seeds, {sum(result.asked for result in results)} plays, {broken_of(results)} breaks", err=True)
+            typer.echo(
+                f"{len(results)} of {total} seeds, {sum(result.asked for result in results)} plays, {broken_of(results)} breaks",
+                err=True,
+            )
+
     if not sys.stderr.isatty():
         yield line
         return
-    with Progress(TextColumn("soak"), BarColumn(), MofNCompleteColumn(), TimeRemainingColumn(), TextColumn("{task.fields[told]}"), console=Console(stderr=True)) as bar:
+    with Progress(
+        TextColumn("soak"),
+        BarColumn(),
+        MofNCompleteColumn(),
+        TimeRemainingColumn(),
+        TextColumn("{task.fields[told]}"),
+        console=Console(stderr=True),
+    ) as bar:
         task = bar.add_task("soak", total=total, told="")
-        yield lambda results: bar.update(task, completed=len(results), told=f"{sum(result.asked for result in results)} plays, {broken_of(results)} breaks")
+        yield lambda results: bar.update(
+            task,
+            completed=len(results),
+            told=f"{sum(result.asked for result in results)} plays, {broken_of(results)} breaks",
+        )
 
 
 def broken_of(results: list[Result]) -> int:
     return sum(len(result.breaks) for result in results)
 
 
-def write_smaller(result: Result, terms: Terms, settings: dict[str, Any], base: str, path: Path) -> None:
+def write_smaller(
+    result: Result, terms: Terms, settings: dict[str, Any], base: str, path: Path
+) -> None:
     """The least plan found that still breaks, as a file for `--plan`."""
+
     def fails(faults: list[plans.Fault]) -> bool:
         tried = msgspec.structs.replace(result.plan, faults=tuple(faults))
-        return any(play(tried, terms, settings, os.path.join(base, f"smaller-{number}")).breaks for number in range(SHRINK_PLAYS))
+        return any(
+            play(tried, terms, settings, os.path.join(base, f"smaller-{number}")).breaks
+            for number in range(SHRINK_PLAYS)
+        )
+
     found = shrink(list(result.plan.faults), fails, SHRINK_MOST, sensible=lambda faults: faults)
-    path.write_bytes(plans.to_json(msgspec.structs.replace(result.plan, faults=tuple(found.script))))
-    typer.echo(f"{len(found.script)} of {len(result.plan.faults)} faults still break it, after {found.played} smaller plans: {path}", err=True)
+    path.write_bytes(
+        plans.to_json(msgspec.structs.replace(result.plan, faults=tuple(found.script)))
+    )
+    typer.echo(
+        f"{len(found.script)} of {len(result.plan.faults)} faults still break it, after {found.played} smaller plans: {path}",
+        err=True,
+    )
 
 
 def conclude(results: list[Result], wanted: int, report: Path | None) -> None:
@@ -146,15 +189,26 @@
             typer.echo(story)
     if report is not None:
         report.write_bytes(msgspec.json.format(msgspec.json.encode(results), indent=1) + b"\n")
-    asked, played_, declined, failed = (sum(getattr(result, name) for result in results) for name in ("asked", "played", "declined", "failed"))
-    rules, kinds = Counter(broken.rule for result in results for broken in result.breaks), Counter(fault.kind for result in results for fault in result.plan.faults)
-    typer.echo(f"{len(results)} of {wanted} seeds ended, {sum(not result.judged for result in results)} not judged; "
-               f"{played_ / max(asked, 1):.0%} of the plays got a session; {sum(result.set_ups for result in results)} set-ups, "
-               f"{sum(result.crossed for result in results)} crossed a close; faults: " + ", ".join(f"{name} {n}" for name, n in sorted(kinds.items())))
+    asked, played_, declined, failed = (
+        sum(getattr(result, name) for result in results)
+        for name in ("asked", "played", "declined", "failed")
+    )
+    rules, kinds = (
+        Counter(broken.rule for result in results for broken in result.breaks),
+        Counter(fault.kind for result in results for fault in result.plan.faults),
+    )
+    typer.echo(
+        f"{len(results)} of {wanted} seeds ended, {sum(not result.judged for result in results)} not judged; "
+        f"{played_ / max(asked, 1):.0%} of the plays got a session; {sum(result.set_ups for result in results)} set-ups, "
+        f"{sum(result.crossed for result in results)} crossed a close; faults: "
+        + ", ".join(f"{name} {n}" for name, n in sorted(kinds.items()))
+    )
     if rules:
         typer.echo("broken: " + ", ".join(f"{name} {n}" for name, n in sorted(rules.items())))
-    typer.echo(f"plays {asked} played {played_} declined {declined} failed {failed} without-outcome {sum(result.without for result in results)} "
-               f"twice {sum(result.twice for result in results)} rules-broken {broken_of(results)}")
+    typer.echo(
+        f"plays {asked} played {played_} declined {declined} failed {failed} without-outcome {sum(result.without for result in results)} "
+        f"twice {sum(result.twice for result in results)} rules-broken {broken_of(results)}"
+    )
     raise typer.Exit(EXIT_BROKEN if rules else EXIT_COULD_NOT if len(results) < wanted else 0)
 
 
@@ -163,4 +217,8 @@
     told = f"seed {result.plan.seed}: {result.plan.directors} directors, {result.plan.nodes} nodes, {result.asked} plays, {result.played} played, lag {result.lag_ms:.0f} ms"
     if not result.judged:
         return told + ", not judged: this machine was too slow"
-    return told + (f", BROKEN {len(result.breaks)}: bin/laddergw rehearse soak --seed {result.plan.seed}" if result.breaks else ", kept")
+    return told + (
+        f", BROKEN {len(result.breaks)}: bin/laddergw rehearse soak --seed {result.plan.seed}"
+        if result.breaks
+        else ", kept"
+    )
--- a/laddergw/control/controller.py
+++ b/laddergw/control/controller.py
@@ -1,4 +1,5 @@
 """Strings the rooms of the decision module together: what happens goes in, verdicts come out."""
+
 import math
 
 from laddergw import interface as face
@@ -14,22 +15,35 @@
         self.plays, self.pending, self.next_look, self.ask_at = {}, [], now + LOOK_MS, math.inf
         self.fleet = Fleet(seed)
         self.prices, self.holders = Prices(self.fleet, now), Holders(self.fleet)
-        self.rungs, self.allocations = Rungs(self.fleet, self.prices), Allocations(self.fleet, self.prices)
+        self.rungs, self.allocations = (
+            Rungs(self.fleet, self.prices),
+            Allocations(self.fleet, self.prices),
+        )
         self.retold(now, deployment)
-        a, h = self.allocations, self.holders        # the chain: its stages, and what takes each back
-        self.chain = ((a.terms, None), (h.holding, None), (h.health, h.health_back), (h.inquire, None),
-                      (self.prices.price, self.fleet.put_back), (a.ration, None), (a.send, a.send_back))
-
-    def listed(self, now, lines, whole): return self.done(self.fleet.listed(now, lines, whole))
+        a, h = self.allocations, self.holders  # the chain: its stages, and what takes each back
+        self.chain = (
+            (a.terms, None),
+            (h.holding, None),
+            (h.health, h.health_back),
+            (h.inquire, None),
+            (self.prices.price, self.fleet.put_back),
+            (a.ration, None),
+            (a.send, a.send_back),
+        )
+
+    def listed(self, now, lines, whole):
+        return self.done(self.fleet.listed(now, lines, whole))
 
     def list_failed(self, now):
         self.ask_at = now + (RETRY_MS if self.fleet.d.must_ask else math.inf)
         return self.done()
 
-    def retold(self, now, told):                     # at start or switched: plays keep their terms
-        self.ask_at = now if told.must_ask and not (self.fleet.d and self.fleet.d.must_ask) else self.ask_at
+    def retold(self, now, told):  # at start or switched: plays keep their terms
+        self.ask_at = (
+            now if told.must_ask and not (self.fleet.d and self.fleet.d.must_ask) else self.ask_at
+        )
         self.rungs.shorts = {} if self.fleet.retold(now, told) else self.rungs.shorts
-        more = told.products[len(self.prices.demand):]
+        more = told.products[len(self.prices.demand) :]
         return self.done(self.prices.demand.extend(Fading(FORECAST_MS, now) for _ in more))
 
     def asked(self, now, ask):
@@ -38,11 +52,11 @@
         self.allocations.taken.extend([now] * (self.fleet.d.budget_free is not None))
         return self.done(self.pending.append(ply))
 
-    def decide(self, now, most=None):   # when all that came together is known: a drain, a leaving
+    def decide(self, now, most=None):  # when all that came together is known: a drain, a leaving
         waiting, self.pending = self.pending[:most], self.pending[most:] if most else []
         return self.done([verdict for ply in waiting for verdict in self.run(now, ply)])
 
-    def seen(self, now, node_id, others):            # a planner's view: what others ask, kB a second
+    def seen(self, now, node_id, others):  # a planner's view: what others ask, kB a second
         if node := self.fleet.nodes.get(node_id):
             node.hear(now, max(0.0, others))
         return self.done()
@@ -50,7 +64,9 @@
     def handed_over(self, now, ask, node_id):
         ply = self.plays[ask.play] = Play(ask, self.fleet.d, now)
         ply.started, ply.sends = now, 1
-        self.prices.demand[ask.product].add(now, 1 / ply.length)   # of plays over length: Little's law
+        self.prices.demand[ask.product].add(
+            now, 1 / ply.length
+        )  # of plays over length: Little's law
         if node := self.fleet.nodes.get(node_id):
             self.fleet.put(now, ply, node)
         return self.done()
@@ -75,19 +91,20 @@
         node.asked, out = None, []
         if outcome == face.SERVED and report:
             out = self.rungs.reported(now, node, report)
-        elif outcome != face.FULL:                   # too many probes at once tell nothing
+        elif outcome != face.FULL:  # too many probes at once tell nothing
             self.holders.fail(now, node)
         self.pending += self.holders.waited(lambda p: p.asks is node)
         return self.done(out)
 
-    def mail(self, now, sender, loads, shares): return self.done(self.rungs.mail(now, loads, shares))
+    def mail(self, now, sender, loads, shares):
+        return self.done(self.rungs.mail(now, loads, shares))
 
     def note(self, now, play, node_id, kind, value):
         return self.done(self.rungs.note(now, self.plays.get(play), node_id, kind, value))
 
     def left(self, now, play):
         if ply := self.plays.get(play):
-            ply.over = True                          # it keeps its place until its allocation is told to end
+            ply.over = True  # it keeps its place until its allocation is told to end
         return self.done()
 
     def wake(self, now):
@@ -97,17 +114,25 @@
         if now >= self.next_look:
             self.next_look = now + LOOK_MS
             self.rungs.try_more(now, self.plays)
-            out += [face.Verdict(probe=self.rungs.look_up(now, self.plays))] if self.fleet.blind else []
+            out += (
+                [face.Verdict(probe=self.rungs.look_up(now, self.plays))]
+                if self.fleet.blind
+                else []
+            )
             out += [self.rungs.tell()] if self.rungs.loads or self.rungs.shorts else []
         return self.done([v for v in out if v.follow or v.probe or v.tell])
 
     def done(self, verdicts=None):
-        first = next(iter(self.holders.waiting.values()), None)   # all wait equally long: it came first
+        first = next(
+            iter(self.holders.waiting.values()), None
+        )  # all wait equally long: it came first
         return verdicts or [], min(self.next_look, self.ask_at, first.until if first else math.inf)
 
-    def run(self, now, ply):         # each stage passes a play on (None) or ends it (a verdict)
-        verdict = None if ply.over else next(filter(None, (stage(now, ply) for stage, _ in self.chain)))
-        if ply.over or verdict.answer:               # left meanwhile: no answer is owed
+    def run(self, now, ply):  # each stage passes a play on (None) or ends it (a verdict)
+        verdict = (
+            None if ply.over else next(filter(None, (stage(now, ply) for stage, _ in self.chain)))
+        )
+        if ply.over or verdict.answer:  # left meanwhile: no answer is owed
             self.plays.pop(ply.id, None)
         if ply.id not in self.holders.waiting:
             self.prices.came(now, ply)
--- a/laddergw/control/prices.py
+++ b/laddergw/control/prices.py
@@ -1,27 +1,36 @@
 """The bid-price gate: shadow prices of a node's streams, link and uplink, and the rung that pays."""
+
 from operator import mul
 
 from laddergw.control.accounts import SHARE_MS, SHARE_PRIOR, Fading
 from laddergw.control.plays import LENGTH_MS, LENGTH_STEP, give_up
 
-FORECAST_MS = 15_000.0     # memory of arrivals: a few dozen plays, short enough to follow a wave
-LOOP_SWEEPS, LOOP_HALVINGS, SURE = 4, 24, 1.000001   # of the dual loop; worth beats cost by over rounding
+FORECAST_MS = 15_000.0  # memory of arrivals: a few dozen plays, short enough to follow a wave
+LOOP_SWEEPS, LOOP_HALVINGS, SURE = (
+    4,
+    24,
+    1.000001,
+)  # of the dual loop; worth beats cost by over rounding
 
 
-class Prices:                  # demand as it was seen, and what it makes of a node's room
+class Prices:  # demand as it was seen, and what it makes of a node's room
     def __init__(self, fleet, now):
         self.fleet, self.demand, self.setups = fleet, [], Fading(SHARE_MS, now)
         self.length, self.hints = LENGTH_MS, 1
 
-    def hinted(self, ask):                           # what will be asked for lasts as what is asked for
+    def hinted(self, ask):  # what will be asked for lasts as what is asked for
         self.hints += bool(ask.length_ms)
-        self.length += max(LENGTH_STEP, 1 / self.hints) * ((ask.length_ms or self.length) - self.length)
+        self.length += max(LENGTH_STEP, 1 / self.hints) * (
+            (ask.length_ms or self.length) - self.length
+        )
 
-    def came(self, now, ply):    # after its pricing; no further tries: a storm of them priced all out, for go
+    def came(
+        self, now, ply
+    ):  # after its pricing; no further tries: a storm of them priced all out, for go
         self.demand[ply.ask.product].add(now, (not (ply.seen or ply.ask.again)) / FORECAST_MS)
         ply.seen = True
 
-    def price(self, now, ply):                       # the first holder that makes an offer gets the play
+    def price(self, now, ply):  # the first holder that makes an offer gets the play
         for node in ply.holders:
             rung = self.offer(now, ply, node, ply.length, node.room)
             if rung is not None:
@@ -32,43 +41,58 @@
     def offer(self, now, ply, node, lk, room, held=None):
         """The highest rung that fits and whose payoff beats its cost at the node's prices, or None."""
         fleet = self.fleet
-        if held is None and (fleet.adds(ply, node, ply.product.floor) > node.over
-                             or node.streams - len(node.plays) - fleet.other_streams(now, node) < 1):
+        if held is None and (
+            fleet.adds(ply, node, ply.product.floor) > node.over
+            or node.streams - len(node.plays) - fleet.other_streams(now, node) < 1
+        ):
             return None
         places, link, uplink = self.shadow_prices(now, node, lk)
-        place, kb = places / node.streams, link / fleet.size(now, node) + uplink / node.rack.size(now)
+        place, kb = (
+            places / node.streams,
+            link / fleet.size(now, node) + uplink / node.rack.size(now),
+        )
         chosen, below, has = None, (0.0, 0.0), 0.0
         cross = fleet.crossing(node) * ply.product.importance * lk if held is None else 0.0
-        if held is not None:                         # a play under way: what it has, and what a change costs
-            has = ply.rate(held) * (ply.d.join if ply.shares() and node.shared[ply.stream(held)] > 1 else 1)
-            below = (ply.product.importance * (ply.d.rung_worth[held] * lk + fleet.d.step_cost_ms),
-                     lk / 2 * (place + has * kb))
+        if held is not None:  # a play under way: what it has, and what a change costs
+            has = ply.rate(held) * (
+                ply.d.join if ply.shares() and node.shared[ply.stream(held)] > 1 else 1
+            )
+            below = (
+                ply.product.importance * (ply.d.rung_worth[held] * lk + fleet.d.step_cost_ms),
+                lk / 2 * (place + has * kb),
+            )
         for rung in range(ply.product.floor if held is None else held + 1, ply.highest() + 1):
             rate = fleet.adds(ply, node, rung)
             payoff = ply.product.importance * ply.d.rung_worth[rung] * lk
             cost = cross + lk / 2 * (place + rate * kb)
-            least = held is None and rung == ply.product.floor   # a low play beats a decline
+            least = held is None and rung == ply.product.floor  # a low play beats a decline
             # Each step must pay for what it adds: a top rung can pay as a whole while its last step does not
             if (rate - has <= room or least) and payoff - below[0] > (cost - below[1]) * SURE:
                 chosen, below = rung, (payoff, cost)
         return chosen
 
-    def pays(self, now, ply):                        # its last step, by the admission's test
-        if (size := self.fleet.size(now, ply.node)) <= 0:   # weighted out
+    def pays(self, now, ply):  # its last step, by the admission's test
+        if (size := self.fleet.size(now, ply.node)) <= 0:  # weighted out
             return False
         lk, (_, link, uplink) = ply.left(now), self.shadow_prices(now, ply.node, ply.left(now))
         kb = link / size + uplink / ply.node.rack.size(now)
         return ply.gain(ply.rung - 1) * lk > lk / 2 * ply.frees() * kb * SURE
 
-    def shadow_prices(self, now, node, lk):   # of streams, link, uplink over lk, net of plays under way
+    def shadow_prices(
+        self, now, node, lk
+    ):  # of streams, link, uplink over lk, net of plays under way
         fleet, rack, d = self.fleet, node.rack, self.fleet.d
         size, up = fleet.size(now, node), rack.size(now)
         prior, total = SHARE_PRIOR / max(fleet.ready, 1e-9), self.setups.now(now) + SHARE_PRIOR
         here = (node.setups.now(now) + prior * node.links) / total
-        beside = (sum(n.setups.now(now) for n in rack.members.values()) + prior * rack.links) / total
+        beside = (
+            sum(n.setups.now(now) for n in rack.members.values()) + prior * rack.links
+        ) / total
         # Others' plays are planned anew, as they step too, of the products that we see asked for
         streams = fleet.other_streams(now, node)
-        held = min(self.length, lk) * (1 - min(self.length, lk) / (2 * lk))   # may start any time in lk (q)
+        held = min(self.length, lk) * (
+            1 - min(self.length, lk) / (2 * lk)
+        )  # may start any time in lk (q)
         again = streams / held / max(sum(demand.now(now) for demand in self.demand), 1e-12)
         caps = [lk, lk * (1 - fleet.margin(now, node)), lk * (1 - fleet.margin(now, rack))]
         for n in rack.members.values():
@@ -81,10 +105,17 @@
         groups = []
         for row, demand in zip(d.products, self.demand):
             # the rack's uplink also carries what our set-ups at its other nodes will ask
-            choices = [(row.importance * d.rung_worth[r] * self.length,
-                        (held / node.streams, held * d.ladder[r] * row.scale / size,
-                         held * d.ladder[r] * row.scale / up * beside / max(here, 1e-9)))
-                       for r in range(row.floor, min(row.top, len(d.ladder) - 1) + 1)]
+            choices = [
+                (
+                    row.importance * d.rung_worth[r] * self.length,
+                    (
+                        held / node.streams,
+                        held * d.ladder[r] * row.scale / size,
+                        held * d.ladder[r] * row.scale / up * beside / max(here, 1e-9),
+                    ),
+                )
+                for r in range(row.floor, min(row.top, len(d.ladder) - 1) + 1)
+            ]
             groups.append((lk * demand.now(now) * (here + again), choices))
         return duals(groups, caps)
 
@@ -97,21 +128,31 @@
         for e, cap in enumerate(caps):
             prices[e] = 0.0
             # As this price moves and the others stand, each choice is a line: what it nets at 0, and its use
-            lines = [(demand, [(payoff - sum(map(mul, uses, prices)), uses[e]) for payoff, uses in choices])
-                     for demand, choices in groups]
+            lines = [
+                (
+                    demand,
+                    [(payoff - sum(map(mul, uses, prices)), uses[e]) for payoff, uses in choices],
+                )
+                for demand, choices in groups
+            ]
             if used(lines, 0.0) <= cap:
                 continue
-            low, high = 0.0, max(payoff / uses[e] for _, choices in groups for payoff, uses in choices)
+            low, high = (
+                0.0,
+                max(payoff / uses[e] for _, choices in groups for payoff, uses in choices),
+            )
             for _ in range(LOOP_HALVINGS):
                 middle = (low + high) / 2
                 low, high = (low, middle) if used(lines, middle) <= cap else (middle, high)
             prices[e] = high
-        if prices == before:                         # a further sweep would do the same again
+        if prices == before:  # a further sweep would do the same again
             break
     return prices
 
 
-def used(lines, price):        # what the groups use of it at that price: each takes what nets most, if over 0
+def used(
+    lines, price
+):  # what the groups use of it at that price: each takes what nets most, if over 0
     total = 0.0
     for demand, choices in lines:
         best = use = 0.0
--- a/laddergw/hosting.py
+++ b/laddergw/hosting.py
@@ -3,19 +3,21 @@
 Shared by the directors of every protocol. An heir carries verdicts out (`carry_out`) and answers all that it holds
 if the module fails (`collapse`). Nothing is decided here.
 """
+
 import logging
 from typing import Any, Callable
 
 from laddergw.interface import Verdict
 
-SLICE_MS = 20.0            # decisions of one turn take so long, then the sockets are read: who left meanwhile gets no allocation.
-                           # A fifth of the 100 ms after which none may begin for a viewer that has left
+SLICE_MS = 20.0  # decisions of one turn take so long, then the sockets are read: who left meanwhile gets no allocation.
+# A fifth of the 100 ms after which none may begin for a viewer that has left
 
 log = logging.getLogger("laddergw.hosting")
 
 
 class Hosting:
     """See the module."""
+
     loop: Any
     controller: Any
     broken = False
--- a/laddergw/lab/soak/change_log.py
+++ b/laddergw/lab/soak/change_log.py
@@ -1,4 +1,5 @@
 """The change log as a peer of a trial: it tells events, goes away, falls silent, breaks off within a line."""
+
 import json
 from typing import Callable
 
@@ -6,7 +7,7 @@
 from laddergw.lab.soak.peers import Owner
 from laddergw.lab.soak.ports import HOST
 
-BEAT_MS = 1_000.0          # it writes its last number so often
+BEAT_MS = 1_000.0  # it writes its last number so often
 
 
 def line(one: dict) -> bytes:
@@ -28,7 +29,7 @@
 
     def go_on(self) -> None:
         """Tells what it has not told here yet."""
-        for one in self.log.events[self.told:]:
+        for one in self.log.events[self.told :]:
             self.stream.write(line(self.log.addressed(one, self.director)))
         self.told = len(self.log.events)
 
@@ -48,11 +49,17 @@
         self.beat()
 
     def open(self) -> None:
-        self.listeners = [self.loop.listen((HOST, port), lambda stream, number=number: LogSide(self, number)) for number, port in enumerate(self.ports)]
+        self.listeners = [
+            self.loop.listen((HOST, port), lambda stream, number=number: LogSide(self, number))
+            for number, port in enumerate(self.ports)
+        ]
 
     def addressed(self, one: dict, director: int) -> dict:
         """An event with the addresses of one director."""
-        members = [fields | {"host_port": self.address_for(fields["id"], director)} for fields in one["fleet"]["members"]]
+        members = [
+            fields | {"host_port": self.address_for(fields["id"], director)}
+            for fields in one["fleet"]["members"]
+        ]
         return one | {"fleet": one["fleet"] | {"members": members}}
 
     def beat(self) -> None:
@@ -69,7 +76,10 @@
 
     def known(self, director: int) -> dict:
         """As that director's configuration holds it."""
-        return {"seq": len(self.events), "results": [self.addressed(one, director) for one in self.events]}
+        return {
+            "seq": len(self.events),
+            "results": [self.addressed(one, director) for one in self.events],
+        }
 
     def go(self) -> None:
         """It is down: every connection ends, new ones are refused."""
--- a/laddergw/lab/soak/directors.py
+++ b/laddergw/lab/soak/directors.py
@@ -1,4 +1,5 @@
 """One director's place in a trial: its address, the process that has it now, and the signals that it gets."""
+
 import json
 import os
 import pathlib
@@ -15,10 +16,12 @@
 from laddergw.signalling import binary
 
 ROOT = pathlib.Path(__file__).parents[3]
-RUN = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]      # the deploy file's own line
+RUN = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())[
+    "run"
+]  # the deploy file's own line
 TEST = binary.encode(binary.TEST, "0" * 16, (binary.CAUSE, b"\0"))
 LOOK_MS = 50.0
-STOPPED_MS = (200.0, 400.0)               # new connections go on coming so long after the order to stop
+STOPPED_MS = (200.0, 400.0)  # new connections go on coming so long after the order to stop
 PAGE_KB = os.sysconf("SC_PAGE_SIZE") / 1024
 
 
@@ -43,8 +46,20 @@
     """See the module. `trial` owns the loop, the records, the folder and the change log."""
 
     def __init__(self, trial: Any, number: int, run: str):
-        self.trial, self.number, self.name, self.run, self.held = trial, number, f"n{number}", run, held_port()
-        self.address, self.starts, self.process, self.takes, self.stopping = self.held.getsockname(), 0, None, False, False
+        self.trial, self.number, self.name, self.run, self.held = (
+            trial,
+            number,
+            f"n{number}",
+            run,
+            held_port(),
+        )
+        self.address, self.starts, self.process, self.takes, self.stopping = (
+            self.held.getsockname(),
+            0,
+            None,
+            False,
+            False,
+        )
         self.start()
 
     def path(self) -> str:
@@ -54,10 +69,20 @@
         """A new file in place of the old one, whole at once."""
         beside = self.path() + ".new"
         with open(beside, "w") as stream:
-            json.dump(configuration(
-                name=self.name, listen=f"{HOST}:{self.address[1]}", seed=f"{self.starts * 1000 + self.number:x}", limits={"sockets": self.trial.terms.sockets},
-                changelog=f"{HOST}:{self.trial.log.ports[self.number]}", known=self.trial.log.known(self.number),
-                settings=settings_for(self.trial.terms, self.trial.number, self.number, self.trial.settings)), stream)
+            json.dump(
+                configuration(
+                    name=self.name,
+                    listen=f"{HOST}:{self.address[1]}",
+                    seed=f"{self.starts * 1000 + self.number:x}",
+                    limits={"sockets": self.trial.terms.sockets},
+                    changelog=f"{HOST}:{self.trial.log.ports[self.number]}",
+                    known=self.trial.log.known(self.number),
+                    settings=settings_for(
+                        self.trial.terms, self.trial.number, self.number, self.trial.settings
+                    ),
+                ),
+                stream,
+            )
         os.replace(beside, self.path())
 
     def start(self) -> None:
@@ -65,11 +90,21 @@
         self.write_configuration()
         self.trial.record("director starts", director=self.name)
         self.takes = self.stopping = False
-        environment = os.environ | {"PROXY_CONFIG": self.path(), "PYTHONDONTWRITEBYTECODE": "1", "LADDERGW_LOG": self.trial.log_level}
+        environment = os.environ | {
+            "PROXY_CONFIG": self.path(),
+            "PYTHONDONTWRITEBYTECODE": "1",
+            "LADDERGW_LOG": self.trial.log_level,
+        }
         with open(self.log_path(self.starts), "wb") as log:
             process = self.process = self.trial.loop.spawn(
-                ["/bin/sh", "-c", f"ulimit -n {self.trial.terms.sockets}; {self.run}"], lambda status: self.ended(process, status), cwd=ROOT,
-                stdin=subprocess.DEVNULL, stdout=subprocess.DEVNULL, stderr=log, env=environment)
+                ["/bin/sh", "-c", f"ulimit -n {self.trial.terms.sockets}; {self.run}"],
+                lambda status: self.ended(process, status),
+                cwd=ROOT,
+                stdin=subprocess.DEVNULL,
+                stdout=subprocess.DEVNULL,
+                stderr=log,
+                env=environment,
+            )
         self.trial.processes.append((self.name, process))
         self.look(process)
 
@@ -94,7 +129,9 @@
         process, self.stopping = self.process, True
         self.trial.record("director told to stop", director=self.name)
         process.send_signal(signal.SIGTERM)
-        self.trial.loop.after(self.trial.draw.uniform(*STOPPED_MS), lambda: self.no_new_connections(process))
+        self.trial.loop.after(
+            self.trial.draw.uniform(*STOPPED_MS), lambda: self.no_new_connections(process)
+        )
         self.trial.loop.after(self.trial.terms.kill_ms, lambda: self.kill_stopped(process))
 
     def no_new_connections(self, process) -> None:
@@ -120,7 +157,9 @@
         if process is not None and process.poll() is None:
             process.send_signal(signal.SIGSTOP)
             self.trial.record("director frozen", director=self.name, ms=ms)
-            self.trial.loop.after(ms, lambda: process.poll() is None and process.send_signal(signal.SIGCONT))
+            self.trial.loop.after(
+                ms, lambda: process.poll() is None and process.send_signal(signal.SIGCONT)
+            )
 
     def reconfigure(self) -> None:
         if self.process is not None and self.process.poll() is None and self.takes:
@@ -128,7 +167,11 @@
             self.process.send_signal(signal.SIGHUP)
 
     def ended(self, process, status: int) -> None:
-        fine = (-signal.SIGKILL,) if process.pid in self.trial.killed | self.trial.stopped_late else (0,)
+        fine = (
+            (-signal.SIGKILL,)
+            if process.pid in self.trial.killed | self.trial.stopped_late
+            else (0,)
+        )
         if process is self.process:
             self.takes, self.process = False, None
         self.trial.record("director ended", director=self.name, status=status, fine=fine)
@@ -144,14 +187,20 @@
             pages = int(pathlib.Path(f"/proc/{self.process.pid}/statm").read_text().split()[1])
         except (OSError, IndexError):
             return
-        self.trial.record("held", director=self.name, descriptors=descriptors, memory_mb=pages * PAGE_KB / 1024)
+        self.trial.record(
+            "held", director=self.name, descriptors=descriptors, memory_mb=pages * PAGE_KB / 1024
+        )
 
     def troubles(self) -> list[str]:
         """Lines of its logs that tell of a fault in the program."""
         found = []
         for start in range(1, self.starts + 1):
             with open(self.log_path(start)) as log:
-                found += [line.strip()[:200] for line in log if "Traceback" in line or " ERROR " in line or " WARNING " in line]
+                found += [
+                    line.strip()[:200]
+                    for line in log
+                    if "Traceback" in line or " ERROR " in line or " WARNING " in line
+                ]
         return found
 
 
--- a/laddergw/lab/soak/faults.py
+++ b/laddergw/lab/soak/faults.py
@@ -1,11 +1,12 @@
 """Carries out the faults of a plan in a trial."""
+
 from typing import Any, Callable
 
 from laddergw.lab.soak.nodes import Node
 from laddergw.lab.soak.plan import WINDOWS, Fault
 
-DRAIN_MS = 1_500.0         # from a node's drain to its end
-GONE_MS = 300.0            # from its leaving the list to the end of its process
+DRAIN_MS = 1_500.0  # from a node's drain to its end
+GONE_MS = 300.0  # from its leaving the list to the end of its process
 
 
 class Faults:
--- a/laddergw/lab/soak/judge.py
+++ b/laddergw/lab/soak/judge.py
@@ -3,6 +3,7 @@
 A record is (ms, what, facts). The times are those of the one process that plays all peers; `lag` is how long that process itself may
 have kept something unread, which is nobody's fault but its own. Rules on releases stand in judge_releases.py.
 """
+
 import math
 from collections import defaultdict
 from typing import Iterable
@@ -12,13 +13,15 @@
 from laddergw.lab.soak.judge_releases import releases
 from laddergw.lab.soak.terms import Terms
 
-SLACK_MS = 50.0            # each of the protocol's time limits grows by this
-GONE_MS = 100.0            # an attempt begins no later than this after its viewer has left: the users' term,
-GONE_CASES = 3             # a break from so many cases on
-LATE_MS = 500.0            # an answer may come so long after the viewer's time, and earns nothing: the platform's page
-DRAIN_LEAST_MS = 250.0     # nothing new to a node so long after a director was told that it drains
-UNTOLD_MS = 4_000.0        # what the change log cannot tell counts as told so long after it went away,
-UNREACHED_MS = 6_000.0     # or so long after it had it and could be reached, where it stayed away for longer
+SLACK_MS = 50.0  # each of the protocol's time limits grows by this
+GONE_MS = 100.0  # an attempt begins no later than this after its viewer has left: the users' term,
+GONE_CASES = 3  # a break from so many cases on
+LATE_MS = 500.0  # an answer may come so long after the viewer's time, and earns nothing: the platform's page
+DRAIN_LEAST_MS = 250.0  # nothing new to a node so long after a director was told that it drains
+UNTOLD_MS = 4_000.0  # what the change log cannot tell counts as told so long after it went away,
+UNREACHED_MS = (
+    6_000.0  # or so long after it had it and could be reached, where it stayed away for longer
+)
 READY_MS, READY_PART = 10_000.0, 0.9
 PASSED_ON = "product", "title", "offer"  # fields of a set-up that pass on unchanged
 
@@ -26,8 +29,18 @@
 def judge(records: Iterable[tuple], terms: Terms) -> list[Break]:
     """All that is broken."""
     records = sorted(records, key=lambda record: record[0])
-    rules = answers(records), made(records), once(records, terms.paid), gone(records), drains(records, terms.grace_ms), cold(records, terms), \
-        processes(records, terms), releases(records), unchanged(records), refusals(records, terms.paid)
+    rules = (
+        answers(records),
+        made(records),
+        once(records, terms.paid),
+        gone(records),
+        drains(records, terms.grace_ms),
+        cold(records, terms),
+        processes(records, terms),
+        releases(records),
+        unchanged(records),
+        refusals(records, terms.paid),
+    )
     return [broken for rule in rules for broken in rule]
 
 
@@ -42,27 +55,49 @@
 def answers(records) -> list[Break]:
     """One answer in time to who has not left; none that is not owed twice. A process that was stopped by a signal answers nothing."""
     broken = []
-    frozen = [(at, at + facts["ms"], facts["director"]) for at, what, facts in records if what == "director frozen"]
+    frozen = [
+        (at, at + facts["ms"], facts["director"])
+        for at, what, facts in records
+        if what == "director frozen"
+    ]
     for session, told in by_session(records, "asked", "answered", "left", "cut").items():
         at, _, asked = told[0]
         came = [(when, facts) for when, what, facts in told if what == "answered"]
         gone_at = min((when for when, what, _ in told if what in ("left", "cut")), default=math.inf)
         if len(came) > 1:
             broken.append(Break("twice", f"answered {len(came)} times: {session}", session))
-        still = sum(max(0.0, min(ends, came[0][0]) - max(begins, at)) for begins, ends, who in frozen if came and who == asked["director"])
+        still = sum(
+            max(0.0, min(ends, came[0][0]) - max(begins, at))
+            for begins, ends, who in frozen
+            if came and who == asked["director"]
+        )
         if came and came[0][0] > at + asked["wait_ms"] + LATE_MS + came[0][1]["lag"] + still:
-            broken.append(Break("lost", f"answered {came[0][0] - at:.0f} ms after it was asked for: {session}", session))
+            broken.append(
+                Break(
+                    "lost",
+                    f"answered {came[0][0] - at:.0f} ms after it was asked for: {session}",
+                    session,
+                )
+            )
         if not came and gone_at == math.inf:
-            broken.append(Break("lost", f"without an answer: {session} at director {asked['director']}", session))
+            broken.append(
+                Break(
+                    "lost", f"without an answer: {session} at director {asked['director']}", session
+                )
+            )
     return broken
 
 
 def made(records) -> list[Break]:
     """A session is answered with a description that a media node gave for it."""
     given = by_session(records, "made")
-    return [Break("lost", f"an answer that no media node made: {session}", session)
-            for session, told in by_session(records, "answered").items() for _, _, facts in told
-            if "text" in facts and facts["text"] not in [one["text"] for _, _, one in given.get(session, ())]]
+    return [
+        Break("lost", f"an answer that no media node made: {session}", session)
+        for session, told in by_session(records, "answered").items()
+        for _, _, facts in told
+        if "text" in facts
+        and facts["text"] not in [one["text"] for _, _, one in given.get(session, ())]
+    ]
 
 
 def unchanged(records) -> list[Break]:
@@ -75,7 +110,13 @@
             asked = sent[facts["session"]]
             changed = [name for name in PASSED_ON if asked.get(name) != facts.get(name)]
             if changed:
-                broken.append(Break("lost", f"changed on its way, {', '.join(changed)}: {facts['session']}", facts["session"]))
+                broken.append(
+                    Break(
+                        "lost",
+                        f"changed on its way, {', '.join(changed)}: {facts['session']}",
+                        facts["session"],
+                    )
+                )
     return broken
 
 
@@ -83,9 +124,12 @@
     """Nobody is told that trying again is harmless of a product that runs once and may have run."""
     broken = []
     for session, told in by_session(records, "arrived", "over", "answered").items():
-        may_have_run = sum(what == "arrived" and facts["product"] in paid for _, what, facts in told) - sum(
-            what == "over" and facts.get("never_ran", False) for _, what, facts in told)
-        if may_have_run > 0 and any(what == "answered" and facts["answer"] == "declined" for _, what, facts in told):
+        may_have_run = sum(
+            what == "arrived" and facts["product"] in paid for _, what, facts in told
+        ) - sum(what == "over" and facts.get("never_ran", False) for _, what, facts in told)
+        if may_have_run > 0 and any(
+            what == "answered" and facts["answer"] == "declined" for _, what, facts in told
+        ):
             broken.append(Break("dup", f"declined, though it may have run: {session}", session))
     return broken
 
@@ -95,18 +139,28 @@
     broken = []
     for session, told in by_session(records, "arrived", "over").items():
         out, may_have_run = set(), 0
-        ends = {(at, facts["node"]) for at, what, facts in told if what == "over"}    # read in one turn, here, an end may come second
+        ends = {
+            (at, facts["node"]) for at, what, facts in told if what == "over"
+        }  # read in one turn, here, an end may come second
         for at, what, facts in told:
             if what == "over":
                 out.discard(facts["node"])
                 may_have_run -= facts.get("never_ran", False)
                 continue
             if both := [node for node in out if (at, node) not in ends]:
-                broken.append(Break("twice", f"out at {facts['node']} and at {', '.join(both)}: {session}", session))
+                broken.append(
+                    Break(
+                        "twice",
+                        f"out at {facts['node']} and at {', '.join(both)}: {session}",
+                        session,
+                    )
+                )
             out.add(facts["node"])
             may_have_run += 1
             if may_have_run > 1 and facts["product"] in paid:
-                broken.append(Break("twice", f"a paid play set up a second time: {session}", session))
+                broken.append(
+                    Break("twice", f"a paid play set up a second time: {session}", session)
+                )
     return broken
 
 
@@ -116,9 +170,17 @@
     for at, what, facts in records:
         if what == "left":
             left[facts["session"]] = at
-        elif what == "arrived" and at - left.get(facts["session"], math.inf) - facts["lag"] > GONE_MS:
-            late.append(f"{facts['session']} {at - left[facts['session']]:.0f} ms after its viewer had left")
-    return [Break("gone", f"attempts for who has gone: {', '.join(late)}")] if len(late) >= GONE_CASES else []
+        elif (
+            what == "arrived" and at - left.get(facts["session"], math.inf) - facts["lag"] > GONE_MS
+        ):
+            late.append(
+                f"{facts['session']} {at - left[facts['session']]:.0f} ms after its viewer had left"
+            )
+    return (
+        [Break("gone", f"attempts for who has gone: {', '.join(late)}")]
+        if len(late) >= GONE_CASES
+        else []
+    )
 
 
 def told_at(at: float, away: list[list[float]]) -> float:
@@ -126,7 +188,9 @@
     span began, or 6 s after it could be reached again where that was later."""
     for begins, ends in away:
         if begins <= at < max(ends, begins + UNTOLD_MS):
-            return ends + UNREACHED_MS if begins + UNTOLD_MS < ends < math.inf else begins + UNTOLD_MS
+            return (
+                ends + UNREACHED_MS if begins + UNTOLD_MS < ends < math.inf else begins + UNTOLD_MS
+            )
     return at
 
 
@@ -143,9 +207,19 @@
     for at, what, facts in records:
         if what == "told" and facts["state"] != "SERVING":
             told[facts["node"]] = min(told.get(facts["node"], math.inf), told_at(at, away))
-        elif what == "arrived" and at - facts["lag"] > told.get(facts["node"], math.inf) + max(grace_ms, DRAIN_LEAST_MS) + SLACK_MS:
+        elif (
+            what == "arrived"
+            and at - facts["lag"]
+            > told.get(facts["node"], math.inf) + max(grace_ms, DRAIN_LEAST_MS) + SLACK_MS
+        ):
             since = at - told[facts["node"]]
-            broken.append(Break("drain", f"{facts['session']} to {facts['node']}, {since:.0f} ms after it was told to drain", facts["session"]))
+            broken.append(
+                Break(
+                    "drain",
+                    f"{facts['session']} to {facts['node']}, {since:.0f} ms after it was told to drain",
+                    facts["session"],
+                )
+            )
     return broken
 
 
@@ -158,11 +232,24 @@
         elif what == "director ready" and since.get(facts["director"]) is not None:
             took.append(at - since.pop(facts["director"]))
         elif what == "director ended" and facts["status"] not in facts["fine"]:
-            broken.append(Break("crash", f"director {facts['director']} ended with {facts['status']}"))
+            broken.append(
+                Break("crash", f"director {facts['director']} ended with {facts['status']}")
+            )
         elif what == "trouble in a log":
             broken.append(Break("crash", f"director {facts['director']}: {facts['line']}"))
-        elif what == "held" and (facts["descriptors"] > terms.sockets or facts["memory_mb"] > terms.memory_mb):
-            broken.append(Break("limits", f"director {facts['director']} holds {facts['descriptors']} descriptors, {facts['memory_mb']:.0f} MB"))
+        elif what == "held" and (
+            facts["descriptors"] > terms.sockets or facts["memory_mb"] > terms.memory_mb
+        ):
+            broken.append(
+                Break(
+                    "limits",
+                    f"director {facts['director']} holds {facts['descriptors']} descriptors, {facts['memory_mb']:.0f} MB",
+                )
+            )
     if sum(ms <= READY_MS for ms in took) < READY_PART * (len(took) + len(since)):
-        broken.append(Break("crash", f"{len(since)} never ready, the others after {sorted(map(round, took))} ms"))
+        broken.append(
+            Break(
+                "crash", f"{len(since)} never ready, the others after {sorted(map(round, took))} ms"
+            )
+        )
     return broken
--- a/laddergw/lab/soak/judge_cold.py
+++ b/laddergw/lab/soak/judge_cold.py
@@ -1,4 +1,5 @@
 """Judges what cold media nodes were sent: the sum over all directors within what the settings allow and chance explains. No I/O."""
+
 import math
 from collections import defaultdict
 
@@ -8,7 +9,9 @@
 
 def allowed(now: float, started: float, terms: Terms) -> float:
     """N: what the settings allow a cold node within the span that ends now."""
-    warmth = terms.cold_from + (1 - terms.cold_from) * min(max(now - terms.fall_ms / 2 - started, 0) / terms.warm_ms, 1)
+    warmth = terms.cold_from + (1 - terms.cold_from) * min(
+        max(now - terms.fall_ms / 2 - started, 0) / terms.warm_ms, 1
+    )
     return terms.multiple * terms.streams / terms.warm_ms * warmth * terms.fall_ms
 
 
@@ -21,10 +24,20 @@
         elif what == "arrived" and at - started.get(facts["node"], -math.inf) < terms.warm_ms:
             sent[facts["node"]].append(at)
             n = allowed(at, started[facts["node"]], terms)
-            most = max(most, sum(at - when < terms.fall_ms for when in sent[facts["node"]]) - n - 2 * math.sqrt(n) - 2)
+            most = max(
+                most,
+                sum(at - when < terms.fall_ms for when in sent[facts["node"]])
+                - n
+                - 2 * math.sqrt(n)
+                - 2,
+            )
     return most
 
 
 def cold(records, terms: Terms) -> list[Break]:
     over = excess(records, terms)
-    return [Break("failback", f"a cold node was sent {over:.1f} over what chance explains")] if over > 0 else []
+    return (
+        [Break("failback", f"a cold node was sent {over:.1f} over what chance explains")]
+        if over > 0
+        else []
+    )
--- a/laddergw/lab/soak/judge_releases.py
+++ b/laddergw/lab/soak/judge_releases.py
@@ -3,6 +3,7 @@
 Due: 1 s after the director has heard of the end from the media node, or has released the session itself; 8 s after an end of which
 nobody could tell it. While no connection that has asked for a play is open to the director, nothing can be sent.
 """
+
 import math
 
 from laddergw.lab.soak.breaks import Break
@@ -15,7 +16,11 @@
 def releases(records) -> list[Break]:
     """What stood and was not released in time, of which its director is to blame."""
     ways, end_of_trial = ways_open(records), max((at for at, _, _ in records), default=0.0)
-    director_of = {facts["session"]: facts["director"] for _, what, facts in records if what in ("asked", "asked again")}
+    director_of = {
+        facts["session"]: facts["director"]
+        for _, what, facts in records
+        if what in ("asked", "asked again")
+    }
     ended = ends_of_directors(records)
     broken = []
     for session, events in standing(records).items():
@@ -25,13 +30,23 @@
         if released is None and killed(records, director, events[0][0], process_end):
             continue
         if process_end < due and released is None:
-            broken.append(Break("lost", f"still stood as its director ended: {session} at {director}", session))
+            broken.append(
+                Break(
+                    "lost", f"still stood as its director ended: {session} at {director}", session
+                )
+            )
             continue
         due = first_way(ways.get(director, []), due) if due < math.inf else due
         if due == math.inf or min(released or math.inf, end_of_trial) <= due + SLACK_MS:
             continue
         late = f"{released - due:.0f} ms late" if released is not None else "never"
-        broken.append(Break("lost", f"was over ({why}), and its viewer was told {late}: {session} at {director}", session))
+        broken.append(
+            Break(
+                "lost",
+                f"was over ({why}), and its viewer was told {late}: {session} at {director}",
+                session,
+            )
+        )
     return broken
 
 
@@ -43,11 +58,29 @@
             found.setdefault(record[2]["session"], []).append(record)
     played = {}
     for session, events in found.items():
-        answers = [record for record in events if record[1] == "answered" and record[2]["answer"] == "plays"]
+        answers = [
+            record
+            for record in events
+            if record[1] == "answered" and record[2]["answer"] == "plays"
+        ]
         whats = {what for _, what, _ in events}
         if answers and not whats & {"ended by its viewer", "left"}:
-            node = next((facts["node"] for _, what, facts in events if what == "made" and facts["text"] == answers[0][2].get("text")), None)
-            played[session] = [answers[0], *(record for record in events if record[1] == "released" or record[2].get("node", "") == node)]
+            node = next(
+                (
+                    facts["node"]
+                    for _, what, facts in events
+                    if what == "made" and facts["text"] == answers[0][2].get("text")
+                ),
+                None,
+            )
+            played[session] = [
+                answers[0],
+                *(
+                    record
+                    for record in events
+                    if record[1] == "released" or record[2].get("node", "") == node
+                ),
+            ]
     return played
 
 
@@ -83,7 +116,11 @@
     """The time by which a release that is due then can have come: one second on a way that stays open for so long."""
     if any(begun <= due - HEARD_MS and end >= due for begun, end in spans):
         return due
-    later = [begun + HEARD_MS for begun, end in spans if begun > due - HEARD_MS and end >= begun + HEARD_MS]
+    later = [
+        begun + HEARD_MS
+        for begun, end in spans
+        if begun > due - HEARD_MS and end >= begun + HEARD_MS
+    ]
     return max(due, min(later, default=math.inf))
 
 
@@ -97,4 +134,7 @@
 
 def killed(records, director: str, since: float, until: float) -> bool:
     """Whether the process that held a session was killed."""
-    return any(what == "director killed" and facts["director"] == director and since <= at <= until for at, what, facts in records)
+    return any(
+        what == "director killed" and facts["director"] == director and since <= at <= until
+        for at, what, facts in records
+    )
--- a/laddergw/lab/soak/node_side.py
+++ b/laddergw/lab/soak/node_side.py
@@ -1,4 +1,5 @@
 """One connection from a director to a media node of a trial: set-ups, answers, and answers that are spoilt."""
+
 import re
 from typing import TYPE_CHECKING
 
@@ -10,11 +11,17 @@
     from laddergw.lab.soak.nodes import Node
 
 ANSWER_MS, REFUSE_MS = (20.0, 120.0), (20.0, 500.0)
-FULL, FAILS, MUTE = 0.08, 0.03, 0.01     # parts of set-ups that a node refuses, fails, and never answers
-SPOILT = 0.4                             # part of the good answers that are spoilt while answers are
-ENDED = 16                               # cause of a release: the session has come to its end
-ANY_TEXT = re.compile(rb"([A-Za-z0-9-]{1,40}): ?([^\r\n]*)")    # a header's line: products have names in any language
-ADDRESSES = "rtsp://media/"              # begins every address
+FULL, FAILS, MUTE = (
+    0.08,
+    0.03,
+    0.01,
+)  # parts of set-ups that a node refuses, fails, and never answers
+SPOILT = 0.4  # part of the good answers that are spoilt while answers are
+ENDED = 16  # cause of a release: the session has come to its end
+ANY_TEXT = re.compile(
+    rb"([A-Za-z0-9-]{1,40}): ?([^\r\n]*)"
+)  # a header's line: products have names in any language
+ADDRESSES = "rtsp://media/"  # begins every address
 
 
 class Conditions:
@@ -46,8 +53,14 @@
     def heard(self, message) -> None:
         node, session = self.node, message.headers["session"]
         if message.method == "SETUP":
-            node.record("arrived", session=session, node=node.id, product=message.headers["subject"],
-                        title=message.target.removeprefix(ADDRESSES), offer=message.body.decode(errors="replace"))
+            node.record(
+                "arrived",
+                session=session,
+                node=node.id,
+                product=message.headers["subject"],
+                title=message.target.removeprefix(ADDRESSES),
+                offer=message.body.decode(errors="replace"),
+            )
             self.out[session] = message.headers["subject"]
             self.decide(session)
         elif message.method == "TEARDOWN":
@@ -60,9 +73,21 @@
 
     def decide(self, session: str) -> None:
         draw = self.node.draw.random()
-        low, high = REFUSE_MS if draw < FULL else ANSWER_MS          # a further try is due when some viewers have left
-        status = 453 if draw < FULL else 500 if draw < FULL + FAILS else None if draw < FULL + FAILS + MUTE else 200
-        self.node.loop.after(self.node.draw.uniform(low, high), lambda: status and self.answer(session, status))
+        low, high = (
+            REFUSE_MS if draw < FULL else ANSWER_MS
+        )  # a further try is due when some viewers have left
+        status = (
+            453
+            if draw < FULL
+            else 500
+            if draw < FULL + FAILS
+            else None
+            if draw < FULL + FAILS + MUTE
+            else 200
+        )
+        self.node.loop.after(
+            self.node.draw.uniform(low, high), lambda: status and self.answer(session, status)
+        )
 
     def over(self, session: str, never_ran: bool = False) -> None:
         """An attempt is out no more."""
@@ -88,16 +113,24 @@
     def spoil(self, session: str, text: bytes) -> None:
         """It has run, and its answer cannot be used."""
         whole = answer(session, 200, text)
-        short = whole.replace(b"Content-Length: %d" % len(text), b"Content-Length: %d" % self.node.draw.randrange(1, len(text)))
+        short = whole.replace(
+            b"Content-Length: %d" % len(text),
+            b"Content-Length: %d" % self.node.draw.randrange(1, len(text)),
+        )
         way = self.node.draw.choice(("short", "short", "noise", "broken off", "empty", "huge"))
         self.over(session)
         if way == "broken off":
-            self.stream.write(whole[:self.node.draw.randrange(1, len(whole))])
+            self.stream.write(whole[: self.node.draw.randrange(1, len(whole))])
             return self.stream.abort()
-        if way == "short":                           # what shows that its length is wrong comes a moment later
+        if way == "short":  # what shows that its length is wrong comes a moment later
             return self.writer.write(self.stream, short, True)
-        return self.write({"noise": b"\x00\xff" * 20, "empty": answer(session, 200, b""),
-                           "huge": whole.replace(b"Content-Length: ", b"Content-Length: 99999")}[way])
+        return self.write(
+            {
+                "noise": b"\x00\xff" * 20,
+                "empty": answer(session, 200, b""),
+                "huge": whole.replace(b"Content-Length: ", b"Content-Length: 99999"),
+            }[way]
+        )
 
     def closed(self, stream, why: str | None) -> None:
         if self in self.node.sides:
--- a/laddergw/lab/soak/nodes.py
+++ b/laddergw/lab/soak/nodes.py
@@ -1,4 +1,5 @@
 """Media nodes as peers of a trial: they answer set-ups, play, say when a play is over, and fail as the plan tells."""
+
 import random
 import selectors
 import socket
@@ -9,21 +10,43 @@
 from laddergw.lab.soak.ports import HOST
 from laddergw.signalling import rtsp
 
-LENGTH_MS = 400.0, 2_000.0               # of a play
-STILL_MS = 120.0                         # pace of looking whether it stands still no more
-QUEUE = 1024                             # connections that wait to be accepted
-FILLERS = 2                              # connections that fill a queue of none
+LENGTH_MS = 400.0, 2_000.0  # of a play
+STILL_MS = 120.0  # pace of looking whether it stands still no more
+QUEUE = 1024  # connections that wait to be accepted
+FILLERS = 2  # connections that fill a queue of none
 
 
 class Node:
     """One media node, with an address for each director. What it has to say of a session it says until it is acknowledged, on every
     connection from its director that opens."""
 
-    def __init__(self, loop, draw: random.Random, record, conditions: Conditions, name: str, cell: int, cold: bool, directors: int):
-        self.loop, self.draw, self.record, self.conditions, self.id, self.cell = loop, draw, record, conditions, name, cell
+    def __init__(
+        self,
+        loop,
+        draw: random.Random,
+        record,
+        conditions: Conditions,
+        name: str,
+        cell: int,
+        cold: bool,
+        directors: int,
+    ):
+        self.loop, self.draw, self.record, self.conditions, self.id, self.cell = (
+            loop,
+            draw,
+            record,
+            conditions,
+            name,
+            cell,
+        )
         self.sides, self.playing, self.still, self.gone, self.fillers = [], {}, False, False, []
-        self.untold: dict[int, dict[str, None]] = {}             # by director: sessions whose end it has not acknowledged
-        self.listeners = [loop.listen((HOST, 0), lambda stream, number=number: NodeSide(self, number)) for number in range(directors)]
+        self.untold: dict[
+            int, dict[str, None]
+        ] = {}  # by director: sessions whose end it has not acknowledged
+        self.listeners = [
+            loop.listen((HOST, 0), lambda stream, number=number: NodeSide(self, number))
+            for number in range(directors)
+        ]
         self.since = time.time() * 1000 if cold else 0
         if cold:
             record("started", node=name)
@@ -53,7 +76,11 @@
         side.over(session)
         self.untold.setdefault(side.director, {})[session] = None
         self.record("ended by its node", session=session, node=self.id)
-        speaker = side if side in self.sides else next((one for one in self.sides if one.director == side.director), None)
+        speaker = (
+            side
+            if side in self.sides
+            else next((one for one in self.sides if one.director == side.director), None)
+        )
         if speaker is not None:
             speaker.write(release(int(session, 16), ENDED))
 
--- a/laddergw/lab/soak/peers.py
+++ b/laddergw/lab/soak/peers.py
@@ -1,13 +1,15 @@
 """What every peer's end of a connection shares, and writes that leave in pieces."""
+
 import random
 from typing import Any
 
-PIECES = (2, 4)            # of one message
-PIECE_MS = (0.0, 30.0)     # between two pieces
+PIECES = (2, 4)  # of one message
+PIECE_MS = (0.0, 30.0)  # between two pieces
 
 
 class Owner:
     """A peer's end of a connection: whole messages come out of its reader and go to `heard`."""
+
     reader: Any = None
     stream: Any = None
 
@@ -37,9 +39,16 @@
 
     def write(self, stream, data: bytes, in_pieces: bool, done=lambda: None) -> None:
         """`done` is called when the last byte has been written."""
-        cuts = sorted(self.draw.randrange(1, len(data)) for _ in range(self.draw.randint(*PIECES) - 1)) if in_pieces else []
+        cuts = (
+            sorted(self.draw.randrange(1, len(data)) for _ in range(self.draw.randint(*PIECES) - 1))
+            if in_pieces
+            else []
+        )
         idle = not self.waiting
-        self.waiting += [(data[start:end], end == len(data) and done) for start, end in zip([0, *cuts], [*cuts, len(data)])]
+        self.waiting += [
+            (data[start:end], end == len(data) and done)
+            for start, end in zip([0, *cuts], [*cuts, len(data)])
+        ]
         if idle:
             self.go_on(stream)
 
@@ -50,7 +59,9 @@
             if done:
                 done()
             else:
-                self.waiting.insert(0, (b"", None))     # marks the pause: what is written now queues behind
+                self.waiting.insert(
+                    0, (b"", None)
+                )  # marks the pause: what is written now queues behind
                 self.loop.after(self.draw.uniform(*PIECE_MS), lambda: self.after_pause(stream))
                 return
 
--- a/laddergw/lab/soak/ports.py
+++ b/laddergw/lab/soak/ports.py
@@ -1,9 +1,10 @@
 """Free ports on loopback that stay ours while nobody listens at them."""
+
 import pathlib
 import random
 import socket
 
-PORTS = 8_000              # as many under the system's own are drawn from
+PORTS = 8_000  # as many under the system's own are drawn from
 HOST = "127.0.0.1"
 SYSTEM_RANGE = pathlib.Path("/proc/sys/net/ipv4/ip_local_port_range")
 
@@ -32,6 +33,6 @@
             held.mark.bind(address)
             held.bind(address)
             return held
-        except OSError:                        # somebody has it
+        except OSError:  # somebody has it
             held.close()
     raise OSError("no free port")
--- a/laddergw/lab/soak/trial.py
+++ b/laddergw/lab/soak/trial.py
@@ -2,6 +2,7 @@
 
 One clock for all that is recorded: this process's.
 """
+
 import os
 import random
 import signal
@@ -22,9 +23,9 @@
 from laddergw.loop.sockets import SocketLoop
 
 PATIENCE_S = 60.0
-SETTLE_MS = 9_000.0        # past the last request: what stood is over, and 8 s for its release
+SETTLE_MS = 9_000.0  # past the last request: what stood is over, and 8 s for its release
 LEAST_TAIL_MS = 2_500.0
-LOOK_MS = 250.0            # pace of measuring processes and of closing idle connections
+LOOK_MS = 250.0  # pace of measuring processes and of closing idle connections
 
 Script = list[tuple[float, Callable[["Trial"], Any]]]
 
@@ -32,23 +33,60 @@
 class Trial:
     """See the module. `script`: (ms from the first request on, a call that takes the trial); a plan's faults come besides."""
 
-    def __init__(self, directors: int, nodes: int, rate: float, seconds: float, script: Script, seed: int, run: str | None = None,
-                 terms: Terms = USUAL, settings: dict[str, Any] = SETTINGS, keep: str | None = None, log_level: str = "INFO"):
-        self.loop, self.draw, self.records, self.killed, self.stopped_late = SocketLoop(), random.Random(seed), [], set(), set()
+    def __init__(
+        self,
+        directors: int,
+        nodes: int,
+        rate: float,
+        seconds: float,
+        script: Script,
+        seed: int,
+        run: str | None = None,
+        terms: Terms = USUAL,
+        settings: dict[str, Any] = SETTINGS,
+        keep: str | None = None,
+        log_level: str = "INFO",
+    ):
+        self.loop, self.draw, self.records, self.killed, self.stopped_late = (
+            SocketLoop(),
+            random.Random(seed),
+            [],
+            set(),
+            set(),
+        )
         self.over, self.turned, self.worst_lag, self.log_level = False, 0.0, 0.0, log_level
         self.processes: list = []
-        self.terms, self.settings, self.number, self.rate, self.seconds, self.script = terms, settings, directors, rate, seconds, script
+        self.terms, self.settings, self.number, self.rate, self.seconds, self.script = (
+            terms,
+            settings,
+            directors,
+            rate,
+            seconds,
+            script,
+        )
         self.asked, self.conditions, self.ends = 0, Conditions(), 0.0
         self.folder_held = None if keep else tempfile.TemporaryDirectory()
         self.folder = keep or self.folder_held.name
         os.makedirs(self.folder, exist_ok=True)
         self.logs_held = [held_port() for _ in range(directors)]
         self.nodes: dict[str, Node] = {}
-        self.log = ChangeLog(self.loop, self.record, [held.getsockname()[1] for held in self.logs_held],
-                             lambda name, director: self.nodes[name].address_for(director))
-        self.log.tell(*(self.node(f"s{n}", n % CELLS, False).line("SERVING") for n in range(nodes)), whole=True)
-        self.directors = [DirectorPlace(self, number, run or default_run()) for number in range(directors)]
-        self.fronts = [Front(self.loop, self.draw, self.record, self.conditions, place, self.next_session) for place in self.directors]
+        self.log = ChangeLog(
+            self.loop,
+            self.record,
+            [held.getsockname()[1] for held in self.logs_held],
+            lambda name, director: self.nodes[name].address_for(director),
+        )
+        self.log.tell(
+            *(self.node(f"s{n}", n % CELLS, False).line("SERVING") for n in range(nodes)),
+            whole=True,
+        )
+        self.directors = [
+            DirectorPlace(self, number, run or default_run()) for number in range(directors)
+        ]
+        self.fronts = [
+            Front(self.loop, self.draw, self.record, self.conditions, place, self.next_session)
+            for place in self.directors
+        ]
         self.loop.at_turn_end(self.turn_ends)
 
     def turn_ends(self) -> None:
@@ -57,10 +95,14 @@
         self.turned = self.loop.reading()
 
     def record(self, what: str, **facts: Any) -> None:
-        self.records.append((self.loop.now, what, facts | {"lag": max(0.0, self.loop.now - self.turned)}))
+        self.records.append(
+            (self.loop.now, what, facts | {"lag": max(0.0, self.loop.now - self.turned)})
+        )
 
     def node(self, name: str, cell: int, cold: bool) -> Node:
-        node = self.nodes[name] = Node(self.loop, self.draw, self.record, self.conditions, name, cell, cold, self.number)
+        node = self.nodes[name] = Node(
+            self.loop, self.draw, self.record, self.conditions, name, cell, cold, self.number
+        )
         return node
 
     def next_session(self) -> str:
@@ -72,11 +114,17 @@
         if self.loop.now >= self.ends:
             return
         crowded = "crowd" in self.conditions
-        self.loop.after(self.draw.expovariate(self.rate * (3 if crowded else 1) / 1000), self.arrive)
+        self.loop.after(
+            self.draw.expovariate(self.rate * (3 if crowded else 1) / 1000), self.arrive
+        )
         able = [front for front in self.fronts if front.place.takes or front.place.stopping]
         if able:
             front = able[0] if crowded else self.draw.choice(able)
-            front.ask(self.draw.choices(self.terms.products, [product.share for product in self.terms.products])[0])
+            front.ask(
+                self.draw.choices(
+                    self.terms.products, [product.share for product in self.terms.products]
+                )[0]
+            )
         if "bad_clients" in self.conditions and self.draw.random() < 0.5:
             self.draw.choice(self.fronts).misbehave()
 
@@ -94,9 +142,13 @@
 
     def settled(self) -> bool:
         """Nothing plays and nobody waits, or the time for that is over."""
-        if self.loop.now < self.ends + LEAST_TAIL_MS or not all(place.takes for place in self.directors):
+        if self.loop.now < self.ends + LEAST_TAIL_MS or not all(
+            place.takes for place in self.directors
+        ):
             return False
-        return self.loop.now >= self.ends + SETTLE_MS or not any(front.standing for front in self.fronts)
+        return self.loop.now >= self.ends + SETTLE_MS or not any(
+            front.standing for front in self.fronts
+        )
 
     def run(self) -> list[tuple]:
         """Plays all of it; the records."""
@@ -137,6 +189,24 @@
 
 def trial_of(plan: Plan, terms: Terms, **options: Any) -> Trial:
     """The trial of a plan: its faults become the script."""
-    products = tuple(product._replace(limit_ms=limit) for product, limit in zip(terms.products, plan.limits_ms)) or terms.products
-    script = [(fault.at_ms, lambda trial, fault=fault: Faults(trial).begin(fault)) for fault in plan.faults]
-    return Trial(plan.directors, plan.nodes, plan.rate, plan.seconds, script, plan.seed, terms=terms._replace(products=products), **options)
+    products = (
+        tuple(
+            product._replace(limit_ms=limit)
+            for product, limit in zip(terms.products, plan.limits_ms)
+        )
+        or terms.products
+    )
+    script = [
+        (fault.at_ms, lambda trial, fault=fault: Faults(trial).begin(fault))
+        for fault in plan.faults
+    ]
+    return Trial(
+        plan.directors,
+        plan.nodes,
+        plan.rate,
+        plan.seconds,
+        script,
+        plan.seed,
+        terms=terms._replace(products=products),
+        **options,
+    )
--- a/laddergw/lab/soak/viewers.py
+++ b/laddergw/lab/soak/viewers.py
@@ -1,4 +1,5 @@
 """One connection from viewers to a director, and the requests on it."""
+
 from typing import TYPE_CHECKING
 
 from laddergw.lab.soak.messages import set_up
@@ -9,11 +10,11 @@
 if TYPE_CHECKING:
     from laddergw.lab.soak.fronts import Front
 
-REFUSALS = 34, 42, 102     # causes that let a viewer come again
-LEAVES, LEAVES_MS = 0.3, 300.0          # part of the viewers that leave before their answer, within so long
-LEAVES_EARLY = 0.6                       # the same while viewers leave early
-ENDS, ENDS_MS = 0.1, 1_500.0             # part of the viewers that end what plays, within so long
-REPEATS = 0.8                            # part of those turned away that ask again at once, while they do
+REFUSALS = 34, 42, 102  # causes that let a viewer come again
+LEAVES, LEAVES_MS = 0.3, 300.0  # part of the viewers that leave before their answer, within so long
+LEAVES_EARLY = 0.6  # the same while viewers leave early
+ENDS, ENDS_MS = 0.1, 1_500.0  # part of the viewers that end what plays, within so long
+REPEATS = 0.8  # part of those turned away that ask again at once, while they do
 TITLES = 60
 
 
@@ -24,7 +25,7 @@
         self.session, self.product, self.title = session, product, ""
         self.asked_ms: float | None = None
         self.crossed = False
-        self.state = "waits"         # then "plays", "over"
+        self.state = "waits"  # then "plays", "over"
 
 
 def offer_of(session: str) -> str:
@@ -37,7 +38,11 @@
 
     def __init__(self, front: "Front"):
         self.front, self.reader, self.requests = front, binary.Reader(), {}
-        self.process, self.writer, self.waiting = front.place.process, PieceWriter(front.loop, front.draw), []
+        self.process, self.writer, self.waiting = (
+            front.place.process,
+            PieceWriter(front.loop, front.draw),
+            [],
+        )
         self.used_ms = front.loop.now
         self.number = next(front.numbers)
 
@@ -59,22 +64,42 @@
         self.used_ms = self.front.loop.now
         draw, product = self.front.draw, request.product
         request.title = f"{draw.randrange(TITLES):016x}"
-        message = set_up(int(request.session, 16), product.name, str(int(product.wait_ms)), request.title,
-                         f"home:{draw.randrange(CELLS)};copies:2;top:2;viewer:{request.session}", "1200.0", offer_of(request.session).encode())
-        self.writer.write(self.stream, message, "pieces" in self.front.conditions, lambda: self.asked(request))
+        message = set_up(
+            int(request.session, 16),
+            product.name,
+            str(int(product.wait_ms)),
+            request.title,
+            f"home:{draw.randrange(CELLS)};copies:2;top:2;viewer:{request.session}",
+            "1200.0",
+            offer_of(request.session).encode(),
+        )
+        self.writer.write(
+            self.stream, message, "pieces" in self.front.conditions, lambda: self.asked(request)
+        )
 
     def asked(self, request: Request) -> None:
         request.asked_ms = self.front.loop.now
-        self.front.record("asked again" if request.crossed else "asked", session=request.session, director=self.front.place.name,
-                          wait_ms=request.product.wait_ms, product=request.product.name, title=request.title, offer=offer_of(request.session),
-                          connection=self.number)
+        self.front.record(
+            "asked again" if request.crossed else "asked",
+            session=request.session,
+            director=self.front.place.name,
+            wait_ms=request.product.wait_ms,
+            product=request.product.name,
+            title=request.title,
+            offer=offer_of(request.session),
+            connection=self.number,
+        )
         part = LEAVES_EARLY if "leave_early" in self.front.conditions else LEAVES
         if self.front.draw.random() < part:
             self.front.loop.after(LEAVES_MS * self.front.draw.random(), lambda: self.leave(request))
 
     def leave(self, request: Request) -> None:
         """The viewer waits no more: it says so, or its connection ends where nothing else is on it."""
-        if request.state != "waits" or self.requests.get(request.session) is not request or self.stream.sock is None:
+        if (
+            request.state != "waits"
+            or self.requests.get(request.session) is not request
+            or self.stream.sock is None
+        ):
             return
         request.state = "over"
         del self.requests[request.session]
@@ -108,7 +133,9 @@
         request.state = "plays"
         self.front.standing[request.session] = request
         if self.front.draw.random() < ENDS:
-            self.front.loop.after(ENDS_MS * self.front.draw.random(), lambda: self.front.end(request))
+            self.front.loop.after(
+                ENDS_MS * self.front.draw.random(), lambda: self.front.end(request)
+            )
 
     def released(self, message: binary.Message, request: Request | None) -> None:
         if request is None or request.state == "over":
@@ -118,14 +145,24 @@
             return self.front.over(request)
         cause = message.parameters[binary.CAUSE][0]
         request.state = "over"
-        self.front.record("answered", session=request.session, answer="declined" if cause in REFUSALS else "failed")
-        if cause in REFUSALS and "repeat_at_once" in self.front.conditions and self.front.draw.random() < REPEATS:
+        self.front.record(
+            "answered",
+            session=request.session,
+            answer="declined" if cause in REFUSALS else "failed",
+        )
+        if (
+            cause in REFUSALS
+            and "repeat_at_once" in self.front.conditions
+            and self.front.draw.random() < REPEATS
+        ):
             self.front.ask(request.product)
 
     def closed(self, stream, why: str | None) -> None:
         if self in self.front.sides:
             self.front.sides.remove(self)
-            self.front.record("connection ended", director=self.front.place.name, connection=self.number)
+            self.front.record(
+                "connection ended", director=self.front.place.name, connection=self.number
+            )
         for request in list(self.requests.values()):
             if request.state == "waits":
                 self.front.cut_off(self, request)
--- a/laddergw/loop/base.py
+++ b/laddergw/loop/base.py
@@ -1,4 +1,5 @@
 """What every loop offers: timers, deferred calls, ends of turns. Real sockets and memory add their streams."""
+
 import logging
 import math
 from collections import deque
@@ -6,19 +7,27 @@
 
 from laddergw.loop.timers import HeapTimers, Timer
 
-MOST_TIMERS = 2_000        # calls of timers in one turn: past that the sockets get their turn first
-MOST_CALLS = 10_000        # deferred calls in one turn: one that asks for itself again ends no turn otherwise
-REFUSED = "Connection refused"   # why of a dial that found no process: it proves that nothing is held there
-SHORT = "no descriptor"    # why of a dial for which this process had none left: it tells nothing of the peer
-STALL_MS = 100.0           # a turn that comes so much later than it should counts as a stand-still of the process
-SLOW_TURN_MS = 1_000.0     # a turn that runs so long is logged: its viewers' limits are of this size
-SLOW_CALL_MS, SLOW_CALLS = 20.0, 8   # what is told of it: calls that took so long, and so many of them
+MOST_TIMERS = 2_000  # calls of timers in one turn: past that the sockets get their turn first
+MOST_CALLS = (
+    10_000  # deferred calls in one turn: one that asks for itself again ends no turn otherwise
+)
+REFUSED = "Connection refused"  # why of a dial that found no process: it proves that nothing is held there
+SHORT = "no descriptor"  # why of a dial for which this process had none left: it tells nothing of the peer
+STALL_MS = (
+    100.0  # a turn that comes so much later than it should counts as a stand-still of the process
+)
+SLOW_TURN_MS = 1_000.0  # a turn that runs so long is logged: its viewers' limits are of this size
+SLOW_CALL_MS, SLOW_CALLS = (
+    20.0,
+    8,
+)  # what is told of it: calls that took so long, and so many of them
 
 log = logging.getLogger("laddergw.loop")
 
 
 class Owner(Protocol):
     """What a stream tells. `why` is None where the peer ended in good order, else a short text."""
+
     def opened(self, stream) -> None: ...
     def got(self, stream, data: bytes) -> None: ...
     def emptied(self, stream) -> None: ...
@@ -27,6 +36,7 @@
 
 class Outgoing:
     """What the streams of every loop share: writes wait in `out` until they leave, one entry each."""
+
     __slots__ = ()
 
     def take_back(self, data: bytes) -> bool:
@@ -46,9 +56,13 @@
         self.now, self.timers, self.calls = now, HeapTimers(now), deque()
         self.ends: list[Callable[[], None]] = []
         self.stalled = self.worst_lag = 0.0
-        self.lingering: dict = {}            # of real sockets: closed ones whose peers have not ended yet, oldest first
+        self.lingering: dict = {}  # of real sockets: closed ones whose peers have not ended yet, oldest first
         self.running = True
-        self.may_call, self.mark, self.slow = MOST_CALLS, now, []   # of this turn: calls left, when the last ended, long ones
+        self.may_call, self.mark, self.slow = (
+            MOST_CALLS,
+            now,
+            [],
+        )  # of this turn: calls left, when the last ended, long ones
 
     def reading(self) -> float:
         """The clock itself, for measuring work within a turn; all decisions use `now`."""
@@ -94,7 +108,7 @@
     def run_timers(self) -> None:
         for timer in self.timers.due(self.now, MOST_TIMERS):
             call, timer.call = timer.call, None
-            if call is not None:                 # a timer of this very turn may have cancelled it
+            if call is not None:  # a timer of this very turn may have cancelled it
                 self.guarded(call)
                 self.run_calls()
 
@@ -103,8 +117,12 @@
             self.guarded(call)
             self.run_calls()
         if self.mark - self.now >= SLOW_TURN_MS:
-            log.warning("a turn of %.0f ms, %d deferred calls; the longest: %s", self.mark - self.now, MOST_CALLS - self.may_call,
-                        ", ".join(f"{name} {ms:.0f} ms" for ms, name in self.slow) or "none long by itself")
+            log.warning(
+                "a turn of %.0f ms, %d deferred calls; the longest: %s",
+                self.mark - self.now,
+                MOST_CALLS - self.may_call,
+                ", ".join(f"{name} {ms:.0f} ms" for ms, name in self.slow) or "none long by itself",
+            )
 
     def lagged(self, lag: float, gap: float) -> None:
         """A turn came `lag` late, `gap` after the one before: what is read now may have waited all of the gap."""
--- a/laddergw/loop/held.py
+++ b/laddergw/loop/held.py
@@ -2,6 +2,7 @@
 
 Imports the C module alone, since `signal` imports `enum` for its names: milliseconds in which the default still holds.
 """
+
 from _signal import SIG_BLOCK, SIG_UNBLOCK, SIGHUP, SIGINT, SIGTERM, pthread_sigmask
 
 HELD = SIGHUP, SIGTERM, SIGINT
--- a/laddergw/loop/lingering.py
+++ b/laddergw/loop/lingering.py
@@ -1,4 +1,5 @@
 """Sockets that we have closed for good, until their peers have ended too; and what the system has not delivered yet."""
+
 import fcntl
 import selectors
 import socket
@@ -9,9 +10,11 @@
 if TYPE_CHECKING:
     from laddergw.loop.sockets import SocketLoop
 
-LINGER_MS = 500.0          # a connection that we have closed is read for so long: its peer, a few round trips away, ends its side
-READ_BYTES = 65_536        # read of one stream in a turn: the others get theirs
-RESET = b"\1\0\0\0\0\0\0\0"       # SO_LINGER of no time: closing resets, and what has not arrived never does
+LINGER_MS = 500.0  # a connection that we have closed is read for so long: its peer, a few round trips away, ends its side
+READ_BYTES = 65_536  # read of one stream in a turn: the others get theirs
+RESET = (
+    b"\1\0\0\0\0\0\0\0"  # SO_LINGER of no time: closing resets, and what has not arrived never does
+)
 
 
 class Lingering:
@@ -57,5 +60,5 @@
     """Bytes that the system took of us and the peer's system has not told to have."""
     try:
         return struct.unpack("i", fcntl.ioctl(sock, termios.TIOCOUTQ, b"\0" * 4))[0]
-    except OSError:                          # no such answer here: nothing is known to be missing
+    except OSError:  # no such answer here: nothing is known to be missing
         return 0
--- a/laddergw/loop/memory.py
+++ b/laddergw/loop/memory.py
@@ -4,6 +4,7 @@
 (time, order of asking); the same seed and the same programs give the same run to the byte. A host can be frozen (as
 by SIGSTOP: its events wait in a heap), killed (its peers see resets) or made to vanish (its peers see nothing).
 """
+
 import heapq
 import math
 from collections import deque
@@ -13,9 +14,9 @@
 from laddergw.loop.base import REFUSED, BaseLoop, Owner
 from laddergw.loop.memory_streams import Listener, Stream
 
-DELAY_MS = 0.2             # one way between hosts: a building's network
-JITTER_MS = 0.1            # drawn on top for each stream, so that streams do not march in step
-BACKLOG = 1024             # connections that wait at a frozen host's listener
+DELAY_MS = 0.2  # one way between hosts: a building's network
+JITTER_MS = 0.1  # drawn on top for each stream, so that streams do not march in step
+BACKLOG = 1024  # connections that wait at a frozen host's listener
 
 
 class Memory:
@@ -47,7 +48,7 @@
         self.now = max(self.now, until)
 
     def draw(self, *parts) -> float:
-        return crc32(repr((self.seed,) + parts).encode()) / 2 ** 32
+        return crc32(repr((self.seed,) + parts).encode()) / 2**32
 
 
 class Host(BaseLoop):
@@ -57,7 +58,7 @@
         super().__init__(world.now)
         self.world, self.name, self.alive, self.silent = world, name, True, False
         self.inbox: deque = deque()
-        self.planned = math.inf              # the turn that stands in the world's queue
+        self.planned = math.inf  # the turn that stands in the world's queue
         self.frozen_until = self.froze_at = -math.inf
         self.streams: dict[int, Stream] = {}
         self.listeners: list[Listener] = []
@@ -146,10 +147,12 @@
 
     def tell(self, when: float, call: Callable[[], None]) -> None:
         """Something reaches this host; it is told in the host's next turn."""
+
         def arrive() -> None:
             if self.alive:
                 self.inbox.append(call)
                 self.plan(self.world.now)
+
         if when <= self.world.now:
             arrive()
         else:
--- a/laddergw/loop/memory_streams.py
+++ b/laddergw/loop/memory_streams.py
@@ -1,4 +1,5 @@
 """Streams and listeners of the loop in memory: delay, bounded buffers, ends that come behind their data."""
+
 from collections import deque
 from typing import TYPE_CHECKING, Callable
 
@@ -7,7 +8,9 @@
 if TYPE_CHECKING:
     from laddergw.loop.memory import Host
 
-WINDOW = 65_536            # bytes that one direction of a stream takes before its reader has read: a socket buffer
+WINDOW = (
+    65_536  # bytes that one direction of a stream takes before its reader has read: a socket buffer
+)
 
 
 class Listener:
@@ -39,7 +42,8 @@
 
 class Stream(Outgoing):
     """One end of a connection in memory; the same calls and counts as a real one."""
-    more = False               # what has come is read at once
+
+    more = False  # what has come is read at once
 
     def __init__(self, host: "Host", owner: Owner | None, peer, number: int, delay: float):
         self.loop, self.owner, self.peer, self.number, self.delay = host, owner, peer, number, delay
--- a/laddergw/loop/sockets.py
+++ b/laddergw/loop/sockets.py
@@ -1,4 +1,5 @@
 """The loop on real sockets: selectors, signals by a wake-up descriptor, child processes by their descriptors."""
+
 import errno
 import math
 import os
@@ -17,10 +18,10 @@
 if TYPE_CHECKING:
     import subprocess
 
-BACKLOG = 1024             # connections that wait in the kernel: a burst while a turn runs
-LONGEST_WAIT_MS = 100.0    # wait of one turn: a stand-still of the process is seen to within this
-LINGERS = 16               # closed connections that still wait for their peers' ends; one more, and the oldest is cut off: a flood of
-                           # connections that we close must not hold descriptors
+BACKLOG = 1024  # connections that wait in the kernel: a burst while a turn runs
+LONGEST_WAIT_MS = 100.0  # wait of one turn: a stand-still of the process is seen to within this
+LINGERS = 16  # closed connections that still wait for their peers' ends; one more, and the oldest is cut off: a flood of
+# connections that we close must not hold descriptors
 
 
 def clock() -> float:
@@ -57,7 +58,9 @@
         return self.clock()
 
     def listen(self, address: tuple[str, int], accept: Callable[[Stream], Owner]) -> Listener:
-        sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
+        sock = socket.socket(
+            socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM
+        )
         try:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             sock.bind(address)
@@ -79,11 +82,15 @@
 
     def dial(self, address: tuple[str, int], owner: Owner, limit_ms: float) -> Stream:
         """Connects; the owner is told `opened`, or `closed` with the reason, never within this call."""
-        if self.over:                          # asked for as a connection ends with the loop
+        if self.over:  # asked for as a connection ends with the loop
             return Stream(self, None, owner, address)
         try:
-            sock = self.with_room(lambda: socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM))
-        except OSError as error:               # this connection does not come up, nothing else is harmed
+            sock = self.with_room(
+                lambda: socket.socket(
+                    socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM
+                )
+            )
+        except OSError as error:  # this connection does not come up, nothing else is harmed
             self.last_error, stream = str(error), Stream(self, None, owner, address)
             self.soon(lambda: owner.closed(stream, SHORT))
             return stream
@@ -118,7 +125,7 @@
         """Takes over a socket that is closed for good, until its peer has ended too."""
         try:
             sock.shutdown(socket.SHUT_WR)
-        except OSError:                        # the peer has reset it
+        except OSError:  # the peer has reset it
             return sock.close()
         if self.over:
             return sock.close()
@@ -143,9 +150,12 @@
             if number in self.signals:
                 self.signals[number]()
 
-    def spawn(self, command: list[str], ended: Callable[[int], None], **options) -> "subprocess.Popen":
+    def spawn(
+        self, command: list[str], ended: Callable[[int], None], **options
+    ) -> "subprocess.Popen":
         """Starts a child process; `ended(status)` is called in a turn of the loop when it has gone."""
         import subprocess  # only programs that have children pay for it
+
         child = subprocess.Popen(command, **options)
         handle = os.pidfd_open(child.pid)
 
@@ -153,6 +163,7 @@
             watch.close()
             os.close(handle)
             ended(child.wait())
+
         watch = Watch(self, handle, gone)
         return child
 
--- a/laddergw/loop/streams.py
+++ b/laddergw/loop/streams.py
@@ -1,4 +1,5 @@
 """A connected socket on the loop: what is written waits until the kernel takes it, what comes is handed to the stream's owner."""
+
 import errno
 import os
 import selectors
@@ -12,20 +13,49 @@
 if TYPE_CHECKING:
     from laddergw.loop.sockets import SocketLoop
 
-STUCK_MS = 5_000.0         # what is queued on a connection that we have closed: a peer that takes nothing for so long gets no more
+STUCK_MS = 5_000.0  # what is queued on a connection that we have closed: a peer that takes nothing for so long gets no more
 
 
 class Stream(Outgoing):
     """A connected socket. `taken` counts the bytes that the kernel took, `asked` those that we were given to write. `more`: the
     last turn's read stopped at its bound, so its peer may have said more, or have left."""
-    __slots__ = ("loop", "sock", "owner", "peer", "out", "queued", "asked", "taken", "reading", "ending", "open", "mask",
-                 "limit", "fd", "more", "deliver_ms")
+
+    __slots__ = (
+        "loop",
+        "sock",
+        "owner",
+        "peer",
+        "out",
+        "queued",
+        "asked",
+        "taken",
+        "reading",
+        "ending",
+        "open",
+        "mask",
+        "limit",
+        "fd",
+        "more",
+        "deliver_ms",
+    )
 
     def __init__(self, loop: "SocketLoop", sock: socket.socket, owner: Owner, peer):
-        self.loop, self.sock, self.owner, self.peer, self.fd = loop, sock, owner, peer, sock.fileno() if sock else -1
+        self.loop, self.sock, self.owner, self.peer, self.fd = (
+            loop,
+            sock,
+            owner,
+            peer,
+            sock.fileno() if sock else -1,
+        )
         self.out: deque = deque()
         self.queued = self.asked = self.taken = self.mask = 0
-        self.reading, self.ending, self.open, self.limit, self.more = True, False, False, None, False
+        self.reading, self.ending, self.open, self.limit, self.more = (
+            True,
+            False,
+            False,
+            None,
+            False,
+        )
         self.deliver_ms = None
 
     def write(self, data: bytes) -> None:
@@ -34,7 +64,7 @@
         if self.sock is None or self.ending or not data:
             return
         if self.open and not self.out:
-            data = data[self.push(data):]
+            data = data[self.push(data) :]
         if data and self.sock is not None:
             self.out.append(data)
             self.queued += len(data)
@@ -75,7 +105,8 @@
         if self.sock is None:
             return
         mask = (selectors.EVENT_READ if self.reading and self.open else 0) | (
-            selectors.EVENT_WRITE if self.out or not self.open else 0)
+            selectors.EVENT_WRITE if self.out or not self.open else 0
+        )
         if mask != self.mask:
             selector = self.loop.selector
             if not self.mask:
@@ -87,7 +118,7 @@
             self.mask = mask
 
     def ready(self, events: int) -> None:
-        if self.sock is None:                # closed by an event told earlier in this turn
+        if self.sock is None:  # closed by an event told earlier in this turn
             return
         if not self.open:
             return self.connected() if events & selectors.EVENT_WRITE else None
@@ -102,7 +133,9 @@
         left, self.more = READ_BYTES, False
         while self.sock is not None and self.reading and not self.more:
             try:
-                data = self.sock.recv(left or 1)     # one byte past the bound tells whether there is more
+                data = self.sock.recv(
+                    left or 1
+                )  # one byte past the bound tells whether there is more
             except (BlockingIOError, InterruptedError):
                 break
             except OSError as error:
--- a/laddergw/loop/timers.py
+++ b/laddergw/loop/timers.py
@@ -3,18 +3,23 @@
 Both hand out calls in order of (time, order of adding), so a run does not depend on which is used. Which one the
 loops use, and why, stands in docs/loop.md with the figures of benchmarks/timers.py. Times are ms with fractions.
 """
+
 import heapq
 import math
 from typing import Callable
 
-TICK_MS = 1.0          # a wheel's slot: the loop turns no finer than this under load
-SLOT_BITS = 6          # 64 slots a level: four levels reach 4.6 hours, all that we ever wait
+TICK_MS = 1.0  # a wheel's slot: the loop turns no finer than this under load
+SLOT_BITS = 6  # 64 slots a level: four levels reach 4.6 hours, all that we ever wait
 LEVELS = 4
-REAP_LEAST, REAP_PART = 1024, 0.5   # a heap is rebuilt when so many, and this part of it, are cancelled
+REAP_LEAST, REAP_PART = (
+    1024,
+    0.5,
+)  # a heap is rebuilt when so many, and this part of it, are cancelled
 
 
 class Timer:
     """A call to be made at a time; cancel() may be called at any moment, also after it was made."""
+
     __slots__ = ("when", "order", "call", "owner")
 
     def __init__(self, when: float, order: int, call: Callable[[], None], owner):
@@ -73,8 +78,8 @@
     def __init__(self, now: float = 0.0):
         self.tick = int(now // TICK_MS)
         self.slots = [[{} for _ in range(1 << SLOT_BITS)] for _ in range(LEVELS)]
-        self.filled = [0] * LEVELS       # entries a level, so that empty stretches are skipped
-        self.ready: list[Timer] = []     # of ticks gone by, sorted
+        self.filled = [0] * LEVELS  # entries a level, so that empty stretches are skipped
+        self.ready: list[Timer] = []  # of ticks gone by, sorted
         self.added = self.alive = 0
 
     def __len__(self) -> int:
@@ -105,7 +110,7 @@
         self.filled[level] += 1
 
     def dropped(self, timer: Timer) -> None:
-        self.alive -= 1          # it stays in its slot, empty, until the slot is reached
+        self.alive -= 1  # it stays in its slot, empty, until the slot is reached
 
     def next(self) -> float:
         """Time of the earliest timer, or a lower bound within its slot; infinite where there is none."""
@@ -130,7 +135,7 @@
                 self.tick = tick
                 return
             step = 1
-            if not self.filled[0]:       # jump to the end of this run of empty finest slots
+            if not self.filled[0]:  # jump to the end of this run of empty finest slots
                 step = min(tick - self.tick, (1 << SLOT_BITS) - (self.tick & mask))
             self.tick += step
             for level in range(LEVELS - 1, 0, -1):
--- a/laddergw/loop/tls.py
+++ b/laddergw/loop/tls.py
@@ -3,6 +3,7 @@
 The layer stands between a stream and its owner: it is the stream's owner, and a stream to the owner behind it. Certificates of both sides are asked for and checked by `contexts`;
 an unknown or expired peer is refused in the handshake, before a byte of ours is sent.
 """
+
 import ssl
 from typing import Callable
 
@@ -33,11 +34,15 @@
 class Secure:
     """See the module. `owner` is told as by a plain stream: opened once the handshake is done."""
 
-    def __init__(self, owner: Owner | None, context: ssl.SSLContext, server: bool, name: str | None = None):
+    def __init__(
+        self, owner: Owner | None, context: ssl.SSLContext, server: bool, name: str | None = None
+    ):
         self.owner, self.stream, self.up, self.over = owner, None, False, False
         self.come, self.go = ssl.MemoryBIO(), ssl.MemoryBIO()
-        self.tls = context.wrap_bio(self.come, self.go, server_side=server, server_hostname=None if server else name)
-        self.waiting = bytearray()             # written before the handshake was done
+        self.tls = context.wrap_bio(
+            self.come, self.go, server_side=server, server_hostname=None if server else name
+        )
+        self.waiting = bytearray()  # written before the handshake was done
         self.peer = None
 
     # As the owner of the stream below
@@ -154,4 +159,5 @@
         layer.stream = stream
         layer.owner = accept(layer)
         return layer
+
     return secured
--- a/laddergw/machines/allocation.py
+++ b/laddergw/machines/allocation.py
@@ -9,23 +9,32 @@
 node's own clock, is over. Only then is its end told (`Step.ended`), so that what the module does next never stands
 beside it. Times are ms of the director's clock, handed in.
 """
+
 import math
 from typing import NamedTuple
 
 from laddergw import interface as face
 
 WAITING, OUT, HELD, ENDING, GONE = "waiting", "out", "held", "ending", "gone"
-GRACE_MS = 60.0            # a lease outlives its time-out by this: an answer just in time can still be confirmed
-REFUSALS = {503: face.FULL, 410: face.FULL, 409: face.UNREACHABLE, 429: face.FULL}   # by the protocol: it never ran
+GRACE_MS = (
+    60.0  # a lease outlives its time-out by this: an answer just in time can still be confirmed
+)
+REFUSALS = {
+    503: face.FULL,
+    410: face.FULL,
+    409: face.UNREACHABLE,
+    429: face.FULL,
+}  # by the protocol: it never ran
 
 
 class Step(NamedTuple):
     """What follows from a fact. `ended`: the outcome to tell the module; the others are things to do."""
+
     ended: str | None = None
     playing: bool = False
     confirm: bool = False
     release: bool = False
-    drop_call: bool = False     # the set-up's request is of no more use
+    drop_call: bool = False  # the set-up's request is of no more use
 
 
 NOTHING = Step()
@@ -34,14 +43,26 @@
 class Allocation:
     """One allocation of a play."""
 
-    def __init__(self, name: str, number: int, play: int, node: int, rung: int, now: float, timeout: float,
-                 grace: float = GRACE_MS, release_ms: float = math.inf):
+    def __init__(
+        self,
+        name: str,
+        number: int,
+        play: int,
+        node: int,
+        rung: int,
+        now: float,
+        timeout: float,
+        grace: float = GRACE_MS,
+        release_ms: float = math.inf,
+    ):
         self.name, self.number, self.play, self.node, self.rung = name, number, play, node, rung
         self.state, self.reason = WAITING, None
         self.asked_at, self.answer_by = now, now + timeout
         self.grace, self.release_ms = grace, release_ms
         self.lease_ends = self.gone_by = now + timeout + grace
-        self.ran = self.confirmed = False   # the node said that it set the play up; we took it over in time
+        self.ran = self.confirmed = (
+            False  # the node said that it set the play up; we took it over in time
+        )
 
     def sent(self) -> Step:
         if self.state == WAITING:
@@ -60,13 +81,17 @@
         """The node's answer to the set-up; `sound` where its body could be read."""
         if self.state == ENDING:
             never, self.ran = status in REFUSALS, self.ran or status == 201
-            return self.gone(REFUSALS[status] if never else self.reason) if never or status >= 500 else NOTHING
+            return (
+                self.gone(REFUSALS[status] if never else self.reason)
+                if never or status >= 500
+                else NOTHING
+            )
         if self.state not in (WAITING, OUT):
             return NOTHING
         if status == 201 and sound and now <= self.lease_ends - self.grace / 2:
             self.state, self.ran, self.confirmed = HELD, True, True
             return Step(playing=True, confirm=True)
-        if status == 201:          # too late to be confirmed before its lease ends, or not to be understood
+        if status == 201:  # too late to be confirmed before its lease ends, or not to be understood
             self.ran = True
             return self.ending(face.TIMED_OUT if sound else face.ERROR)
         return self.gone(REFUSALS.get(status, face.ERROR))
@@ -82,7 +107,7 @@
     def timed_out(self, now: float, written: int, size: int) -> Step:
         if self.state not in (WAITING, OUT):
             return NOTHING
-        if written < size:         # also when none was written: no connection came in time
+        if written < size:  # also when none was written: no connection came in time
             return self.gone(face.UNREACHABLE, drop_call=True)
         return self.ending(face.TIMED_OUT)
 
--- a/laddergw/machines/door.py
+++ b/laddergw/machines/door.py
@@ -3,30 +3,45 @@
 The door is not a second placement policy: it turns away only what the process itself cannot hold, and what it
 turns away gets its answer at once.
 """
+
 from typing import NamedTuple
 
-FULL, STOPPING, PAID_RAN, WAITS, SLOW = "director is full", "director stops", "an earlier set-up may have run", "an earlier try may still be out", "nodes answer slowly"
+FULL, STOPPING, PAID_RAN, WAITS, SLOW = (
+    "director is full",
+    "director stops",
+    "an earlier set-up may have run",
+    "an earlier try may still be out",
+    "nodes answer slowly",
+)
 
 
 class Bounds(NamedTuple):
     """What a director takes on itself. Times in ms."""
-    open_tries: int = 2_000        # viewers that wait for an answer: 5 s of 400 a second
-    held_plays: int = 20_000       # plays under way; each holds a viewer's connection
-    connections: int = 25_000      # at the door, held plays included
-    lease_most_ms: float = 2_000.0   # longest time for which a set-up may be out: over the usual first-frame targets
-    answer_margin_ms: float = 40.0   # kept of a viewer's wait for the way back
-    retry_ms: float = 1_000.0      # come-back time of those turned away at the door, drawn from its upper half
-    finish_ms: float = 10_000.0    # plays under way may go on so long after a SIGTERM
+
+    open_tries: int = 2_000  # viewers that wait for an answer: 5 s of 400 a second
+    held_plays: int = 20_000  # plays under way; each holds a viewer's connection
+    connections: int = 25_000  # at the door, held plays included
+    lease_most_ms: float = (
+        2_000.0  # longest time for which a set-up may be out: over the usual first-frame targets
+    )
+    answer_margin_ms: float = 40.0  # kept of a viewer's wait for the way back
+    retry_ms: float = (
+        1_000.0  # come-back time of those turned away at the door, drawn from its upper half
+    )
+    finish_ms: float = 10_000.0  # plays under way may go on so long after a SIGTERM
 
 
 class Turned(NamedTuple):
     """A play that is not let in: the answer's kind and when to come back."""
+
     failed: bool
     retry_ms: float | None
     reason: str
 
 
-def turn_away(bounds: Bounds, tries: int, held: int, stopping: bool, chance: float) -> Turned | None:
+def turn_away(
+    bounds: Bounds, tries: int, held: int, stopping: bool, chance: float
+) -> Turned | None:
     """Whether a play is turned away at the door; `chance` in [0, 1) spreads the returns."""
     wait = bounds.retry_ms * (1 + chance) / 2
     if stopping:
--- a/laddergw/machines/life.py
+++ b/laddergw/machines/life.py
@@ -8,32 +8,45 @@
 Which node and rung, and whether to go on, the module says; how long, how often and with what pause the file allows is said here. The director runs this
 machine and allocation.py's, and so does the search that proves a file (terms/search.py). Times are ms of the director's clock.
 """
+
 from typing import NamedTuple
 
 from laddergw import interface as face
 from laddergw.machines.allocation import Allocation
 from laddergw.machines.door import Turned
 
-NEVER_RAN = (face.FULL, face.UNREACHABLE, face.NEVER_SENT)    # outcomes after which a set-up has provably not run
+NEVER_RAN = (
+    face.FULL,
+    face.UNREACHABLE,
+    face.NEVER_SENT,
+)  # outcomes after which a set-up has provably not run
 TRIES_OVER = "it was tried as often as its terms allow"
-AGAIN_MS = (500.0, 1_000.0)    # come-back times of what we decline ourselves: as the module draws its own
-GUARD_MS = 10.0            # a try still without its answer so long before half of the margin is failed by the director
+AGAIN_MS = (
+    500.0,
+    1_000.0,
+)  # come-back times of what we decline ourselves: as the module draws its own
+GUARD_MS = 10.0  # a try still without its answer so long before half of the margin is failed by the director
 
 
 class PlayTerms(NamedTuple):
     """What holds for a play of one route and product. Times ms. What each means to operators: docs/limits.md."""
+
     first_frame_ms: float = 1_500.0
-    time_limit_ms: float = 600_000.0       # a viewer's own wait is cut to this
-    connect_ms: float = 1_940.0            # to the first byte of a set-up
-    set_up_ms: float = 1_940.0             # to a set-up's answer
-    lease_ms: float = 2_000.0              # a set-up may be out so long without our confirming it
-    release_ms: float = 2_000.0            # for a release's acknowledgement; then the next allocation is sent
-    first_segment_ms: float = 2_000.0      # a node that gives no segment for so long has stalled
-    attempts: int = 100                    # allocations of one try
-    backoff_ms: tuple[float, float, float] = (0.0, 1.0, 0.0)     # pause before the second, factor for each further, most
-    viewer_tries: int = 10_000             # of one play, by its token
+    time_limit_ms: float = 600_000.0  # a viewer's own wait is cut to this
+    connect_ms: float = 1_940.0  # to the first byte of a set-up
+    set_up_ms: float = 1_940.0  # to a set-up's answer
+    lease_ms: float = 2_000.0  # a set-up may be out so long without our confirming it
+    release_ms: float = 2_000.0  # for a release's acknowledgement; then the next allocation is sent
+    first_segment_ms: float = 2_000.0  # a node that gives no segment for so long has stalled
+    attempts: int = 100  # allocations of one try
+    backoff_ms: tuple[float, float, float] = (
+        0.0,
+        1.0,
+        0.0,
+    )  # pause before the second, factor for each further, most
+    viewer_tries: int = 10_000  # of one play, by its token
     retry_after_ms: tuple[float, float] = (0.0, 600_000.0)
-    read_copies: int = 0                   # of an idempotent read, at other nodes
+    read_copies: int = 0  # of an idempotent read, at other nodes
     copy_after_ms: float = 300.0
 
     @property
@@ -48,7 +61,9 @@
     def __init__(self, terms: PlayTerms, repeat: str, now: float, wait_ms: float, margin_ms: float):
         self.terms, self.repeat, self.asked_at = terms, repeat, now
         self.limit = now + min(wait_ms, terms.time_limit_ms - margin_ms)
-        self.guard = max(self.limit - GUARD_MS, now) + margin_ms / 2     # the director answers by then, whatever holds it up
+        self.guard = (
+            max(self.limit - GUARD_MS, now) + margin_ms / 2
+        )  # the director answers by then, whatever holds it up
         self.sends, self.may_have_run = 0, False
 
     def turned(self, tries: int) -> Turned | None:
@@ -60,13 +75,17 @@
         first, factor, most = self.terms.backoff_ms
         return min(first * factor ** (self.sends - 1), most) if self.sends else 0.0
 
-    def allocate(self, name: str, play: int, node: int, rung: int, wanted_ms: float, now: float) -> Allocation:
+    def allocate(
+        self, name: str, play: int, node: int, rung: int, wanted_ms: float, now: float
+    ) -> Allocation:
         """The allocation for the module's choice. Its lease ends within what the viewer still waits; a time-out of nothing or
         less means that it cannot be sent."""
         pause, terms = self.pause(), self.terms
         timeout = min(wanted_ms, terms.set_up_ms, self.limit - now - pause - terms.grace_ms)
         number, self.sends = self.sends, self.sends + 1
-        return Allocation(name, number, play, node, rung, now + pause, timeout, terms.grace_ms, terms.release_ms)
+        return Allocation(
+            name, number, play, node, rung, now + pause, timeout, terms.grace_ms, terms.release_ms
+        )
 
     def ended(self, outcome: str) -> None:
         if outcome not in NEVER_RAN:
--- a/laddergw/machines/pace.py
+++ b/laddergw/machines/pace.py
@@ -4,23 +4,29 @@
 node's share of the waiting room follows its answers, by a gradient (answer times against the best ones seen lately) or by additive increase and multiplicative decrease; the door
 compares who waits with the sum. Placement is the module's alone: which node is asked is not decided here. Both are measured in docs/limits.md; times are ms.
 """
+
 import math
 from typing import Iterable
 
 OFF, GRADIENT, AIMD = "off", "gradient", "aimd"
 KINDS = (OFF, GRADIENT, AIMD)
-START, LEAST, MOST = 8.0, 1.0, 64.0    # of a node: a node of twenty places works on a few set-ups at once
-SMOOTH = 0.2               # part of a new answer time in the running one
-BEST_DRIFT = 1.002         # the best time rises by this with each answer, so that it is of lately
-TOLERANCE = 1.5            # answers so much over the best are work, not a queue
-SHRINK = 0.5               # by a failure, and at most by a slow answer
-GROW = 1.0                 # a round of as many answers as the limit
-RETRY_WORTH = 0.5          # a further try against a first: its viewer was answered before
-ROOM_LEAST = 0.3           # of the room is open to whoever comes
+START, LEAST, MOST = (
+    8.0,
+    1.0,
+    64.0,
+)  # of a node: a node of twenty places works on a few set-ups at once
+SMOOTH = 0.2  # part of a new answer time in the running one
+BEST_DRIFT = 1.002  # the best time rises by this with each answer, so that it is of lately
+TOLERANCE = 1.5  # answers so much over the best are work, not a queue
+SHRINK = 0.5  # by a failure, and at most by a slow answer
+GROW = 1.0  # a round of as many answers as the limit
+RETRY_WORTH = 0.5  # a further try against a first: its viewer was answered before
+ROOM_LEAST = 0.3  # of the room is open to whoever comes
 
 
 class NodePace:
     """One node's share of the waiting room."""
+
     __slots__ = ("kind", "limit", "best", "usual")
 
     def __init__(self, kind: str):
--- a/laddergw/machines/windows.py
+++ b/laddergw/machines/windows.py
@@ -3,13 +3,15 @@
 A window is cut into parts that are counted whole. What is asked from above (`most`) counts the part that is half out of the window, what is asked
 from below (`least`) leaves it out, so that a budget kept by these counts is kept by exact ones. Measured against exact deques in benchmarks/windows.py.
 """
+
 from typing import Iterable, NamedTuple
 
-PARTS = 20                 # of a window: a count is off by a twentieth of the window at most
+PARTS = 20  # of a window: a count is off by a twentieth of the window at most
 
 
 class Window:
     """Counts by parts of a window, ms."""
+
     __slots__ = ("part_ms", "counts", "last")
 
     def __init__(self, window_ms: float):
@@ -39,6 +41,7 @@
 
 class Allowed(NamedTuple):
     """What is allowed: further allocations within a window, ms, and a share of the plays taken."""
+
     free: float
     share: float
     window_ms: float
@@ -51,7 +54,7 @@
         self.taken: dict[str, Window] = {}
         self.further: dict[str, Window] = {}
         self.allowed: dict[str, Allowed] = {}
-        self.fleet = None                      # grants of budgets that are the whole fleet's (fleet/grants.py)
+        self.fleet = None  # grants of budgets that are the whole fleet's (fleet/grants.py)
 
     def set(self, allowed: dict[str, Allowed]) -> None:
         for name, one in allowed.items():
@@ -74,7 +77,9 @@
         held, drawn = [name for name in names if name in self.allowed], set()
         for name in held:
             one = self.allowed[name]
-            if self.further[name].most(now) + 1 > one.free + one.share * self.taken[name].least(now):
+            if self.further[name].most(now) + 1 > one.free + one.share * self.taken[name].least(
+                now
+            ):
                 if self.fleet is None or not self.fleet.may(name, now):
                     return name
                 drawn.add(name)
--- a/laddergw/platform/__main__.py
+++ b/laddergw/platform/__main__.py
@@ -1,6 +1,10 @@
 """One real director: reads its configuration, serves until it is told to stop."""
-if __name__ == "__main__":                   # before all else: until the loop takes them, signals end a process by default
+
+if (
+    __name__ == "__main__"
+):  # before all else: until the loop takes them, signals end a process by default
     from laddergw.loop import held
+
     held.hold()
 
 import gc
@@ -42,7 +46,11 @@
 
 
 def main() -> int:
-    logging.basicConfig(stream=sys.stderr, level=os.environ.get("LADDERGW_LOG", "INFO"), format="%(asctime)s %(levelname)s %(message)s")
+    logging.basicConfig(
+        stream=sys.stderr,
+        level=os.environ.get("LADDERGW_LOG", "INFO"),
+        format="%(asctime)s %(levelname)s %(message)s",
+    )
     path = os.environ.get("PROXY_CONFIG", "")
     try:
         found = with_descriptors(assignments.read_file(path))
@@ -58,11 +66,17 @@
     for number in signal.SIGTERM, signal.SIGINT:
         loop.on_signal(number, director.stop)
     loop.on_signal(signal.SIGHUP, lambda: read_again(path, director))
-    gc.freeze()                              # what the start has made stays: no pass looks at it again
-    log.info("director %s runs at %s, %d nodes, change log at %s; started with %.0f ms of its processor's time", found.name, found.listen,
-             len(director.nodes.by_id), found.changelog, time.process_time() * 1000)
+    gc.freeze()  # what the start has made stays: no pass looks at it again
+    log.info(
+        "director %s runs at %s, %d nodes, change log at %s; started with %.0f ms of its processor's time",
+        found.name,
+        found.listen,
+        len(director.nodes.by_id),
+        found.changelog,
+        time.process_time() * 1000,
+    )
     loop.run()
-    held.hold()                              # what comes to a process that ends must not end it otherwise
+    held.hold()  # what comes to a process that ends must not end it otherwise
     log.info("director %s ends", found.name)
     loop.close()
     return EXIT_FAILED if director.broken else EXIT_GOOD
--- a/laddergw/platform/admission.py
+++ b/laddergw/platform/admission.py
@@ -2,6 +2,7 @@
 
 It is answered in `stand` or `finish`, and both take it out of the open plays first, so that one answer goes out whatever comes together.
 """
+
 import logging
 
 from laddergw.platform import allocation as life
@@ -11,10 +12,12 @@
 from laddergw.platform.viewers import OPEN_MOST, Viewer
 from laddergw.signalling import binary
 
-EARLY_MS = 20.0            # answers are due so long before the viewer's time limit: its clock began before ours
-GUARD_MS = 10.0            # past the module's own time-out at the limit, which it answers by the play's terms
-CROSS_MS = 50.0            # what one peer says on two connections may cross for so long: the protocol's own time for a close and a set-up
-TOLD_MOST = 40             # unusable set-ups told in the log: a flood must not fill it
+EARLY_MS = (
+    20.0  # answers are due so long before the viewer's time limit: its clock began before ours
+)
+GUARD_MS = 10.0  # past the module's own time-out at the limit, which it answers by the play's terms
+CROSS_MS = 50.0  # what one peer says on two connections may cross for so long: the protocol's own time for a close and a set-up
+TOLD_MOST = 40  # unusable set-ups told in the log: a flood must not fill it
 
 log = logging.getLogger("laddergw.platform")
 
@@ -24,7 +27,9 @@
 
     def __init__(self, director):
         self.director, self.count = director, director.count
-        self.fresh: list[Play] = []          # plays of which the module is to hear at the turn's end: asked for, or an allocation over
+        self.fresh: list[
+            Play
+        ] = []  # plays of which the module is to hear at the turn's end: asked for, or an allocation over
 
     def heard(self, viewer: Viewer, message: binary.Message) -> None:
         if message.kind == binary.SET_UP:
@@ -32,7 +37,11 @@
         elif message.kind == binary.RELEASE:
             self.viewer_ends(viewer, message.session)
         elif message.kind == binary.TEST:
-            viewer.write(binary.TESTED, message.session, (binary.CAUSE, bytes([self.director.stopping is None])))
+            viewer.write(
+                binary.TESTED,
+                message.session,
+                (binary.CAUSE, bytes([self.director.stopping is None])),
+            )
         elif message.kind == binary.HEARD:
             self.director.listener.releases.acknowledged(message.session)
         elif message.kind != binary.PROGRESS:
@@ -40,8 +49,10 @@
 
     def asked(self, viewer: Viewer, message: binary.Message) -> None:
         session = message.session
-        if session in self.director.open or (session in self.director.standing and not self.takes_over(message)):
-            return viewer.close("a session that is there")   # an answer on it would be the other's
+        if session in self.director.open or (
+            session in self.director.standing and not self.takes_over(message)
+        ):
+            return viewer.close("a session that is there")  # an answer on it would be the other's
         try:
             request = requests.read(message, self.director.assignment)
         except requests.Unusable as error:
@@ -52,15 +63,35 @@
         self.director.listener.spoke(viewer)
         if request.at:
             return self.handed_over(viewer, session, request)
-        if self.director.broken or self.director.stopping is not None or len(viewer.plays) >= OPEN_MOST:
-            why = "the director stops" if self.director.stopping is not None else "the module failed" if self.director.broken else "too many on its connection"
+        if (
+            self.director.broken
+            or self.director.stopping is not None
+            or len(viewer.plays) >= OPEN_MOST
+        ):
+            why = (
+                "the director stops"
+                if self.director.stopping is not None
+                else "the module failed"
+                if self.director.broken
+                else "too many on its connection"
+            )
             log.debug("%s: refused on %s, %s", session, viewer, why)
             self.director.count("turned away: " + why)
-            return viewer.refuse(session, DECLINED, self.away(self.director.assignment.deployment.retry_max_ms))
+            return viewer.refuse(
+                session, DECLINED, self.away(self.director.assignment.deployment.retry_max_ms)
+            )
         self.director.count("asked")
-        log.debug("%s: set-up of %s on %s, waits %.0f ms", session, request.product, viewer, request.ask.wait_ms)
+        log.debug(
+            "%s: set-up of %s on %s, waits %.0f ms",
+            session,
+            request.product,
+            viewer,
+            request.ask.wait_ms,
+        )
         ply = self.director.open[session] = viewer.plays[session] = Play(request, session, viewer)
-        ply.limit = self.director.loop.now + max(0.0, request.ask.wait_ms - viewer.stalled - EARLY_MS)
+        ply.limit = self.director.loop.now + max(
+            0.0, request.ask.wait_ms - viewer.stalled - EARLY_MS
+        )
         ply.guard = self.director.loop.at(ply.limit + GUARD_MS, lambda: self.overdue(ply))
         return self.fresh.append(ply)
 
@@ -93,26 +124,39 @@
         if session not in self.director.standing:
             self.director.count("handed over")
             log.debug("%s: handed over on %s, plays at node %s", session, viewer, node.id)
-            ply = self.director.standing[session] = node.held[session] = Play(request, session, viewer)
+            ply = self.director.standing[session] = node.held[session] = Play(
+                request, session, viewer
+            )
             ply.node, ply.number, ply.stands = node, 0, True
-            self.director.feed(self.director.controller.handed_over, self.director.loop.now, request.ask, node.number)
+            self.director.feed(
+                self.director.controller.handed_over,
+                self.director.loop.now,
+                request.ask,
+                node.number,
+            )
             if not node.connections and self.director.nodes.room(of_held=False):
-                node.dial()                          # what the node tells of it comes on any connection
+                node.dial()  # what the node tells of it comes on any connection
         return None
 
     def away(self, ms: float | None) -> tuple[int, bytes]:
         return binary.AWAY, b"%d" % (ms or 0)
 
     def viewer_ends(self, viewer: Viewer, session: str) -> None:
-        if ply := self.director.standing.get(session):        # it gave up as our answer left: what stood is released to it too
+        if ply := self.director.standing.get(
+            session
+        ):  # it gave up as our answer left: what stood is released to it too
             log.debug("%s.%d: ended by its viewer on %s", ply.session, ply.number, viewer)
             self.director.allocating.release(ply)
-            self.director.listener.send(viewer, binary.RELEASE, session, (binary.CAUSE, bytes([ENDED])))
+            self.director.listener.send(
+                viewer, binary.RELEASE, session, (binary.CAUSE, bytes([ENDED]))
+            )
             self.director.feed(self.director.controller.left, self.director.loop.now, ply.id)
             self.director.allocating.ending.ended(ply, life.HELD, life.GIVEN_UP)
         elif (ply := self.director.open.get(session)) and ply.viewer is viewer:
             return self.given_up(ply)
-        elif session not in self.director.open:      # its hand-over may be on its way on another connection
+        elif (
+            session not in self.director.open
+        ):  # its hand-over may be on its way on another connection
             self.director.loop.after(CROSS_MS, lambda: self.overtaken(viewer, session))
         return viewer.write(binary.HEARD, session)
 
@@ -147,7 +191,13 @@
             return
         ply.viewer.plays.pop(ply.session, None)
         ply.stop_timers()
-        log.debug("%s: answered with cause %d on %s after %d set-ups", ply.session, cause, ply.viewer, ply.number + 1)
+        log.debug(
+            "%s: answered with cause %d on %s after %d set-ups",
+            ply.session,
+            cause,
+            ply.viewer,
+            ply.number + 1,
+        )
         self.director.count("declined" if cause == DECLINED else "failed")
         ply.viewer.refuse(ply.session, cause, *more)
         self.director.allocating.give_up(ply)
@@ -163,4 +213,11 @@
         self.director.listener.prove(ply.viewer)
         log.debug("%s.%d: plays, answered on %s", ply.session, ply.number, ply.viewer)
         self.director.count("playing")
-        self.director.feed(self.director.controller.playing, self.director.loop.now, ply.id, ply.number, self.director.loop.now - ply.sent_at, ply.node.number)
+        self.director.feed(
+            self.director.controller.playing,
+            self.director.loop.now,
+            ply.id,
+            ply.number,
+            self.director.loop.now - ply.sent_at,
+            ply.node.number,
+        )
--- a/laddergw/platform/allocating.py
+++ b/laddergw/platform/allocating.py
@@ -1,4 +1,5 @@
 """The nodes' side of plays: set-ups go out and end, and the module is told how; an allocation's facts become outcomes in allocation.py."""
+
 import logging
 
 from laddergw import interface as face
@@ -11,11 +12,18 @@
 from laddergw.platform.plays import Play
 from laddergw.signalling import description, rtsp
 
-ARRIVE_MS = 60.0           # what a node's system has not told to have after this it shall not get: acknowledgements wait 40 ms at most, and
-                           # nothing may begin 100 ms after its viewer has left, of which a turn may have passed before we read that
-REST_MS = 250.0            # a description that may be cut short is passed on once so long nothing more has come
+ARRIVE_MS = 60.0  # what a node's system has not told to have after this it shall not get: acknowledgements wait 40 ms at most, and
+# nothing may begin 100 ms after its viewer has left, of which a turn may have passed before we read that
+REST_MS = (
+    250.0  # a description that may be cut short is passed on once so long nothing more has come
+)
 
-NOTES = {"got": face.DELIVERED, "level": face.RUNG_NOW, "port": face.LINK_ASKED, "spine": face.UPLINK_ASKED}
+NOTES = {
+    "got": face.DELIVERED,
+    "level": face.RUNG_NOW,
+    "port": face.LINK_ASKED,
+    "spine": face.UPLINK_ASKED,
+}
 
 log = logging.getLogger("laddergw.platform")
 
@@ -30,16 +38,49 @@
     def allocate(self, ply: Play, verdict: face.Verdict) -> None:
         ply.number, ply.sent_at = ply.number + 1, self.director.loop.now
         node = ply.node = self.director.nodes.by_number.get(verdict.node)
-        connection = None if node is None or node.gone or verdict.timeout_ms <= 0 else node.free_connection()
+        connection = (
+            None if node is None or node.gone or verdict.timeout_ms <= 0 else node.free_connection()
+        )
         if connection is None:
-            log.debug("%s.%d: not sent, node %s is %s", ply.session, ply.number, node and node.id,
-                      "unknown" if node is None else "gone" if node.gone else "without a connection" if verdict.timeout_ms > 0 else "left no time")
+            log.debug(
+                "%s.%d: not sent, node %s is %s",
+                ply.session,
+                ply.number,
+                node and node.id,
+                "unknown"
+                if node is None
+                else "gone"
+                if node.gone
+                else "without a connection"
+                if verdict.timeout_ms > 0
+                else "left no time",
+            )
             return self.ending.tell_end(ply, face.NEVER_SENT)
         r = ply.request
         node.open[ply.session], ply.connection = ply, connection
-        connection.set_up(ply, rtsp.request("SETUP", r.title, ply.session, (
-            ("Subject", r.product), ("X-Patience", str(max(1, int(verdict.timeout_ms)))), ("Rate-Step", str(verdict.rung))), r.description))
-        log.debug("%s.%d %s: to node %s on %s, time-out %.0f ms", ply.session, ply.number, r.product, node.id, ply.connection, verdict.timeout_ms)
+        connection.set_up(
+            ply,
+            rtsp.request(
+                "SETUP",
+                r.title,
+                ply.session,
+                (
+                    ("Subject", r.product),
+                    ("X-Patience", str(max(1, int(verdict.timeout_ms)))),
+                    ("Rate-Step", str(verdict.rung)),
+                ),
+                r.description,
+            ),
+        )
+        log.debug(
+            "%s.%d %s: to node %s on %s, time-out %.0f ms",
+            ply.session,
+            ply.number,
+            r.product,
+            node.id,
+            ply.connection,
+            verdict.timeout_ms,
+        )
         ply.timer = self.director.loop.after(verdict.timeout_ms, lambda: self.late(ply))
 
     def say(self, node: Node, data: bytes, ends: str = "") -> None:
@@ -48,28 +89,49 @@
 
     def release(self, ply: Play) -> None:
         log.debug("%s.%d: release to node %s", ply.session, ply.number, ply.node.id)
-        self.say(ply.node, rtsp.request("TEARDOWN", ply.request.title, ply.session, (("Reason", f"cause={ENDED}"),)), ply.session)
+        self.say(
+            ply.node,
+            rtsp.request(
+                "TEARDOWN", ply.request.title, ply.session, (("Reason", f"cause={ENDED}"),)
+            ),
+            ply.session,
+        )
 
     def answered(self, node: Node, connection: Connection, message: rtsp.Message) -> None:
         """A media node has answered an open set-up. Of a description that may be cut short the rest may be on its way, which would show
         that its length is wrong; what begins another message has shown that it is right."""
         ply = connection.plays[message.session]
-        complete = connection.reader.buffer or not description.may_be_cut(message.body, ply.request.description)
+        complete = connection.reader.buffer or not description.may_be_cut(
+            message.body, ply.request.description
+        )
         if complete or life.answer(message.status) != life.THERE or not message.body:
             return self.take_answer(node, connection, message)
-        self.director.loop.after(REST_MS, lambda: connection.plays.get(ply.session) is ply and self.take_answer(node, connection, message))
+        self.director.loop.after(
+            REST_MS,
+            lambda: (
+                connection.plays.get(ply.session) is ply
+                and self.take_answer(node, connection, message)
+            ),
+        )
         return None
 
     def take_answer(self, node: Node, connection: Connection, message: rtsp.Message) -> None:
         ply = connection.plays[message.session]
         fact = life.answer(message.status)
         if fact == life.THERE and not message.body:
-            connection.end(life.SPOILT)                    # an answer without its description cannot be passed on
+            connection.end(life.SPOILT)  # an answer without its description cannot be passed on
             return node.renew()
         state = connection.settle(ply.session)
         ply.connection = None
         node.open.pop(ply.session, None)
-        log.debug("%s.%d: node %s answers %d after %.0f ms", ply.session, ply.number, node.id, message.status, self.director.loop.now - ply.sent_at)
+        log.debug(
+            "%s.%d: node %s answers %d after %.0f ms",
+            ply.session,
+            ply.number,
+            node.id,
+            message.status,
+            self.director.loop.now - ply.sent_at,
+        )
         if fact == life.THERE:
             return self.director.admission.stand(ply, message.body)
         return self.ending.ended(ply, state, fact, self.report(message))
@@ -82,34 +144,63 @@
             if requests.FIGURE.fullmatch(text):
                 values[name] = float(text)
         names = self.director.assignment.deployment.reports
-        return tuple(values[name] for name in names) if values and all(name in values for name in names) else ()
+        return (
+            tuple(values[name] for name in names)
+            if values and all(name in values for name in names)
+            else ()
+        )
 
     def told(self, node: Node, connection: Connection, message: rtsp.Message) -> None:
         """A media node speaks of a play: a note, or its release."""
         ply = node.held.get(message.session) or node.open.get(message.session)
         if message.method == "TEARDOWN":
-            connection.stream.write(rtsp.answer(200, "OK", message.sequence or "2", message.session))
+            connection.stream.write(
+                rtsp.answer(200, "OK", message.sequence or "2", message.session)
+            )
             if ply is None:
-                log.debug("%s: released by node %s on %s, held by nobody", message.session, node.id, connection)
+                log.debug(
+                    "%s: released by node %s on %s, held by nobody",
+                    message.session,
+                    node.id,
+                    connection,
+                )
                 self.count("released by its node, held by nobody")
             else:
                 self.released(ply, connection, message)
         elif message.method == "ANNOUNCE" and ply is not None and ply.stands:
-            kind, value = NOTES.get(message.headers.get("x-note", "")), message.headers.get("figure", "")
+            kind, value = (
+                NOTES.get(message.headers.get("x-note", "")),
+                message.headers.get("figure", ""),
+            )
             if kind is not None and requests.FIGURE.fullmatch(value):
-                self.director.feed(self.director.controller.note, self.director.loop.now, ply.id, node.number, kind, float(value))
+                self.director.feed(
+                    self.director.controller.note,
+                    self.director.loop.now,
+                    ply.id,
+                    node.number,
+                    kind,
+                    float(value),
+                )
 
     def released(self, ply: Play, connection: Connection, message: rtsp.Message) -> None:
         """A media node has released a play, or one whose set-up is open: on any connection, so maybe before its answer is read."""
         cause = message.headers.get("reason", "").removeprefix("cause=")
-        log.debug("%s.%d: released by its node on %s, cause %s", ply.session, ply.number, connection, cause[:8])
+        log.debug(
+            "%s.%d: released by its node on %s, cause %s",
+            ply.session,
+            ply.number,
+            connection,
+            cause[:8],
+        )
         fact, report = life.end(int(cause) if cause.isdigit() else 0), self.report(message)
         if ply.stands:
             self.ending.ended(ply, life.HELD, fact, report)
         elif ply.connection is connection:
             self.ending.ended(ply, connection.state(ply.session), fact, report)
         elif ply.connection.state(ply.session) == life.OUT:
-            self.drop_set_up(ply, fact, report)        # an answer that is still on its way belongs to nobody
+            self.drop_set_up(
+                ply, fact, report
+            )  # an answer that is still on its way belongs to nobody
 
     def late(self, ply: Play) -> None:
         """The module's time-out for this allocation."""
@@ -127,7 +218,14 @@
         """Gives a set-up up. Its connection ends too: what may still come on it belongs to nobody. While its node's system has not
         all of what left, the connection is cut off, or a node that stood still or was away would begin it when it is back."""
         connection = ply.connection
-        log.debug("%s.%d: %s on %s, set-up ends at byte %d", ply.session, ply.number, fact, connection, connection.ends[ply.session])
+        log.debug(
+            "%s.%d: %s on %s, set-up ends at byte %d",
+            ply.session,
+            ply.number,
+            fact,
+            connection,
+            connection.ends[ply.session],
+        )
         end = connection.ends[ply.session]
         state = connection.give_up(ply.session)
         late = self.director.loop.now - ply.sent_at >= ARRIVE_MS
@@ -137,6 +235,6 @@
         if not connection.plays and connection in connection.node.connections:
             connection.end(life.CUT) if away else connection.close(ARRIVE_MS)
             connection.node.renew()
-        elif state == life.OUT:                      # others share it
+        elif state == life.OUT:  # others share it
             self.director.loop.after(ARRIVE_MS, lambda: connection.cut_unless_arrived(end))
         self.ending.ended(ply, state, fact, report)
--- a/laddergw/platform/assignment.py
+++ b/laddergw/platform/assignment.py
@@ -1,4 +1,5 @@
 """What the platform tells a director: the file of its configuration, read and checked as a whole."""
+
 import json
 import math
 from typing import Any, NamedTuple
@@ -14,21 +15,22 @@
 
 class Assignment(NamedTuple):
     """One director's place and terms. Times in ms."""
+
     name: str
     listen: tuple[str, int]
     seed: int
-    sockets: int                             # descriptors that the process may hold
+    sockets: int  # descriptors that the process may hold
     changelog: tuple[str, int] | None
     known: list[changes.Event]
-    last: int                                # number of the last known event
+    last: int  # number of the last known event
     deployment: Deployment
-    products: dict[str, int]                 # by the name that viewers use
-    all_products: dict[str, int]             # and those of earlier files
+    products: dict[str, int]  # by the name that viewers use
+    all_products: dict[str, int]  # and those of earlier files
     kinds: dict[str, int]
     zones: dict[str, int]
-    longest_ms: float                        # the longest time limit of a product
+    longest_ms: float  # the longest time limit of a product
     connect_ms: float
-    idle_ms: float                           # nodes close connections that were idle for so long
+    idle_ms: float  # nodes close connections that were idle for so long
 
 
 def address(tree: Any, key: str) -> tuple[str, int]:
@@ -51,7 +53,9 @@
     told = [str(name) for name in found] if isinstance(found, list) else str(found or "").split(",")
     if len(set(told)) < len(told):
         raise Refused(f"settings {key}: a name is there twice: {told}")
-    if any(sign < " " or sign == "\x7f" for sign in "".join(told)):   # they would end a line of a message
+    if any(
+        sign < " " or sign == "\x7f" for sign in "".join(told)
+    ):  # they would end a line of a message
         raise Refused(f"settings {key}: a name cannot be sent: {told!a}")
     return {name: index for index, name in enumerate(told)}
 
@@ -62,14 +66,28 @@
         told = tree["settings"]
         values = settings.flatten(told)
         deployment, read = settings.decode(values), settings.Reader(values)
-        known, products = changes.known(tree["known"]), names([grade["Name"] for grade in told["Grades"]], "Grades")
+        known, products = (
+            changes.known(tree["known"]),
+            names([grade["Name"] for grade in told["Grades"]], "Grades"),
+        )
         grades = range(len(deployment.products))
         return Assignment(
-            str(tree["name"]), address(tree, "listen"), whole(tree.get("seed") or "0", "seed", 16),
-            whole(tree.get("limits", {}).get("sockets", 1024), "limits.sockets"), address(tree, "changelog") if tree.get("changelog") else None,
-            known, tree["known"]["seq"], deployment, products, products,
-            names(told.get("Kinds"), "Kinds"), names(told.get("Zones"), "Zones"), max(read.ms(f"Grades.{i}.GiveUp") for i in grades),
-            read.ms("Permissions.ConnectTimeout", 250.0), read.ms("Permissions.ConnIdle", math.inf) or math.inf)
+            str(tree["name"]),
+            address(tree, "listen"),
+            whole(tree.get("seed") or "0", "seed", 16),
+            whole(tree.get("limits", {}).get("sockets", 1024), "limits.sockets"),
+            address(tree, "changelog") if tree.get("changelog") else None,
+            known,
+            tree["known"]["seq"],
+            deployment,
+            products,
+            products,
+            names(told.get("Kinds"), "Kinds"),
+            names(told.get("Zones"), "Zones"),
+            max(read.ms(f"Grades.{i}.GiveUp") for i in grades),
+            read.ms("Permissions.ConnectTimeout", 250.0),
+            read.ms("Permissions.ConnIdle", math.inf) or math.inf,
+        )
     except changes.Malformed as error:
         raise Refused(f"known: {error}") from None
     except settings.BadSetting as error:
@@ -80,25 +98,49 @@
 
 def numbered(before: dict[str, int], found: dict[str, int]) -> dict[str, int]:
     """All names, the ones from before in their numbers, what is new behind them."""
-    return before | {name: len(before) + at for at, name in enumerate(name for name in found if name not in before)}
+    return before | {
+        name: len(before) + at
+        for at, name in enumerate(name for name in found if name not in before)
+    }
 
 
 def following(before: Assignment, found: Assignment) -> Assignment:
     """The file read anew, in the numbers of the one in force: what is held, counted and listed under a number keeps its meaning,
     however the new file orders its products, kinds and zones. Raises Refused for what cannot change while the director runs."""
     if found.listen != before.listen:
-        raise Refused(f"listens at {before.listen}, and cannot at {found.listen} before it starts again")
-    products, kinds, zones = (numbered(old, new) for old, new in (
-        (before.all_products, found.products), (before.kinds, found.kinds), (before.zones, found.zones)))
+        raise Refused(
+            f"listens at {before.listen}, and cannot at {found.listen} before it starts again"
+        )
+    products, kinds, zones = (
+        numbered(old, new)
+        for old, new in (
+            (before.all_products, found.products),
+            (before.kinds, found.kinds),
+            (before.zones, found.zones),
+        )
+    )
     old, new = before.deployment, found.deployment
     # A product that is there no more is worth nothing to the decisions, and nobody is let in under its name
-    rows = [new.products[found.products[name]] if name in found.products else old.products[number]._replace(importance=0.0)
-            for name, number in products.items()]
-    streams = [streams_of(new, found.kinds[name]) if name in found.kinds else streams_of(old, number) for name, number in kinds.items()]
+    rows = [
+        new.products[found.products[name]]
+        if name in found.products
+        else old.products[number]._replace(importance=0.0)
+        for name, number in products.items()
+    ]
+    streams = [
+        streams_of(new, found.kinds[name]) if name in found.kinds else streams_of(old, number)
+        for name, number in kinds.items()
+    ]
     zone = next((name for name, number in found.zones.items() if number == new.zone), None)
     return found._replace(
-        deployment=new._replace(products=tuple(rows), streams=tuple(streams), zone=zones.get(zone, new.zone)),
-        products={name: products[name] for name in found.products}, all_products=products, kinds=kinds, zones=zones)
+        deployment=new._replace(
+            products=tuple(rows), streams=tuple(streams), zone=zones.get(zone, new.zone)
+        ),
+        products={name: products[name] for name in found.products},
+        all_products=products,
+        kinds=kinds,
+        zones=zones,
+    )
 
 
 def streams_of(deployment: Deployment, kind: int) -> float:
--- a/laddergw/platform/connection.py
+++ b/laddergw/platform/connection.py
@@ -1,4 +1,5 @@
 """One connection to a media node: the set-ups that are open on it, and how much of each has left."""
+
 import logging
 from typing import TYPE_CHECKING, Any
 
@@ -16,12 +17,20 @@
     """See the module."""
 
     def __init__(self, node: "Node", limit_ms: float):
-        self.node, self.loop, self.reader, self.up, self.test = node, node.fleet.loop, rtsp.Reader(), False, None
+        self.node, self.loop, self.reader, self.up, self.test = (
+            node,
+            node.fleet.loop,
+            rtsp.Reader(),
+            False,
+            None,
+        )
         self.since = self.used = self.loop.now
-        self.plays: dict[str, Any] = {}      # whose set-ups are open on it
-        self.ends: dict[str, int] = {}       # where in the stream each of their set-ups ends
+        self.plays: dict[str, Any] = {}  # whose set-ups are open on it
+        self.ends: dict[str, int] = {}  # where in the stream each of their set-ups ends
         self.set_ups: dict[str, bytes] = {}
-        self.said: dict[str, tuple[bytes, float]] = {}   # releases that it has not told to have heard, and until when they are told again
+        self.said: dict[
+            str, tuple[bytes, float]
+        ] = {}  # releases that it has not told to have heard, and until when they are told again
         self.stream = self.loop.dial(node.address, self, limit_ms)
 
     def __str__(self) -> str:
@@ -30,7 +39,9 @@
 
     def opened(self, stream) -> None:
         self.up, self.node.owes_connection = True, False
-        log.debug("node %s: %s opened after %.0f ms", self.node.id, self, self.loop.now - self.since)
+        log.debug(
+            "node %s: %s opened after %.0f ms", self.node.id, self, self.loop.now - self.since
+        )
         self.speaks()
         words, self.node.words = self.node.words, []
         for word in words:
@@ -43,8 +54,10 @@
         self.stream.write(data)
         if ends:
             self.said[ends] = data, until
-            for session in [session for session, (_, until) in self.said.items() if until <= self.loop.now]:   # a node need not say
-                del self.said[session]                                                                        # that it has heard
+            for session in [
+                session for session, (_, until) in self.said.items() if until <= self.loop.now
+            ]:  # a node need not say
+                del self.said[session]  # that it has heard
 
     def leave(self) -> None:
         """It is none of its node's any more: what waits to be told there waits for the next one."""
@@ -92,7 +105,7 @@
         state = self.settle(session)
         if state == life.UNSENT and self.stream.take_back(data):
             self.ends = {other: at - len(data) * (at > end) for other, at in self.ends.items()}
-        elif state == life.UNSENT:           # a part of it has left: what is open beside it ends too
+        elif state == life.UNSENT:  # a part of it has left: what is open beside it ends too
             self.end(life.CUT)
             self.node.renew()
         return state
@@ -116,12 +129,21 @@
     def end(self, fact: str) -> None:
         """Closes at once. What was open on it ends by that."""
         if self in self.node.connections:
-            log.debug("node %s: %s ends, what was open on it as %s; %d releases go again", self.node.id, self, fact, len(self.said))
+            log.debug(
+                "node %s: %s ends, what was open on it as %s; %d releases go again",
+                self.node.id,
+                self,
+                fact,
+                len(self.said),
+            )
             self.node.fleet.count("connections to nodes ended: " + fact)
             self.leave()
             plays = [(ply, self.settle(session)) for session, ply in list(self.plays.items())]
             self.stream.abort()
-            for ends, (data, until) in self.said.items():      # it may have taken along what was said on it last
+            for ends, (
+                data,
+                until,
+            ) in self.said.items():  # it may have taken along what was said on it last
                 if until > self.loop.now:
                     self.node.fleet.say(self.node, data, ends, until)
             for ply, state in plays:
@@ -130,5 +152,7 @@
     def closed(self, stream, why: str | None) -> None:
         if self in self.node.connections:
             log.debug("node %s: %s: %s", self.node.id, self, why or "closed by its node")
-            self.end(life.TAKEN_BACK if why == SHORT else life.CUT)   # without a descriptor its node has heard nothing, and has no part in it
+            self.end(
+                life.TAKEN_BACK if why == SHORT else life.CUT
+            )  # without a descriptor its node has heard nothing, and has no part in it
             self.node.connection_ended(self, why)
--- a/laddergw/platform/director.py
+++ b/laddergw/platform/director.py
@@ -3,6 +3,7 @@
 Order within a turn as in every director: what was read is told, then timers, then `decide`. Viewers are answered at the admission (admission.py),
 allocations are carried out in allocating.py; here are the configuration, the list, verdicts, and the process's end.
 """
+
 import logging
 import time
 from collections import Counter
@@ -22,13 +23,21 @@
 from laddergw.platform.viewers import Listener
 from laddergw.signalling import binary, rtsp
 
-VIEWERS_PART, NODES_PART = 0.5, 0.35   # of the descriptors: viewers hold a third by the protocol; some are ours
-STOP_LEAST_MS = 1_000.0    # viewers come for 0.7 s after the order to stop
-STOP_AFTER_MS = 350.0      # past the longest time limit all is released; the process is killed 0.7 s past it,
-STOP_LIMIT_MS = 3_000.0    # a longer limit counting as this
-HEAR_MS, HEAR_LOOK_MS = 250.0, 10.0   # its end waits so long until its releases have gone out and are heard; pace of looking
-PART_MS = 100.0            # then so long for its peers to end their sides: a few round trips
-TELL_MS = 10_000.0         # pace of the line of counts in the log
+VIEWERS_PART, NODES_PART = (
+    0.5,
+    0.35,
+)  # of the descriptors: viewers hold a third by the protocol; some are ours
+STOP_LEAST_MS = 1_000.0  # viewers come for 0.7 s after the order to stop
+STOP_AFTER_MS = (
+    350.0  # past the longest time limit all is released; the process is killed 0.7 s past it,
+)
+STOP_LIMIT_MS = 3_000.0  # a longer limit counting as this
+HEAR_MS, HEAR_LOOK_MS = (
+    250.0,
+    10.0,
+)  # its end waits so long until its releases have gone out and are heard; pace of looking
+PART_MS = 100.0  # then so long for its peers to end their sides: a few round trips
+TELL_MS = 10_000.0  # pace of the line of counts in the log
 
 log = logging.getLogger("laddergw.platform")
 
@@ -38,19 +47,29 @@
 
     def __init__(self, loop, assignment: Assignment):
         self.loop, self.assignment = loop, assignment
-        self.epoch = time.time() * 1000 - loop.now   # the Unix clock over the loop's, for starts told in it
+        self.epoch = (
+            time.time() * 1000 - loop.now
+        )  # the Unix clock over the loop's, for starts told in it
         self.counts: Counter = Counter()
-        self.open: dict[str, Play] = {}              # plays that wait for their answer, by session
+        self.open: dict[str, Play] = {}  # plays that wait for their answer, by session
         self.standing: dict[str, Play] = {}
-        self.stopping: float | None = None           # since when
-        self.leaving = False                         # all is over but its connections' ends
+        self.stopping: float | None = None  # since when
+        self.leaving = False  # all is over but its connections' ends
         self.controller = Controller(assignment.deployment, assignment.seed, loop.now)
         self.admission, self.allocating = Admission(self), Allocating(self)
-        self.nodes = Nodes(loop, self.allocating, int(NODES_PART * assignment.sockets), assignment.connect_ms, assignment.idle_ms)
+        self.nodes = Nodes(
+            loop,
+            self.allocating,
+            int(NODES_PART * assignment.sockets),
+            assignment.connect_ms,
+            assignment.idle_ms,
+        )
         self.listing = Listing(self)
         for event in assignment.known:
             self.listing.listed(event)
-        self.listener = Listener(loop, self.admission, assignment.listen, int(VIEWERS_PART * assignment.sockets))
+        self.listener = Listener(
+            loop, self.admission, assignment.listen, int(VIEWERS_PART * assignment.sockets)
+        )
         self.follower = Follower(loop, assignment.changelog, assignment.last, self.listing.listed)
         loop.at_turn_end(self.turn_ends)
         loop.after(TELL_MS, self.tell_counts)
@@ -61,8 +80,15 @@
 
     def tell_counts(self) -> None:
         self.loop.after(TELL_MS, self.tell_counts)
-        log.info("open %d, standing %d, viewers %d, connections to nodes %d, lag %.0f ms; %s", len(self.open), len(self.standing), len(self.listener.viewers),
-                 self.nodes.connections(), self.loop.worst_lag, ", ".join(f"{name} {n}" for name, n in sorted(self.counts.items())))
+        log.info(
+            "open %d, standing %d, viewers %d, connections to nodes %d, lag %.0f ms; %s",
+            len(self.open),
+            len(self.standing),
+            len(self.listener.viewers),
+            self.nodes.connections(),
+            self.loop.worst_lag,
+            ", ".join(f"{name} {n}" for name, n in sorted(self.counts.items())),
+        )
         self.loop.worst_lag = 0.0
 
     # The configuration, the list, and the process's end
@@ -75,11 +101,27 @@
         if found.deployment != before.deployment:
             self.feed(self.controller.retold, self.loop.now, found.deployment)
         self.listener.bound(int(VIEWERS_PART * found.sockets))
-        self.nodes.most, self.nodes.connect_ms, self.nodes.idle_ms = int(NODES_PART * found.sockets), found.connect_ms, found.idle_ms
-        if (found.kinds, found.zones) != (before.kinds, before.zones):     # a name that was not known has its meaning now
-            self.feed(self.controller.listed, self.loop.now, [self.listing.line_of(node) for node in self.nodes.by_id.values() if not node.gone], False)
-        for event in found.known:                        # past a gap only a whole list; what is missing the change log has
-            if event.number > self.follower.last and (event.whole or event.number == self.follower.last + 1):
+        self.nodes.most, self.nodes.connect_ms, self.nodes.idle_ms = (
+            int(NODES_PART * found.sockets),
+            found.connect_ms,
+            found.idle_ms,
+        )
+        if (found.kinds, found.zones) != (
+            before.kinds,
+            before.zones,
+        ):  # a name that was not known has its meaning now
+            self.feed(
+                self.controller.listed,
+                self.loop.now,
+                [self.listing.line_of(node) for node in self.nodes.by_id.values() if not node.gone],
+                False,
+            )
+        for (
+            event
+        ) in found.known:  # past a gap only a whole list; what is missing the change log has
+            if event.number > self.follower.last and (
+                event.whole or event.number == self.follower.last + 1
+            ):
                 self.follower.last = event.number
                 self.listing.listed(event)
         if found.changelog != before.changelog:
@@ -91,7 +133,12 @@
             self.stopping = self.loop.now
             log.info("stopping: open %d, standing %d", len(self.open), len(self.standing))
             self.loop.after(STOP_LEAST_MS, lambda: None)
-            longest = max([self.assignment.longest_ms, *(ply.limit - self.loop.now for ply in self.open.values())])   # on older terms too
+            longest = max(
+                [
+                    self.assignment.longest_ms,
+                    *(ply.limit - self.loop.now for ply in self.open.values()),
+                ]
+            )  # on older terms too
             self.loop.after(min(longest, STOP_LIMIT_MS) + STOP_AFTER_MS, self.end_all)
 
     def end_all(self) -> None:
@@ -106,7 +153,9 @@
         for ply in list(self.standing.values()):
             self.allocating.release(ply)
             self.allocating.ending.settle_standing(ply)
-            self.listener.send(ply.viewer, binary.RELEASE, ply.session, (binary.CAUSE, bytes([BROKEN])))
+            self.listener.send(
+                ply.viewer, binary.RELEASE, ply.session, (binary.CAUSE, bytes([BROKEN]))
+            )
 
     def leave(self, latest: float) -> None:
         """Ends the process once what it has said is heard: a connection that ends with something unread takes that along."""
@@ -118,7 +167,7 @@
             more = True
             while more:
                 more = self.listener.hear_last()
-                self.release_all()                   # what was handed over just now
+                self.release_all()  # what was handed over just now
                 self.listener.shut()
             self.nodes.shut()
             self.part(self.loop.now + PART_MS)
@@ -143,18 +192,34 @@
     # Verdicts
 
     def carry_out(self, verdict: face.Verdict) -> None:
-        ply = self.open.get(f"{verdict.play:016x}") or self.standing.get(f"{verdict.play:016x}") if verdict.play is not None else None
+        ply = (
+            self.open.get(f"{verdict.play:016x}") or self.standing.get(f"{verdict.play:016x}")
+            if verdict.play is not None
+            else None
+        )
         if ply is None:
             return
         if verdict.node is not None:
             self.allocating.allocate(ply, verdict)
         elif verdict.answer is not None:
             declined = verdict.answer == face.DECLINED
-            self.admission.finish(ply, DECLINED if declined else FAILED, *([self.admission.away(verdict.retry_ms)] if declined else ()))
+            self.admission.finish(
+                ply,
+                DECLINED if declined else FAILED,
+                *([self.admission.away(verdict.retry_ms)] if declined else ()),
+            )
         elif verdict.move and ply.stands:
             self.allocating.release(ply)
             self.listener.send(ply.viewer, binary.MOVE, ply.session)
             self.allocating.ending.ended(ply, life.HELD, life.GIVEN_UP)
         elif verdict.rung is not None and ply.stands:
             self.count("steps")
-            self.allocating.say(ply.node, rtsp.request("SET_PARAMETER", ply.request.title, ply.session, (("Rate-Step", str(verdict.rung)),)))
+            self.allocating.say(
+                ply.node,
+                rtsp.request(
+                    "SET_PARAMETER",
+                    ply.request.title,
+                    ply.session,
+                    (("Rate-Step", str(verdict.rung)),),
+                ),
+            )
--- a/laddergw/platform/ending.py
+++ b/laddergw/platform/ending.py
@@ -1,4 +1,5 @@
 """How the end of an allocation is told: to the module, and to the viewer of a play that stood."""
+
 import logging
 
 from laddergw.platform import allocation as life
@@ -22,9 +23,13 @@
             return
         if ply.stands:
             self.settle_standing(ply)
-            if fact != life.GIVEN_UP:        # also who left: our answer may still be on its way to it, and be all that it gets
+            if (
+                fact != life.GIVEN_UP
+            ):  # also who left: our answer may still be on its way to it, and be all that it gets
                 cause = BROKEN if fact in (life.BROKEN_OFF, life.LOST) else ENDED
-                self.director.listener.send(ply.viewer, binary.RELEASE, ply.session, (binary.CAUSE, bytes([cause])))
+                self.director.listener.send(
+                    ply.viewer, binary.RELEASE, ply.session, (binary.CAUSE, bytes([cause]))
+                )
         elif ply.connection is not None:
             if ply.session in ply.connection.plays:
                 ply.connection.settle(ply.session)
@@ -45,12 +50,24 @@
         ply.untold = outcome, report
         if ply.stands or self.director.open.get(ply.session) is not ply:
             return self.tell(ply)
-        self.director.admission.fresh.append(ply)         # it may be tried again, once its connection has been read to its end
-        self.director.loop.after(0, lambda: None)    # at this turn's end, or of the next, which waits for nothing
+        self.director.admission.fresh.append(
+            ply
+        )  # it may be tried again, once its connection has been read to its end
+        self.director.loop.after(
+            0, lambda: None
+        )  # at this turn's end, or of the next, which waits for nothing
         return None
 
     def tell(self, ply: Play) -> None:
         (outcome, report), ply.untold = ply.untold, None
         over = ply.stands or self.director.open.get(ply.session) is not ply
-        self.director.feed(self.director.controller.ended, self.director.loop.now, ply.id, ply.number, outcome,
-                           ply.node.number if ply.node else 0, over, report)
+        self.director.feed(
+            self.director.controller.ended,
+            self.director.loop.now,
+            ply.id,
+            ply.number,
+            outcome,
+            ply.node.number if ply.node else 0,
+            over,
+            report,
+        )
--- a/laddergw/platform/following.py
+++ b/laddergw/platform/following.py
@@ -1,13 +1,17 @@
 """Follows the change log: connects, asks for what came since, begins anew where it breaks off or falls silent."""
+
 import logging
 from typing import Callable
 
 from laddergw.signalling import changes
 
-SILENT_MS = 2_500.0        # it writes each second: two of its lines are missing
-AGAIN_MS = (50.0, 1_000.0) # first and longest pause before the next connection; doubled while nothing good comes
-LEAST_BYTES = 1_024        # of a line that is not whole so much must come in that time, or it is a drip: a whole list has some hundred bytes a node
-DIAL_MS = 500.0            # wait for a connection: what is told counts as told 2 s after a break
+SILENT_MS = 2_500.0  # it writes each second: two of its lines are missing
+AGAIN_MS = (
+    50.0,
+    1_000.0,
+)  # first and longest pause before the next connection; doubled while nothing good comes
+LEAST_BYTES = 1_024  # of a line that is not whole so much must come in that time, or it is a drip: a whole list has some hundred bytes a node
+DIAL_MS = 500.0  # wait for a connection: what is told counts as told 2 s after a break
 
 log = logging.getLogger("laddergw.platform")
 
@@ -15,14 +19,20 @@
 class Follower:
     """`told(event)` is called with each event once, in order."""
 
-    def __init__(self, loop, address: tuple[str, int] | None, last: int, told: Callable[[changes.Event], None]):
+    def __init__(
+        self,
+        loop,
+        address: tuple[str, int] | None,
+        last: int,
+        told: Callable[[changes.Event], None],
+    ):
         self.loop, self.address, self.last, self.told = loop, address, last, told
         self.stream, self.reader, self.pause, self.timer = None, changes.Reader(), AGAIN_MS[0], None
         if address is not None:
             self.dial()
 
     def dial(self) -> None:
-        self.part = 0                        # bytes since its silence was counted from
+        self.part = 0  # bytes since its silence was counted from
         self.reader = changes.Reader()
         self.stream = self.loop.dial(self.address, self, DIAL_MS)
         self.listen_out(DIAL_MS + SILENT_MS)
@@ -78,7 +88,7 @@
         if event.number > self.last + (event.members is not None):
             return self.again(f"{event.number} after {self.last}")
         self.pause = AGAIN_MS[0]
-        if event.members is not None and event.number == self.last + 1:   # else it is written twice
+        if event.members is not None and event.number == self.last + 1:  # else it is written twice
             self.last = event.number
             self.told(event)
 
--- a/laddergw/platform/listing.py
+++ b/laddergw/platform/listing.py
@@ -1,4 +1,5 @@
 """Takes events of the change log into the list of media nodes, and tells the module."""
+
 import logging
 from zlib import crc32
 
@@ -30,7 +31,9 @@
             if member.state == "DELETED" and member.id not in self.director.nodes.by_id:
                 continue
             node = self.director.nodes.node_of(member)
-            if member.since > node.since:            # its process is another one: what stood at the last is over
+            if (
+                member.since > node.since
+            ):  # its process is another one: what stood at the last is over
                 node.lose("started anew")
                 node.since = member.since
             node.gone = False
@@ -42,8 +45,10 @@
                 stopped.append(node)
             node.member = member
             lines.append(self.line_of(node))
-        self.director.feed(self.director.controller.listed, self.director.loop.now, lines, event.whole)
-        for node in stopped:                         # a set-up that has not left yet does not go there any more
+        self.director.feed(
+            self.director.controller.listed, self.director.loop.now, lines, event.whole
+        )
+        for node in stopped:  # a set-up that has not left yet does not go there any more
             for ply in list(node.open.values()):
                 if ply.connection is not None and ply.connection.state(ply.session) == life.UNSENT:
                     self.director.allocating.drop_set_up(ply, life.TAKEN_BACK)
@@ -51,5 +56,13 @@
     def line_of(self, node: Node) -> face.NodeLine:
         """The module's line of a node, by the names in force. `mark`: by its id, which every director hears alike."""
         m = node.member
-        return face.NodeLine(node.number, m.cell, m.weight, STATES[m.state], m.since - self.director.epoch if m.since else 0.0,
-                             self.director.assignment.kinds.get(m.kind, 0), self.director.assignment.zones.get(m.zone, 0), crc32(m.id.encode()))
+        return face.NodeLine(
+            node.number,
+            m.cell,
+            m.weight,
+            STATES[m.state],
+            m.since - self.director.epoch if m.since else 0.0,
+            self.director.assignment.kinds.get(m.kind, 0),
+            self.director.assignment.zones.get(m.zone, 0),
+            crc32(m.id.encode()),
+        )
--- a/laddergw/platform/node.py
+++ b/laddergw/platform/node.py
@@ -3,6 +3,7 @@
 A play that stands belongs to no connection. It is over when its node says so, when the node's port refuses (the
 process has died, and with it all that it held), or when the node's machine answers nothing any more.
 """
+
 import logging
 from typing import TYPE_CHECKING, Any
 
@@ -11,12 +12,14 @@
 from laddergw.platform.connection import Connection
 from laddergw.signalling import rtsp
 
-IDLE_LESS_MS = 500.0       # a connection is not used for its last so long before the node closes it as idle: a set-up that crosses its
-                           # end may have run, for all we know, and a paid play then fails
-QUIET_MS = 1_500.0         # what a node says proves that it lives; so long after its last word it is tested. With a look (each LOOK_MS), the
-TEST_MS = 1_000.0          # test (it passes at once: unanswered for so long its connection is dead), another look
-SILENCES = 2               # and so many connections in a row that never come up, a machine is found gone within 6 s of the 8
-HOLD_DIAL_MS = 1_000.0     # wait for a connection that carries no set-up: a late one still brings what its node has to tell
+IDLE_LESS_MS = 500.0  # a connection is not used for its last so long before the node closes it as idle: a set-up that crosses its
+# end may have run, for all we know, and a paid play then fails
+QUIET_MS = 1_500.0  # what a node says proves that it lives; so long after its last word it is tested. With a look (each LOOK_MS), the
+TEST_MS = (
+    1_000.0  # test (it passes at once: unanswered for so long its connection is dead), another look
+)
+SILENCES = 2  # and so many connections in a row that never come up, a machine is found gone within 6 s of the 8
+HOLD_DIAL_MS = 1_000.0  # wait for a connection that carries no set-up: a late one still brings what its node has to tell
 
 if TYPE_CHECKING:
     from laddergw.platform.nodes import Nodes
@@ -28,13 +31,26 @@
     """One media node and our connections to it."""
 
     def __init__(self, fleet: "Nodes", number: int, member):
-        self.fleet, self.number, self.id, self.address = fleet, number, member.id, (member.host, member.port)
-        self.member, self.since, self.gone, self.silent, self.connections = member, member.since, False, 0, []
+        self.fleet, self.number, self.id, self.address = (
+            fleet,
+            number,
+            member.id,
+            (member.host, member.port),
+        )
+        self.member, self.since, self.gone, self.silent, self.connections = (
+            member,
+            member.since,
+            False,
+            0,
+            [],
+        )
         self.heard = fleet.loop.now
-        self.held: dict[str, Any] = {}       # plays that stand there
-        self.open: dict[str, Any] = {}       # plays whose set-up is open there
-        self.words: list[tuple[bytes, str, float]] = []   # what waits for a connection to be said (Connection.say)
-        self.owes_connection = False         # one has ended that may have taken along what the node said: it says that again on a new one
+        self.held: dict[str, Any] = {}  # plays that stand there
+        self.open: dict[str, Any] = {}  # plays whose set-up is open there
+        self.words: list[
+            tuple[bytes, str, float]
+        ] = []  # what waits for a connection to be said (Connection.say)
+        self.owes_connection = False  # one has ended that may have taken along what the node said: it says that again on a new one
 
     def dial(self, limit_ms: float = HOLD_DIAL_MS) -> Connection:
         connection = Connection(self, limit_ms)
@@ -53,8 +69,12 @@
         opened, the least used here, if there is one."""
         idle_ms = self.fleet.idle_ms
         fresh_ms = max(idle_ms - IDLE_LESS_MS, idle_ms / 2)
-        idle = [one for one in self.connections if not one.plays and one.loop.now - one.used < fresh_ms]
-        up = [one for one in idle if one.up and one.test is None] or [one for one in idle if one.up or self.soon_up(one)]
+        idle = [
+            one for one in self.connections if not one.plays and one.loop.now - one.used < fresh_ms
+        ]
+        up = [one for one in idle if one.up and one.test is None] or [
+            one for one in idle if one.up or self.soon_up(one)
+        ]
         if up:
             return up[0]
         if self.fleet.room(of_held=not self.connections):
@@ -66,19 +86,29 @@
 
     def said(self, connection: Connection, message: rtsp.Message) -> None:
         if message.session in connection.plays and connection.state(message.session) == life.UNSENT:
-            raise rtsp.Malformed("an answer to what has not left yet")   # believed, the rest would leave all the same
+            raise rtsp.Malformed(
+                "an answer to what has not left yet"
+            )  # believed, the rest would leave all the same
         if message.method:
             return self.fleet.told(self, connection, message)
-        if message.sequence == "2" and message.status and connection.said.pop(message.session, None):
+        if (
+            message.sequence == "2"
+            and message.status
+            and connection.said.pop(message.session, None)
+        ):
             log.debug("%s: release heard by node %s", message.session, self.id)
         if message.target == "" and connection.test == message.session:
             connection.test = None
-        elif message.session in connection.plays and message.status >= 200 and message.sequence == "1":
+        elif (
+            message.session in connection.plays
+            and message.status >= 200
+            and message.sequence == "1"
+        ):
             self.fleet.answered(self, connection, message)
 
     def connection_ended(self, connection: Connection, why: str | None) -> None:
         """What the end of a connection proves of the plays that stand."""
-        if why == SHORT:                     # the next look dials again, when there may be room
+        if why == SHORT:  # the next look dials again, when there may be room
             return
         self.fleet.let_speak(1)
         if not connection.up:
@@ -87,7 +117,7 @@
                 return self.lose(why)
         if self.held and not self.connections:
             self.dial() if not self.gone else self.lose("gone from the list")
-        elif connection.up and why is not None:        # not in good order
+        elif connection.up and why is not None:  # not in good order
             self.renew()
         else:
             self.dial_owed()
@@ -106,7 +136,11 @@
 
     def look(self, now: float) -> None:
         """Whether its machine still answers, while plays stand there."""
-        for connection in [connection for connection in self.connections if connection.test is not None and now - connection.tested >= TEST_MS]:
+        for connection in [
+            connection
+            for connection in self.connections
+            if connection.test is not None and now - connection.tested >= TEST_MS
+        ]:
             log.info("node %s: a test was not answered", self.id)
             connection.end(life.CUT)
             self.renew()
--- a/laddergw/platform/nodes.py
+++ b/laddergw/platform/nodes.py
@@ -1,12 +1,13 @@
 """All media nodes of the list: how many connections they may have together, and whose turn it is to have one."""
+
 import logging
 
 from laddergw.platform import allocation as life
 from laddergw.platform.connection import Connection
 from laddergw.platform.node import Node
 
-AGAIN_MS = 8_000.0         # a release that its node has not told to have heard is told again for so long: what stood then counts as lost
-LOOK_MS = 500.0            # pace of looking after nodes that hold plays
+AGAIN_MS = 8_000.0  # a release that its node has not told to have heard is told again for so long: what stood then counts as lost
+LOOK_MS = 500.0  # pace of looking after nodes that hold plays
 
 log = logging.getLogger("laddergw.platform")
 
@@ -18,10 +19,17 @@
         self.loop, self.most, self.connect_ms, self.idle_ms = loop, most, connect_ms, idle_ms
         self.by_id: dict[str, Node] = {}
         self.by_number: dict[int, Node] = {}
-        self.waiting: dict[Node, None] = {}  # that have something to be told and no connection; in this order they get one
-        self.by_address: dict[tuple[str, int], Node] = {}    # the one that the list named there last
+        self.waiting: dict[
+            Node, None
+        ] = {}  # that have something to be told and no connection; in this order they get one
+        self.by_address: dict[tuple[str, int], Node] = {}  # the one that the list named there last
         self.numbers = self.tests = 0
-        self.count, self.ended, self.told, self.answered = allocating.count, allocating.ending.ended, allocating.told, allocating.answered
+        self.count, self.ended, self.told, self.answered = (
+            allocating.count,
+            allocating.ending.ended,
+            allocating.told,
+            allocating.answered,
+        )
         loop.after(LOOK_MS, self.look)
 
     def connections(self) -> int:
@@ -32,8 +40,16 @@
         where plays stand: what their node has to tell comes on the next connection, and each of them has its turn."""
         if self.connections() < self.most:
             return True
-        idle = [connection for node in self.by_number.values() if of_held or not node.held for connection in node.connections
-                if connection.up and not connection.plays and connection.test is None and self.loop.now - connection.since >= LOOK_MS]
+        idle = [
+            connection
+            for node in self.by_number.values()
+            if of_held or not node.held
+            for connection in node.connections
+            if connection.up
+            and not connection.plays
+            and connection.test is None
+            and self.loop.now - connection.since >= LOOK_MS
+        ]
         if not idle:
             return False
         oldest = min(idle, key=lambda connection: (bool(connection.node.held), connection.since))
@@ -44,7 +60,9 @@
     def say(self, node: Node, data: bytes, ends: str = "", until: float | None = None) -> None:
         """On any connection that is up, or on the next that opens; one is opened past the bound too: what ends a play must leave."""
         up = [connection for connection in node.connections if connection.up]
-        connection = next((connection for connection in up if not connection.plays), None) or next(iter(up), None)
+        connection = next((connection for connection in up if not connection.plays), None) or next(
+            iter(up), None
+        )
         word = data, ends, self.loop.now + AGAIN_MS if until is None else until
         if connection is not None:
             connection.say(*word)
@@ -69,7 +87,9 @@
 
     def unsent(self) -> bool:
         nodes = self.by_number.values()
-        return any(node.words and not node.gone for node in nodes) or any(connection.stream.queued for node in nodes for connection in node.connections)
+        return any(node.words and not node.gone for node in nodes) or any(
+            connection.stream.queued for node in nodes for connection in node.connections
+        )
 
     def shut(self) -> None:
         """The process's end: what was said to nodes goes out, then every connection ends in good order."""
@@ -89,7 +109,9 @@
     def node_of(self, member) -> Node:
         """Its node, new where the list names it for the first time."""
         node = self.by_id.get(member.id)
-        if node is None or (node.address != (member.host, member.port) and member.state != "DELETED"):
+        if node is None or (
+            node.address != (member.host, member.port) and member.state != "DELETED"
+        ):
             self.numbers += 1
             number = self.numbers if node is None else node.number
             if node is not None:
@@ -126,6 +148,8 @@
     def look(self) -> None:
         self.loop.after(LOOK_MS, self.look)
         self.let_speak(len(self.waiting))
-        for node in sorted((n for n in self.by_number.values() if n.held), key=lambda n: n.heard):   # who had no turn for longest first
+        for node in sorted(
+            (n for n in self.by_number.values() if n.held), key=lambda n: n.heard
+        ):  # who had no turn for longest first
             node.look(self.loop.now)
         self.forget_gone()
--- a/laddergw/platform/releases.py
+++ b/laddergw/platform/releases.py
@@ -3,22 +3,24 @@
 A release is sent again where its connection ends before its viewer has said that it heard it. A connection on which a play has
 stood is preferred; one that has asked for a play is used until there is such a one.
 """
+
 import logging
 from typing import TYPE_CHECKING, Callable, Iterable, NamedTuple
 
 if TYPE_CHECKING:
     from laddergw.platform.viewers import Viewer
 
-KEPT_MS = 8_000.0          # a release that nobody has acknowledged for so long is given up: what stood counts as lost by then
+KEPT_MS = 8_000.0  # a release that nobody has acknowledged for so long is given up: what stood counts as lost by then
 
 log = logging.getLogger("laddergw.platform")
 
 
 class Pending(NamedTuple):
     """A release that is not acknowledged. `carrier`: the connection that it was written to last, or None while there is none."""
+
     carrier: "Viewer | None"
     data: bytes
-    until: float             # ms of the loop's clock
+    until: float  # ms of the loop's clock
 
 
 class Releases:
@@ -39,7 +41,11 @@
     def write(self, preferred: "Viewer | None", session: str, data: bytes, until: float) -> None:
         carrier = self.carrier_for(preferred)
         self.pending[session] = Pending(carrier, data, until)
-        log.debug("%s: release to its viewer on %s", session, carrier or "the next connection that asks for a play")
+        log.debug(
+            "%s: release to its viewer on %s",
+            session,
+            carrier or "the next connection that asks for a play",
+        )
         self.count("releases sent" if carrier is not None else "releases that wait")
         if carrier is not None:
             carrier.used = self.loop.now
@@ -70,13 +76,23 @@
         if viewer.stream is not None:
             self.send_again(lambda carrier: carrier is None or not carrier.proven, viewer)
 
-    def send_again(self, affected: Callable[["Viewer | None"], bool], preferred: "Viewer | None" = None) -> None:
-        for session, release in [entry for entry in self.pending.items() if affected(entry[1].carrier)]:
+    def send_again(
+        self, affected: Callable[["Viewer | None"], bool], preferred: "Viewer | None" = None
+    ) -> None:
+        for session, release in [
+            entry for entry in self.pending.items() if affected(entry[1].carrier)
+        ]:
             self.count("releases sent again")
             self.write(preferred, session, release.data, release.until)
 
     def forget_old(self) -> None:
-        for session in [session for session, release in self.pending.items() if self.loop.now >= release.until]:
+        for session in [
+            session for session, release in self.pending.items() if self.loop.now >= release.until
+        ]:
             release = self.pending.pop(session)
-            log.info("%s: its release was never heard, on %s", session, release.carrier or "no connection")
+            log.info(
+                "%s: its release was never heard, on %s",
+                session,
+                release.carrier or "no connection",
+            )
             self.count("releases never heard")
--- a/laddergw/platform/requests.py
+++ b/laddergw/platform/requests.py
@@ -1,4 +1,5 @@
 """Reads a viewer's set-up into what the module is asked. What makes no sense is refused whole; no choice is made."""
+
 import math
 import re
 from typing import NamedTuple
@@ -9,9 +10,11 @@
 
 FIGURE = re.compile(r"\d{1,9}(\.\d{1,9})?")
 TITLE = re.compile(r"[0-9a-f]{16}")
-PATIENCE_MOST = 2.0        # longest patience over the longest time limit told: a viewer's clock may round up
-HINT_MOST_MS = 1e8         # a day: no play is hinted to last longer
-AHEAD = 1.0                # figures are counts of cells and rungs: one over the last is still within
+PATIENCE_MOST = (
+    2.0  # longest patience over the longest time limit told: a viewer's clock may round up
+)
+HINT_MOST_MS = 1e8  # a day: no play is hinted to last longer
+AHEAD = 1.0  # figures are counts of cells and rungs: one over the last is still within
 
 
 class Unusable(Exception):
@@ -22,7 +25,7 @@
     ask: Asked
     product: str
     title: str
-    at: str                  # the node where it plays already, or empty
+    at: str  # the node where it plays already, or empty
     description: bytes
 
 
@@ -58,13 +61,33 @@
         figures[name] = value
     product, title = product_of(message), text_of(message, binary.TITLE)
     description = message.parameters.get(binary.DESCRIPTION, b"")
-    if product not in assignment.products or not TITLE.fullmatch(title) or message.session == "0" * 16 or not (description or "at" in figures):
-        raise Unusable(f"{product[:40]!r}, {title[:40]!r}, {message.session}, description of {len(description)}")
+    if (
+        product not in assignment.products
+        or not TITLE.fullmatch(title)
+        or message.session == "0" * 16
+        or not (description or "at" in figures)
+    ):
+        raise Unusable(
+            f"{product[:40]!r}, {title[:40]!r}, {message.session}, description of {len(description)}"
+        )
     hint, cells, at = text_of(message, binary.HINT, 0), deployment.cells, figures.get("at", "")
     # Nobody waits for a play that is handed over; its patience says nothing
-    wait = math.inf if at else figure(text_of(message, binary.PATIENCE), "patience", 0, PATIENCE_MOST * assignment.longest_ms)
-    ask = Asked(int(message.session, 16), assignment.products[product], int(title, 16),
-                figure(figures.get("home", ""), "home", 0, cells), figure(figures.get("copies", ""), "copies", 0, cells + AHEAD),
-                figure(figures.get("top", ""), "top", 0, len(deployment.ladder) + AHEAD),
-                figure(hint, "hint", 0, HINT_MOST_MS) or None if hint else None, wait, figures.get("again") == "1")
+    wait = (
+        math.inf
+        if at
+        else figure(
+            text_of(message, binary.PATIENCE), "patience", 0, PATIENCE_MOST * assignment.longest_ms
+        )
+    )
+    ask = Asked(
+        int(message.session, 16),
+        assignment.products[product],
+        int(title, 16),
+        figure(figures.get("home", ""), "home", 0, cells),
+        figure(figures.get("copies", ""), "copies", 0, cells + AHEAD),
+        figure(figures.get("top", ""), "top", 0, len(deployment.ladder) + AHEAD),
+        figure(hint, "hint", 0, HINT_MOST_MS) or None if hint else None,
+        wait,
+        figures.get("again") == "1",
+    )
     return Request(ask, product, title, at, description)
