--- a/laddergw/platform/viewers.py
+++ b/laddergw/platform/viewers.py
@@ -1,16 +1,17 @@
 """The viewers' side: connections, their messages, and bounds against those who say nothing or too much."""
+
 import logging
 
 from laddergw.platform.causes import FAILED, UNUSABLE
 from laddergw.platform.releases import Releases
 from laddergw.signalling import binary
 
-SPEAK_MS = 2_000.0         # an unproven connection with nothing open, or half a message, is closed after this: 3 s are allowed
-LOOK_MS = 250.0            # pace of looking for such connections
-FRESH_MS = 50.0            # a new connection is not closed for others before it can have spoken
-OPEN_MOST = 64             # open set-ups of one connection: a front's pool holds a few, a flood hundreds
-UNSENT_MOST = 256 * 1024   # bytes that wait for a peer that does not read
-READS_LAST = 64            # of one connection at the process's end, 64 KB each: as much as its system may hold, and no peer reads on for ever
+SPEAK_MS = 2_000.0  # an unproven connection with nothing open, or half a message, is closed after this: 3 s are allowed
+LOOK_MS = 250.0  # pace of looking for such connections
+FRESH_MS = 50.0  # a new connection is not closed for others before it can have spoken
+OPEN_MOST = 64  # open set-ups of one connection: a front's pool holds a few, a flood hundreds
+UNSENT_MOST = 256 * 1024  # bytes that wait for a peer that does not read
+READS_LAST = 64  # of one connection at the process's end, 64 KB each: as much as its system may hold, and no peer reads on for ever
 
 log = logging.getLogger("laddergw.platform")
 
@@ -20,11 +21,19 @@
     A test proves nothing: fronts leave after theirs, and anyone can ask."""
 
     def __init__(self, listener: "Listener"):
-        self.listener, self.reader, self.plays, self.spoke, self.proven = listener, binary.Reader(), {}, False, False
+        self.listener, self.reader, self.plays, self.spoke, self.proven = (
+            listener,
+            binary.Reader(),
+            {},
+            False,
+            False,
+        )
         self.since = self.used = listener.loop.now
-        self.half = None                     # since when a message has begun and not ended
+        self.half = None  # since when a message has begun and not ended
         self.closing = False
-        self.stalled = listener.loop.stalled     # ms for which it may have waited to be accepted, and what it said first with it
+        self.stalled = (
+            listener.loop.stalled
+        )  # ms for which it may have waited to be accepted, and what it said first with it
         self.name = listener.next_name()
 
     def __str__(self) -> str:
@@ -68,13 +77,19 @@
         if self.stream is not None and not self.closing:
             self.closing = True
             self.listener.admission.count("closed: " + why.partition(" of ")[0])
-            log.debug("%s: closed by us: %s; %.0f ms old, idle %.0f, %d set-ups open", self, why, self.listener.loop.now - self.since,
-                      self.listener.loop.now - self.used, len(self.plays))
+            log.debug(
+                "%s: closed by us: %s; %.0f ms old, idle %.0f, %d set-ups open",
+                self,
+                why,
+                self.listener.loop.now - self.since,
+                self.listener.loop.now - self.used,
+                len(self.plays),
+            )
             for ply in list(self.plays.values()):
                 self.listener.admission.finish(ply, FAILED)
             if self.stream is None:
                 return
-            self.stream.abort() if self.stream.queued else self.stream.close()   # who does not read would hold it open
+            self.stream.abort() if self.stream.queued else self.stream.close()  # who does not read would hold it open
 
     def outstays(self, now: float) -> str | None:
         """Why it is to be closed for want of anything of use; never while a set-up is open on it."""
@@ -82,13 +97,20 @@
             return None
         if self.half is not None and now - self.half >= SPEAK_MS:
             return "half a message"
-        if not self.spoke and now - self.since >= SPEAK_MS:     # who spoke has its answers, and may be speaking again
+        if (
+            not self.spoke and now - self.since >= SPEAK_MS
+        ):  # who spoke has its answers, and may be speaking again
             return "nothing of use"
         return None
 
     def closed(self, stream, why: str | None) -> None:
         self.stream = None
-        log.debug("%s: ends: %s; %d set-ups open", self, why or "closed by its peer or by us", len(self.plays))
+        log.debug(
+            "%s: ends: %s; %d set-ups open",
+            self,
+            why or "closed by its peer or by us",
+            len(self.plays),
+        )
         self.listener.admission.count("viewers' connections ended: " + (why or "in good order"))
         self.listener.leave(self)
         for ply in list(self.plays.values()):
@@ -100,7 +122,7 @@
 
     def __init__(self, loop, admission, address: tuple[str, int], most: int):
         self.loop, self.admission, self.most = loop, admission, most
-        self.viewers: dict[Viewer, None] = {}        # oldest first
+        self.viewers: dict[Viewer, None] = {}  # oldest first
         self.releases = Releases(loop, self.viewers, admission.count)
         self.names = 0
         self.accepting = loop.listen(address, lambda stream: Viewer(self))
@@ -123,7 +145,11 @@
     def make_room(self, last: Viewer | None = None) -> None:
         """Over the bound who has said nothing goes first, then who was idle longest, `last` where all others have plays open. What one has
         to say may lie unread: it is read before it is closed, or a set-up would be lost."""
-        idle = [v for v in self.viewers if not v.plays and v is not last] if len(self.viewers) > self.most else []
+        idle = (
+            [v for v in self.viewers if not v.plays and v is not last]
+            if len(self.viewers) > self.most
+            else []
+        )
         idle.sort(key=lambda v: (v.proven or self.loop.now - v.since < FRESH_MS, v.used))
         for one in idle + [last] * (last is not None):
             if len(self.viewers) <= self.most:
@@ -165,12 +191,14 @@
         now = self.loop.now
         for viewer in list(self.viewers):
             if viewer.outstays(now):
-                viewer.stream.read_now()                 # what came meanwhile may be a set-up
+                viewer.stream.read_now()  # what came meanwhile may be a set-up
             if viewer.stream is not None and (why := viewer.outstays(now)):
                 viewer.close(why)
         self.releases.forget_old()
 
-    def send(self, preferred: Viewer | None, kind: int, session: str, *parameters: tuple[int, bytes]) -> None:
+    def send(
+        self, preferred: Viewer | None, kind: int, session: str, *parameters: tuple[int, bytes]
+    ) -> None:
         """What ends a play, until its viewer has acknowledged it: a connection may end with it unread."""
         self.releases.send(preferred, session, binary.encode(kind, session, *parameters))
 
--- a/laddergw/settings.py
+++ b/laddergw/settings.py
@@ -1,4 +1,5 @@
 """Decodes start settings, told as path=value lines or as nested JSON, into a Deployment. Decodes only."""
+
 import math
 
 from laddergw.interface import Deployment, Product
@@ -32,6 +33,7 @@
                 walk(f"{path}.{index}", part)
         else:
             found[path] = ",".join(map(plain, value)) if isinstance(value, list) else plain(value)
+
     walk("", tree)
     return found
 
@@ -80,7 +82,9 @@
     def flags(self, key, size, default):
         parts = self.word(key, ",".join(["true" if default else "false"] * size)).split(",")
         if len(parts) != size or set(parts) - {"true", "false"}:
-            raise BadSetting(f"setting {key}: {','.join(parts)!r} is not {size} times true or false")
+            raise BadSetting(
+                f"setting {key}: {','.join(parts)!r} is not {size} times true or false"
+            )
         return [part == "true" for part in parts]
 
     def among(self, key, words, default):
@@ -101,9 +105,17 @@
     repeat = read.word(key + "Repeat")
     if repeat not in REPEATS:
         raise BadSetting(f"setting {key}Repeat: {repeat!r} is not known")
-    return Product(read.number(key + "Points"), REPEATS[repeat],
-                   read.word(key + "Group", "all"), read.ms(key + "KeyTtl", 0.0),
-                   int(floor), int(top), scale, int(seats), live)
+    return Product(
+        read.number(key + "Points"),
+        REPEATS[repeat],
+        read.word(key + "Group", "all"),
+        read.ms(key + "KeyTtl", 0.0),
+        int(floor),
+        int(top),
+        scale,
+        int(seats),
+        live,
+    )
 
 
 def decode(values):
@@ -114,26 +126,46 @@
         raise BadSetting("setting Specifics.LadderKb: no rung")
     zeros, ones = ",".join(["0"] * grades), ",".join(["1"] * grades)
     tops = ",".join([str(len(ladder) - 1)] * grades)
-    columns = zip(read.many("Specifics.LowestRung", grades, zeros), read.many("Specifics.HighestRung", grades, tops),
-                  read.many("Specifics.ScaleByClass", grades, ones, 1e-9),
-                  read.many("Specifics.ClassSeats", grades, zeros), read.flags("Specifics.Live", grades, False))
+    columns = zip(
+        read.many("Specifics.LowestRung", grades, zeros),
+        read.many("Specifics.HighestRung", grades, tops),
+        read.many("Specifics.ScaleByClass", grades, ones, 1e-9),
+        read.many("Specifics.ClassSeats", grades, zeros),
+        read.flags("Specifics.Live", grades, False),
+    )
     return Deployment(
         products=tuple(product(read, i, *row) for i, row in enumerate(columns)),
-        ladder=ladder, rung_worth=read.many("Specifics.WorthByRung", len(ladder)),
-        cells=int(read.number("Specifics.Positions", low=1)), racks=int(read.number("Specifics.Groups", 1, low=1)),
-        link_unit=read.number("Specifics.LinkUnitKb", low=1e-9), rack_kb=read.number("Specifics.RackKb", low=1e-9),
+        ladder=ladder,
+        rung_worth=read.many("Specifics.WorthByRung", len(ladder)),
+        cells=int(read.number("Specifics.Positions", low=1)),
+        racks=int(read.number("Specifics.Groups", 1, low=1)),
+        link_unit=read.number("Specifics.LinkUnitKb", low=1e-9),
+        rack_kb=read.number("Specifics.RackKb", low=1e-9),
         streams=read.many("Specifics.KindSlots", low=1),
         step_cost_ms=read.number("Specifics.ChangeCostsS", 0.0) * 1000,
         seen_after_ms=read.ms("Specifics.SeenAfter", 0.0),
-        directors=int(read.number("Siblings", low=1)), max_allocations=int(read.number("Permissions.MaxAttempts", low=1)),
-        retry_max_ms=read.ms("Permissions.MaxRetryAfter", 0.0) if read.flag("Permissions.RetryAfter", "true") else 0.0,
-        cold_from=read.number("Rules.ColdFrom", 1.0), warm_ms=read.ms("Rules.WarmWithin", 0.0),
-        fall_multiple=read.number("Rules.FallMultiple", 1.0), fall_ms=read.ms("Rules.Fall", 0.0),
-        budget_free=read.number("Rules.FreeResends", None), budget_share=read.number("Rules.ExtraRatio", 0.0),
-        budget_ms=read.ms("Rules.CountedOver", 0.0), must_ask=read.word("Discovery", "pushed") == "on_request",
+        directors=int(read.number("Siblings", low=1)),
+        max_allocations=int(read.number("Permissions.MaxAttempts", low=1)),
+        retry_max_ms=read.ms("Permissions.MaxRetryAfter", 0.0)
+        if read.flag("Permissions.RetryAfter", "true")
+        else 0.0,
+        cold_from=read.number("Rules.ColdFrom", 1.0),
+        warm_ms=read.ms("Rules.WarmWithin", 0.0),
+        fall_multiple=read.number("Rules.FallMultiple", 1.0),
+        fall_ms=read.ms("Rules.Fall", 0.0),
+        budget_free=read.number("Rules.FreeResends", None),
+        budget_share=read.number("Rules.ExtraRatio", 0.0),
+        budget_ms=read.ms("Rules.CountedOver", 0.0),
+        must_ask=read.word("Discovery", "pushed") == "on_request",
         reports=tuple(read.word("Reporting.Names", "").split(",")),
-        probes=read.flag("Permissions.Probes", "false"), told_by=read.among("Reporting.How", TOLD_BY, "answers"),
-        probe_price=read.number("Prices.Probe", 0.0), cross_price=read.number("Prices.CrossZone", 0.0),
-        zone=int(read.number("MyZone", 0)), number=int(read.number("Ordinal", 0)),
-        peers=read.flag("Permissions.Peers", "false"), peer_price=read.number("Prices.Peer", 0.0),
-        connect_ms=read.ms("Permissions.ConnectTimeout", 250.0), join=read.number("Specifics.Join", 1.0, high=1.0))
+        probes=read.flag("Permissions.Probes", "false"),
+        told_by=read.among("Reporting.How", TOLD_BY, "answers"),
+        probe_price=read.number("Prices.Probe", 0.0),
+        cross_price=read.number("Prices.CrossZone", 0.0),
+        zone=int(read.number("MyZone", 0)),
+        number=int(read.number("Ordinal", 0)),
+        peers=read.flag("Permissions.Peers", "false"),
+        peer_price=read.number("Prices.Peer", 0.0),
+        connect_ms=read.ms("Permissions.ConnectTimeout", 250.0),
+        join=read.number("Specifics.Join", 1.0, high=1.0),
+    )
--- a/laddergw/signalling/binary.py
+++ b/laddergw/signalling/binary.py
@@ -1,13 +1,34 @@
 """The viewers' binary messages: length:2 type:1 session:8 parameters, each parameter code:1 length:2 value; big-endian."""
+
 import struct
 from typing import NamedTuple
 
-SET_UP, PROGRESS, ANSWER, RELEASE, HEARD, NOTE, MOVE, TEST, TESTED, RUNG = 1, 6, 9, 12, 16, 44, 51, 52, 53, 60
-PRODUCT, PATIENCE, TITLE, FIGURES, AWAY, HINT, CAUSE, DESCRIPTION = 180, 183, 192, 195, 198, 210, 222, 225
+SET_UP, PROGRESS, ANSWER, RELEASE, HEARD, NOTE, MOVE, TEST, TESTED, RUNG = (
+    1,
+    6,
+    9,
+    12,
+    16,
+    44,
+    51,
+    52,
+    53,
+    60,
+)
+PRODUCT, PATIENCE, TITLE, FIGURES, AWAY, HINT, CAUSE, DESCRIPTION = (
+    180,
+    183,
+    192,
+    195,
+    198,
+    210,
+    222,
+    225,
+)
 KINDS = {SET_UP, PROGRESS, ANSWER, RELEASE, HEARD, NOTE, MOVE, TEST, TESTED, RUNG}
-LONGEST = 16 * 1024        # bytes of one message, by the protocol
+LONGEST = 16 * 1024  # bytes of one message, by the protocol
 HEAD, PARAMETER = struct.Struct(">HBQ"), struct.Struct(">BH")
-LEAST = HEAD.size - 2      # what the length counts of a message without parameters
+LEAST = HEAD.size - 2  # what the length counts of a message without parameters
 
 
 class Malformed(Exception):
@@ -16,6 +37,7 @@
 
 class Message(NamedTuple):
     """`parameters` is None where they do not fit into the message: it is whole, but cannot be understood."""
+
     kind: int
     session: str
     parameters: dict[int, bytes] | None
@@ -35,7 +57,7 @@
         at += PARAMETER.size + size
         if at > len(body) or code in found:
             return None
-        found[code] = body[at - size:at]
+        found[code] = body[at - size : at]
     return found
 
 
@@ -60,6 +82,6 @@
         if len(buffer) < HEAD.size or len(buffer) < length + 2:
             return None
         _, kind, session = HEAD.unpack_from(buffer)
-        body = bytes(buffer[HEAD.size:length + 2])
-        del buffer[:length + 2]
+        body = bytes(buffer[HEAD.size : length + 2])
+        del buffer[: length + 2]
         return Message(kind, f"{session:016x}", parameters_of(body))
--- a/laddergw/signalling/changes.py
+++ b/laddergw/signalling/changes.py
@@ -1,4 +1,5 @@
 """The change log: `since N`, then events as JSON lines in order and, each second, the last number alone."""
+
 import json
 from typing import Any, NamedTuple
 
@@ -12,6 +13,7 @@
 
 class Member(NamedTuple):
     """One media node of an event. `since` is the Unix millisecond of a late start, or 0."""
+
     id: str
     host: str
     port: int
@@ -25,6 +27,7 @@
 
 class Event(NamedTuple):
     """`members` is None where a line tells the last number alone."""
+
     number: int
     whole: bool
     members: tuple[Member, ...] | None
@@ -37,11 +40,25 @@
 def member_of(fields: Any) -> Member:
     try:
         host, _, port = fields["host_port"].rpartition(":")
-        found = Member(str(fields["id"]), host, int(port), str(fields.get("locality", "")), str(fields.get("flavor", "")),
-                       int(fields["cell"]), fields["phase"], float(fields.get("size", 1.0)), float(fields.get("up_since_ms") or 0))
+        found = Member(
+            str(fields["id"]),
+            host,
+            int(port),
+            str(fields.get("locality", "")),
+            str(fields.get("flavor", "")),
+            int(fields["cell"]),
+            fields["phase"],
+            float(fields.get("size", 1.0)),
+            float(fields.get("up_since_ms") or 0),
+        )
     except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
         raise Malformed(f"a member that makes no sense: {error!r}") from None
-    if found.state not in STATES or not 0 < found.port < 65536 or not (host and found.id) or found.cell < 0:
+    if (
+        found.state not in STATES
+        or not 0 < found.port < 65536
+        or not (host and found.id)
+        or found.cell < 0
+    ):
         raise Malformed(f"a member that makes no sense: {found}")
     if not 0 <= found.weight < 1e9 or not 0 <= found.since < 1e15:
         raise Malformed(f"a member that makes no sense: {found}")
@@ -58,7 +75,12 @@
         members, whole = fleet["members"], fleet["complete"]
     except (KeyError, TypeError):
         raise Malformed("an event without its parts") from None
-    if not isinstance(number, int) or isinstance(number, bool) or number < 1 or not isinstance(members, list):
+    if (
+        not isinstance(number, int)
+        or isinstance(number, bool)
+        or number < 1
+        or not isinstance(members, list)
+    ):
         raise Malformed("an event that makes no sense")
     return Event(number, whole is True, tuple(map(member_of, members)))
 
@@ -94,7 +116,7 @@
     def next(self) -> Event | None:
         while (end := self.buffer.find(b"\n")) >= 0:
             line = bytes(self.buffer[:end]).strip()
-            del self.buffer[:end + 1]
+            del self.buffer[: end + 1]
             if line:
                 return read(line)
         if len(self.buffer) > LONGEST:
--- a/laddergw/signalling/description.py
+++ b/laddergw/signalling/description.py
@@ -2,6 +2,7 @@
 
 Descriptions pass on unchanged; what is looked at here is only whether one may have been cut short. No I/O.
 """
+
 LINE_END = b"\n"
 MEDIA = b"m="
 
--- a/laddergw/signalling/rtsp.py
+++ b/laddergw/signalling/rtsp.py
@@ -1,15 +1,18 @@
 """RTSP as the platform's media nodes speak it: requests and answers with Content-Length, matched by Session."""
+
 import re
 from typing import NamedTuple
 
-LONGEST = 16 * 1024        # bytes of one message, by the protocol
-MOST_HEADERS = 64          # lines of one message: ours have six
-FIRST_LINE = re.compile(rb"RTSP/1\.0 ([1-5]\d\d)(?: [\x20-\x7e]*)?|([A-Z_]{3,20}) (rtsp://media/[\x21-\x7e]*|\*) RTSP/1\.0")
+LONGEST = 16 * 1024  # bytes of one message, by the protocol
+MOST_HEADERS = 64  # lines of one message: ours have six
+FIRST_LINE = re.compile(
+    rb"RTSP/1\.0 ([1-5]\d\d)(?: [\x20-\x7e]*)?|([A-Z_]{3,20}) (rtsp://media/[\x21-\x7e]*|\*) RTSP/1\.0"
+)
 HEADER = re.compile(rb"([A-Za-z0-9-]{1,40}): ?([\x20-\x7e]*)")
 SESSION = re.compile(r"[0-9a-f]{16}")
 PREFIX = b"RTSP/1.0 "
 METHODS = (b"SETUP ", b"TEARDOWN ", b"OPTIONS ", b"ANNOUNCE ", b"REDIRECT ", b"SET_PARAMETER ")
-SEQUENCE = {"SETUP": 1, "TEARDOWN": 2, "OPTIONS": 3}   # else it is free
+SEQUENCE = {"SETUP": 1, "TEARDOWN": 2, "OPTIONS": 3}  # else it is free
 OTHER_SEQUENCE = 4
 
 
@@ -19,6 +22,7 @@
 
 class Message(NamedTuple):
     """`status` is 0 in a request, `method` empty in an answer. Names of headers are in lower case."""
+
     status: int
     method: str
     target: str
@@ -34,14 +38,26 @@
         return self.headers.get("cseq", "")
 
 
-def request(method: str, target: str, session: str, headers: tuple[tuple[str, str], ...] = (), body: bytes = b"") -> bytes:
-    lines = [f"{method} rtsp://media/{target} RTSP/1.0", f"CSeq: {SEQUENCE.get(method, OTHER_SEQUENCE)}", f"Session: {session}"]
+def request(
+    method: str,
+    target: str,
+    session: str,
+    headers: tuple[tuple[str, str], ...] = (),
+    body: bytes = b"",
+) -> bytes:
+    lines = [
+        f"{method} rtsp://media/{target} RTSP/1.0",
+        f"CSeq: {SEQUENCE.get(method, OTHER_SEQUENCE)}",
+        f"Session: {session}",
+    ]
     lines += [f"{name}: {value}" for name, value in headers]
     return "\r\n".join([*lines, f"Content-Length: {len(body)}", "", ""]).encode() + body
 
 
 def answer(status: int, reason: str, sequence: str, session: str) -> bytes:
-    return f"RTSP/1.0 {status} {reason}\r\nCSeq: {sequence}\r\nSession: {session}\r\nContent-Length: 0\r\n\r\n".encode("ascii")
+    return f"RTSP/1.0 {status} {reason}\r\nCSeq: {sequence}\r\nSession: {session}\r\nContent-Length: 0\r\n\r\n".encode(
+        "ascii"
+    )
 
 
 def head_of(head: bytes, header: re.Pattern[bytes] = HEADER) -> tuple:
@@ -65,7 +81,13 @@
     if not SESSION.fullmatch(headers.get("session", "")):
         raise Malformed(f"session {headers.get('session', '')[:20]!r}")
     status, method, target = match.groups()
-    return int(status or 0), (method or b"").decode(), (target or b"").decode(), headers, int(length)
+    return (
+        int(status or 0),
+        (method or b"").decode(),
+        (target or b"").decode(),
+        headers,
+        int(length),
+    )
 
 
 class Reader:
@@ -85,19 +107,19 @@
             if end < 0:
                 return self.starts_well()
             self.head = head_of(bytes(self.buffer[:end]), self.header)
-            del self.buffer[:end + 4]
+            del self.buffer[: end + 4]
         *parts, length = self.head
         if len(self.buffer) < length:
             return None
         body, self.head = bytes(self.buffer[:length]), None
         del self.buffer[:length]
-        self.starts_well()                           # what follows a message shows whether its length was right
+        self.starts_well()  # what follows a message shows whether its length was right
         return Message(*parts, body)
 
     def starts_well(self) -> None:
         """Refuses what can become no message, before it has come to an end or grown without one."""
         start = bytes(self.buffer[:16])
-        if start and not any(start.startswith(word[:len(start)]) for word in (PREFIX, *METHODS)):
+        if start and not any(start.startswith(word[: len(start)]) for word in (PREFIX, *METHODS)):
             raise Malformed(f"a message that starts with {start!r}")
         if len(self.buffer) >= LONGEST:
             raise Malformed("lines without an end")
--- a/tests/director_process.py
+++ b/tests/director_process.py
@@ -2,6 +2,7 @@
 
 What is sent is ordered by what has been heard: a test that wants one message read before another waits for the answer to the first.
 """
+
 import contextlib
 import os
 import pathlib
@@ -16,7 +17,7 @@
 from tests.sockets_town import Node, Peer
 from tests.test_platform_start import Running
 
-PATIENCE_S = 20.0          # of the test, for any one message
+PATIENCE_S = 20.0  # of the test, for any one message
 TEST = binary.encode(binary.TEST, "0" * 16, (binary.CAUSE, b"\0"))
 
 
@@ -33,9 +34,18 @@
         folder = tempfile.TemporaryDirectory()
         test.addCleanup(folder.cleanup)
         self.change_log = socket.create_server(("127.0.0.1", 0))
-        known = [member(name, node.port, cell=cell) | {"host_port": f"127.0.0.1:{node.port}"} for cell, (name, node) in enumerate(self.nodes.items())]
-        self.running = Running(pathlib.Path(folder.name), "n0", self.change_log.getsockname()[1], log_level="DEBUG",
-                               known={"seq": 1, "results": [event(1, *known, whole=True)]}, **changes)
+        known = [
+            member(name, node.port, cell=cell) | {"host_port": f"127.0.0.1:{node.port}"}
+            for cell, (name, node) in enumerate(self.nodes.items())
+        ]
+        self.running = Running(
+            pathlib.Path(folder.name),
+            "n0",
+            self.change_log.getsockname()[1],
+            log_level="DEBUG",
+            known={"seq": 1, "results": [event(1, *known, whole=True)]},
+            **changes,
+        )
         test.addCleanup(self.close)
         os.set_blocking(self.running.process.stderr.fileno(), False)
         self.wait(lambda: "runs at" in self.running.log, "the director runs")
@@ -44,7 +54,11 @@
         self.running.end()
         if sys.exc_info()[0] is not None:
             print(self.running.log, file=sys.stderr)
-        for held in [self.change_log, *(peer.sock for peer in self.every_peer()), *(node.sock for node in self.nodes.values())]:
+        for held in [
+            self.change_log,
+            *(peer.sock for peer in self.every_peer()),
+            *(node.sock for node in self.nodes.values()),
+        ]:
             held.close()
 
     def viewer(self):
@@ -74,7 +88,16 @@
             left = latest - time.monotonic()
             self.test.assertGreater(left, 0, f"in {seconds:g} s not seen: {what}")
             open_ones = [peer.sock for peer in self.every_peer() if peer.ended is None]
-            select.select([self.running.process.stderr, *open_ones, *(node.sock for node in self.nodes.values())], [], [], left)
+            select.select(
+                [
+                    self.running.process.stderr,
+                    *open_ones,
+                    *(node.sock for node in self.nodes.values()),
+                ],
+                [],
+                [],
+                left,
+            )
 
     def take(self, peers, fits):
         """(peer, message) of the first message that fits, which is taken out of what was heard, or None."""
@@ -88,12 +111,18 @@
     def hears(self, peer, kind, session, seconds=PATIENCE_S):
         """The message of that kind on that session, once the viewer has heard it."""
         fits = lambda m: (m.kind, m.session) == (kind, name_of(session))
-        return self.wait(lambda: self.take([peer], fits), f"message {kind} on session {session}", seconds)[1]
+        return self.wait(
+            lambda: self.take([peer], fits), f"message {kind} on session {session}", seconds
+        )[1]
 
     def asked(self, node, method, session, seconds=PATIENCE_S):
         """(the node's end of the connection, message) of what the director sends a node on a session."""
         fits = lambda m: (m.method, m.session) == (method, name_of(session))
-        return self.wait(lambda: self.take(self.nodes[node].connections, fits), f"{method} of session {session} at node {node}", seconds)
+        return self.wait(
+            lambda: self.take(self.nodes[node].connections, fits),
+            f"{method} of session {session} at node {node}",
+            seconds,
+        )
 
     def acknowledged(self, side, session):
         """The director's 200 to what a node has told it of a session: the node's message has been read."""
--- a/tests/test_lost_requests.py
+++ b/tests/test_lost_requests.py
@@ -1,4 +1,5 @@
 """Requests that were lost under faults: a real director as a process, the fault's order forced by its peers."""
+
 import unittest
 
 from laddergw.platform.causes import FAILED
@@ -6,9 +7,9 @@
 from tests.director_process import DirectorProcess, name_of
 from tests.platform_town import answer, release, set_up
 
-RELEASED_S = 1.0           # what stood and is over: its viewer's release comes so long after its node's, by the protocol page
-SLACK_S = 0.05             # each of the protocol's time limits grows by this
-HALF_S = 2.5               # longer than a message may take from its first byte to its last, and than the pace of looking for it
+RELEASED_S = 1.0  # what stood and is over: its viewer's release comes so long after its node's, by the protocol page
+SLACK_S = 0.05  # each of the protocol's time limits grows by this
+HALF_S = 2.5  # longer than a message may take from its first byte to its last, and than the pace of looking for it
 
 
 class LostRequests(unittest.TestCase):
@@ -50,7 +51,11 @@
         first, _ = self.both_play(viewer)
         first.reset()
         node, known = self.town.nodes["a"], len(self.town.nodes["a"].connections)
-        self.town.wait(lambda: len(node.connections) > known, "a new connection to the node", RELEASED_S + SLACK_S)
+        self.town.wait(
+            lambda: len(node.connections) > known,
+            "a new connection to the node",
+            RELEASED_S + SLACK_S,
+        )
         node.connections[-1].write(release(1, 16))
         self.town.hears(viewer, binary.RELEASE, 1, RELEASED_S + SLACK_S)
 
@@ -68,7 +73,10 @@
         first, second = self.both_play(viewer)
         node.stop_accepting()
         first.reset()
-        self.town.wait(lambda: "no connection in time" in self.town.running.log, "a connection that does not come up")
+        self.town.wait(
+            lambda: "no connection in time" in self.town.running.log,
+            "a connection that does not come up",
+        )
         node.accept_again()
         known = len(node.connections)
         self.town.wait(lambda: len(node.connections) > known, "another new connection to the node")
@@ -77,7 +85,9 @@
     def test_connections_that_come_up_late_end_no_plays_of_a_node_that_answers(self):
         viewer, node = self.town.viewer(), self.town.nodes["a"]
         self.plays(viewer, 1)
-        side = self.town.set_up(viewer, 2, product="paid", patience="6000")      # one connection is up, and busy
+        side = self.town.set_up(
+            viewer, 2, product="paid", patience="6000"
+        )  # one connection is up, and busy
         node.stop_accepting()
         viewer.write(set_up(3) + set_up(4))
         for session in 3, 4:
@@ -105,16 +115,21 @@
                 self.setUp()
                 viewer = self.town.viewer()
                 first, second = (self.town.set_up(viewer, number, text=offer) for number in (1, 2))
-                whole = answer(name_of(1), body=body).replace(b"Length: %d" % len(body), b"Length: %d" % size)
+                whole = answer(name_of(1), body=body).replace(
+                    b"Length: %d" % len(body), b"Length: %d" % size
+                )
                 end = len(whole) - len(body) + size
                 first.write(whole[:end])
-                for unknown in 38, 39:                 # the second is read in a later turn than the first segment
+                for unknown in 38, 39:  # the second is read in a later turn than the first segment
                     second.write(release(unknown, 16))
                     self.town.acknowledged(second, unknown)
                 first.write(whole[end:])
                 second.write(answer(name_of(2), body=body))
                 self.town.hears(viewer, binary.ANSWER, 2)
-                self.assertEqual([m for m in viewer.heard if (m.kind, m.session) == (binary.ANSWER, name_of(1))], [])
+                self.assertEqual(
+                    [m for m in viewer.heard if (m.kind, m.session) == (binary.ANSWER, name_of(1))],
+                    [],
+                )
 
     # Guards against holding back for good a description that ends within a line and is whole.
     def test_a_description_without_a_line_end_is_passed_on(self):
@@ -128,7 +143,9 @@
         viewer = self.town.viewer()
         side = self.town.set_up(viewer, 1, product="paid", patience="6000")
         viewer.write(set_up(2)[:20])
-        with self.assertRaises(AssertionError):        # nothing is heard, no end either, while a message may take 2 s
+        with self.assertRaises(
+            AssertionError
+        ):  # nothing is heard, no end either, while a message may take 2 s
             self.town.wait(lambda: viewer.heard or viewer.ended, "an answer or an end", HALF_S)
         side.write(answer(name_of(1)))
         self.town.hears(viewer, binary.ANSWER, 1)
--- a/tests/test_orders_last_close.py
+++ b/tests/test_orders_last_close.py
@@ -1,4 +1,5 @@
 """Connections that come as a stopping director closes its own. Real connections, the bad order every time."""
+
 import select
 import socket
 import unittest
@@ -21,7 +22,9 @@
         late.setblocking(False)
         late.connect_ex(self.town.address)
         listener.accept_waiting()
-        self.assertEqual([v.stream.peer for v in self.town.director.listener.viewers], [early.getsockname()])
+        self.assertEqual(
+            [v.stream.peer for v in self.town.director.listener.viewers], [early.getsockname()]
+        )
         self.assertEqual(select.select([], [late], [], 0.05)[1], [], "it has come up")
 
     # Guards against a set-up that crosses a stop's close and is cut off a second time, on the new connection that it goes again on.
@@ -38,6 +41,7 @@
                     seen.append("let in")
             except ConnectionRefusedError:
                 seen.append("refused")
+
         listener.shut = shut_and_come_again
         self.town.director.stop()
         self.town.to_the_end(self.now)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,4 +1,5 @@
 """A short soak: dense trials of seeds that are always the same, real processes, every rule judged."""
+
 import contextlib
 import io
 import pathlib
@@ -14,8 +15,8 @@
 from laddergw.lab.soak.result import play
 from laddergw.lab.soak.terms import USUAL
 
-SEEDS = 14, 25, 40         # each with restarts, drains and an outage of the change log; some 12 s each
-LEAST_PLAYED = 0.2         # of the requests of a plan without its crowds: a fleet that refuses everybody keeps every rule
+SEEDS = 14, 25, 40  # each with restarts, drains and an outage of the change log; some 12 s each
+LEAST_PLAYED = 0.2  # of the requests of a plan without its crowds: a fleet that refuses everybody keeps every rule
 
 
 class Soak(unittest.TestCase):
@@ -32,17 +33,35 @@
                 self.assertTrue(result.judged, f"its own lag was {result.lag_ms} ms")
                 self.assertEqual(result.breaks, [], "\n\n".join(result.stories))
                 self.assertGreater(result.played, LEAST_PLAYED * drawn.rate * drawn.seconds)
-                print(f"soak seed {seed}: {result.asked} plays, {result.played} played, lag {result.lag_ms} ms", file=sys.stderr)
+                print(
+                    f"soak seed {seed}: {result.asked} plays, {result.played} played, lag {result.lag_ms} ms",
+                    file=sys.stderr,
+                )
 
     def test_bad_input_is_one_line_and_exit_code_2(self):
         wrong = self.folder / "wrong.json"
         wrong.write_text("{}")
         nothing = self.folder / "nothing.json"
-        for seeds, plan_file, config in (("x", None, None), ("9-3", None, None), ("1", wrong, None), ("1", nothing, None), ("1", None, wrong), ("1", None, nothing)):
-            with self.subTest(seeds=seeds, plan=plan_file, config=config), contextlib.redirect_stderr(io.StringIO()) as said:
+        for seeds, plan_file, config in (
+            ("x", None, None),
+            ("9-3", None, None),
+            ("1", wrong, None),
+            ("1", nothing, None),
+            ("1", None, wrong),
+            ("1", None, nothing),
+        ):
+            with (
+                self.subTest(seeds=seeds, plan=plan_file, config=config),
+                contextlib.redirect_stderr(io.StringIO()) as said,
+            ):
                 with self.assertRaises(typer.Exit) as ended:
-                    rehearsing_soak.soak(seeds, plan_file, plan.Sizes(), config, None, None, 1, None)
-                self.assertEqual((ended.exception.exit_code, said.getvalue().count("\n")), (rehearsing_soak.EXIT_COULD_NOT, 1))
+                    rehearsing_soak.soak(
+                        seeds, plan_file, plan.Sizes(), config, None, None, 1, None
+                    )
+                self.assertEqual(
+                    (ended.exception.exit_code, said.getvalue().count("\n")),
+                    (rehearsing_soak.EXIT_COULD_NOT, 1),
+                )
 
 
 if __name__ == "__main__":
--- a/tests/test_soak_plan.py
+++ b/tests/test_soak_plan.py
@@ -1,4 +1,5 @@
 """The plan of a trial: drawn from its seed alone, kept as a file, refused where it is none."""
+
 import unittest
 
 import msgspec
@@ -19,21 +20,34 @@
     def test_what_is_no_plan_is_refused(self):
         unknown = plan.to_json(plan.draw(7, 2)).replace(b'"kind": "', b'"kind": "un')
         for text in b"", b"{}", b"[1]", b'{"seed": "x"}', unknown:
-            with self.subTest(text[:20]), self.assertRaises((msgspec.ValidationError, msgspec.DecodeError)):
+            with (
+                self.subTest(text[:20]),
+                self.assertRaises((msgspec.ValidationError, msgspec.DecodeError)),
+            ):
                 plan.from_json(text)
 
     def test_faults_meet(self):
         """In most plans three faults or more begin or end within a fifth of a second of one another."""
         met = 0
         for seed in range(50):
-            edges = sorted((edge, number) for number, fault in enumerate(plan.draw(seed, 2).faults) for edge in (fault.at_ms, fault.ends_ms()))
-            met += any(len({number for edge, number in edges if begins <= edge <= begins + 200.0}) >= 3 for begins, _ in edges)
+            edges = sorted(
+                (edge, number)
+                for number, fault in enumerate(plan.draw(seed, 2).faults)
+                for edge in (fault.at_ms, fault.ends_ms())
+            )
+            met += any(
+                len({number for edge, number in edges if begins <= edge <= begins + 200.0}) >= 3
+                for begins, _ in edges
+            )
         self.assertGreater(met, 25)
 
     def test_each_kind_is_drawn_and_carried_out(self):
         drawn = {fault.kind for seed in range(100) for fault in plan.draw(seed, 2).faults}
         self.assertEqual(drawn, set(plan.KINDS))
-        self.assertEqual([kind for kind in plan.KINDS if kind not in plan.WINDOWS and not hasattr(Faults, kind)], [])
+        self.assertEqual(
+            [kind for kind in plan.KINDS if kind not in plan.WINDOWS and not hasattr(Faults, kind)],
+            [],
+        )
 
 
 if __name__ == "__main__":
