--- a/laddergw/control/accounts.py
+++ b/laddergw/control/accounts.py
@@ -1,10 +1,11 @@
-"""What is asked of each link and of each rack's uplink, by us and by others, and so what is free there."""
+"""What is asked of each link and uplink, by us and by others, and so what is free there."""
 
 import math
 from collections import Counter, deque
 from zlib import crc32
 
 from laddergw import interface as face
+from laddergw.control.account import AGE_MS, Account, Fading
 
 MARGIN = 0.06  # share of a link or uplink kept free: true rates stray by more than reports show
 SHARE_MS, SHARE_PRIOR = (
@@ -16,7 +17,6 @@
     0.1,
 )  # others' share of a link before a note: fair use; a note's weight in it
 RATE_PRIOR = 4.0  # plays' worth of the ladder's middle in what a play of others is taken to ask
-AGE_MS = 15_000.0  # what was told of a node's others fades into their usual share over this
 ABSURD, MOST = (
     10.0,
     1.5,
@@ -43,30 +43,9 @@
 MIX = 2_654_435_761  # odd, by the linear crc32 alone like seeds draw alike
 
 
-class Fading:  # a sum whose parts lose weight with time
-    def __init__(self, tau, now):
-        self.tau, self.at, self.value = tau, now, 0.0
+class Node(Account):
+    """One media node, as far as this director knows it."""
 
-    def now(self, now):
-        return self.value * math.exp((self.at - now) / self.tau)
-
-    def add(self, now, change):
-        self.value, self.at = self.now(now) + change, now
-
-
-class Account:  # what is asked of a link, or a rack's, by us and (as told, fading) by others
-    def __init__(self, now):
-        self.links, self.own, self.touched = 0.0, 0.0, 0  # touched: counts changes
-        self.known, self.told = (
-            Fading(AGE_MS, now),
-            Fading(AGE_MS, now),
-        )  # links told of, others' load there
-
-    def others(self, now, crowd):
-        return max(0.0, crowd * (self.links - self.known.now(now)) + self.told.now(now))
-
-
-class Node(Account):  # one media node, as far as this director knows it
     def __init__(self, line, now, pace):
         super().__init__(now)
         self.id, self.plays, self.log, self.setups = line.node, {}, deque(), Fading(SHARE_MS, now)
@@ -97,7 +76,9 @@
             part.touched += 1
 
 
-class Rack(Account):  # the nodes behind one uplink
+class Rack(Account):
+    """The nodes behind one uplink."""
+
     def __init__(self, number, stated, now):
         super().__init__(now)
         self.number, self.stated, self.members = number, stated, {}
@@ -116,7 +97,9 @@
         self.over.add(now, UPLINK_STEP * (min(max(size, low), high) - self.size(now)))
 
 
-class Fleet:  # the list's nodes and our plays there, kept as sums: no event visits all
+class Fleet:
+    """The list's nodes and our plays there, kept as sums: no event visits all."""
+
     def __init__(self, seed):
         self.seed, self.draws, self.nodes, self.known, self.d = seed, 0, {}, False, None
         self.crowd, self.notes, self.ready, self.seats = CROWD_START, 1, 0.0, Counter()
--- a/laddergw/control/controller.py
+++ b/laddergw/control/controller.py
@@ -11,6 +11,8 @@
 
 
 class Controller:
+    """The decisions of one director: told what happens, it answers with verdicts."""
+
     def __init__(self, deployment, seed, now):
         self.plays, self.pending, self.next_look, self.ask_at = {}, [], now + LOOK_MS, math.inf
         self.fleet = Fleet(seed)
--- a/laddergw/control/holders.py
+++ b/laddergw/control/holders.py
@@ -1,4 +1,6 @@
-"""Which holders of a title may be chosen: ready by the list, in health, within the cold pace, heard of."""
+"""Which holders of a title may be chosen: ready by the list, in health, within the cold pace, heard
+of.
+"""
 
 import math
 from operator import attrgetter
@@ -20,7 +22,9 @@
 )
 
 
-class Holders:  # waiting: plays that wait for a probe, by id
+class Holders:
+    """Waiting: plays that wait for a probe, by id."""
+
     def __init__(self, fleet):
         self.fleet, self.waiting = fleet, {}
 
@@ -41,7 +45,8 @@
                 n for n in ply.holders if now < ply.key_ends and alike(n) == alike(ply.first)
             ]
         shares, need = ply.shares(), ply.rate(ply.highest())
-        # Where many directors know little, like accounts rank alike: what was not told of a link is drawn
+        # Where many directors know little, like accounts rank alike: what was not told of a link is
+        # drawn
         for n in ply.holders:
             state = now, d, fleet.crowd, n.touched, n.rack.touched
             if n.roomed != state:  # once a moment, not once a play in a heap of thousands
@@ -80,8 +85,10 @@
         warmth = (self.fleet.d.cold_from + self.fleet.warmth(at, node.cold)) / 2
         return self.pace(node) * warmth * max(at - node.cold, 0)
 
-    # Each planned set-up is one director's, in turn. With no play for it it lapses, or rushes find many:
-    # in any span come those planned in it and those still live, under N + root of N + 2 where N are allowed
+    # Each planned set-up is one director's, in turn. With no play for it it lapses, or rushes find
+    # many:
+    # in any span come those planned in it and those still live, under N + root of N + 2 where N are
+    # allowed
     def numbered(self, now, node):
         d, plan, old = (
             self.fleet.d,
@@ -128,7 +135,8 @@
 
     def inquire(self, now, ply):  # where load is told to probes only: asks the first holder first
         ply.holders.sort(key=lambda n: n.asked is not None and now - n.asked >= ECHO_WAIT_MS)
-        # What left a probe unanswered comes last, it may stand still; too near its limit a play does not ask
+        # What left a probe unanswered comes last, it may stand still; too near its limit a play
+        # does not ask
         node, late = ply.holders[0], ply.limit - now <= 2 * ECHO_WAIT_MS
         if not self.fleet.blind or ply.until is not None or late or now - node.heard <= FRESH_MS:
             return None
--- a/laddergw/control/prices.py
+++ b/laddergw/control/prices.py
@@ -1,4 +1,4 @@
-"""The bid-price gate: shadow prices of a node's streams, link and uplink, and the rung that pays."""
+"""The bid-price gate: shadow prices of a node's streams, link and uplink, the rung that pays."""
 
 from operator import mul
 
@@ -13,7 +13,9 @@
 )  # of the dual loop; worth beats cost by over rounding
 
 
-class Prices:  # demand as it was seen, and what it makes of a node's room
+class Prices:
+    """Demand as it was seen, and what it makes of a node's room."""
+
     def __init__(self, fleet, now):
         self.fleet, self.demand, self.setups = fleet, [], Fading(SHARE_MS, now)
         self.length, self.hints = LENGTH_MS, 1
@@ -39,7 +41,7 @@
         return give_up(self.fleet, ply)
 
     def offer(self, now, ply, node, lk, room, held=None):
-        """The highest rung that fits and whose payoff beats its cost at the node's prices, or None."""
+        """The highest rung that fits and whose payoff beats its cost at the node, or None."""
         fleet = self.fleet
         if held is None and (
             fleet.adds(ply, node, ply.product.floor) > node.over
@@ -66,7 +68,8 @@
             payoff = ply.product.importance * ply.d.rung_worth[rung] * lk
             cost = cross + lk / 2 * (place + rate * kb)
             least = held is None and rung == ply.product.floor  # a low play beats a decline
-            # Each step must pay for what it adds: a top rung can pay as a whole while its last step does not
+            # Each step must pay for what it adds: a top rung can pay as a whole while its last step
+            # does not
             if (rate - has <= room or least) and payoff - below[0] > (cost - below[1]) * SURE:
                 chosen, below = rung, (payoff, cost)
         return chosen
@@ -103,7 +106,7 @@
                     caps[0] -= stay / node.streams
                     caps[1] -= stay * p.rate() / size
         groups = []
-        for row, demand in zip(d.products, self.demand):
+        for row, demand in zip(d.products, self.demand, strict=False):
             # the rack's uplink also carries what our set-ups at its other nodes will ask
             choices = [
                 (
@@ -121,13 +124,16 @@
 
 
 def duals(groups, caps):
-    """Of max sum(payoff x), sum(use x) <= caps, by group sum(x) <= demand; each halved to the least fit."""
+    """Of max sum(payoff x), sum(use x) <= caps, by group sum(x) <= demand; each halved to the least
+    fit.
+    """
     prices = [0.0] * len(caps)
     for _ in range(LOOP_SWEEPS):
         before = prices[:]
         for e, cap in enumerate(caps):
             prices[e] = 0.0
-            # As this price moves and the others stand, each choice is a line: what it nets at 0, and its use
+            # As this price moves and the others stand, each choice is a line: what it nets at 0,
+            # and its use
             lines = [
                 (
                     demand,
--- a/laddergw/control/rungs.py
+++ b/laddergw/control/rungs.py
@@ -1,4 +1,4 @@
-"""What notes, reports and mail tell of links and uplinks, and how rungs of plays under way follow."""
+"""What notes, reports and mail tell of links and uplinks, and how rungs in play follow."""
 
 import math
 
@@ -24,7 +24,9 @@
 )  # from a change of rung to a step up, in usual lengths; of probes for it
 
 
-class Rungs:  # loads, shorts: for peers
+class Rungs:
+    """Loads, shorts: for peers."""
+
     def __init__(self, fleet, prices):
         self.fleet, self.prices, self.loads, self.shorts = fleet, prices, {}, {}
 
@@ -70,7 +72,9 @@
             rack.learned = now
 
     def reported(self, now, node, report):
-        values = {k: v for k, v in zip(self.fleet.d.reports, report) if 0 <= v < ABSURD}
+        values = {
+            k: v for k, v in zip(self.fleet.d.reports, report, strict=False) if 0 <= v < ABSURD
+        }
         asked, up, out = values.get("x0", values.get("load_share")), values.get("x1"), []
         if asked is not None:
             self.fleet.told(now, node, asked, REPORT_LAG_MS)
--- a/laddergw/hosting.py
+++ b/laddergw/hosting.py
@@ -1,15 +1,20 @@
-"""Hosts one Controller on a loop: feeds it what happens, wakes it, lets it decide at each turn's end.
+"""Hosts one Controller on a loop: feeds it what happens, wakes it, lets it decide at each turn's
+end.
 
-Shared by the directors of every protocol. An heir carries verdicts out (`carry_out`) and answers all that it holds
+Shared by the directors of every protocol. An heir carries verdicts out (`carry_out`) and answers
+all that it holds
 if the module fails (`collapse`). Nothing is decided here.
 """
 
 import logging
-from typing import Any, Callable
+from collections.abc import Callable
+from typing import Any
 
 from laddergw.interface import Verdict
 
-SLICE_MS = 20.0  # decisions of one turn take so long, then the sockets are read: who left meanwhile gets no allocation.
+# decisions of one turn take so long, then the sockets are read: who left meanwhile gets no
+# allocation.
+SLICE_MS = 20.0
 # A fifth of the 100 ms after which none may begin for a viewer that has left
 
 log = logging.getLogger("laddergw.hosting")
@@ -31,7 +36,10 @@
         raise NotImplementedError
 
     def feed(self, call: Callable, *args) -> None:
-        """Tells the module something and carries out what it answers. If the module fails, everyone still gets an answer."""
+        """Tells the module something and carries out what it answers.
+
+        If the module fails, everyone still gets an answer.
+        """
         if self.broken:
             return
         try:
@@ -56,7 +64,9 @@
         self.feed(self.controller.wake, self.loop.now)
 
     def decide(self) -> None:
-        """At a turn's end, one play after the other; what is left when the slice is over comes in the next turn, which waits for nothing."""
+        """At a turn's end, one play after the other; what is left when the slice is over comes in
+        the next turn, which waits for nothing.
+        """
         while not self.broken and self.controller.pending:
             self.feed(self.controller.decide, self.loop.now, 1)
             if self.loop.reading() - self.loop.now >= SLICE_MS:
--- a/laddergw/interface.py
+++ b/laddergw/interface.py
@@ -64,7 +64,8 @@
     must_ask: bool  # the fleet list comes only when asked for
     reports: tuple  # names of the values in a load report
     probes: bool = False  # a node may be asked for its load
-    told_by: str = "answers"  # what load reports come with: "answers", "probe" (answers to probes alone), "none"
+    # what load reports come with: "answers", "probe" (answers to probes alone), "none"
+    told_by: str = "answers"
     probe_price: float = 0.0  # of one probe a play, as a part of all worth asked for
     cross_price: float = 0.0  # of plays that cross zones, as a part of all worth asked for
     zone: int = 0  # of this director
@@ -103,9 +104,11 @@
 
 
 class Verdict(NamedTuple):
-    """One decision. `node` set: allocate there at `rung` with `timeout_ms`; `answer`: the final one;
+    """One decision. `node` set: allocate there at `rung` with `timeout_ms`; `answer`: the final
+    one;
     `rung` alone: change the rung of a playing play; `move`: take the play off its node;
-    `follow`: ask for the fleet list and its changes; `probe`: nodes to ask for their load now. A verdict with a
+    `follow`: ask for the fleet list and its changes; `probe`: nodes to ask for their load now. A
+    verdict with a
     play and no more than `probe` keeps the play for a later one."""
 
     play: int = None
--- a/laddergw/lab/soak/change_log.py
+++ b/laddergw/lab/soak/change_log.py
@@ -1,7 +1,9 @@
-"""The change log as a peer of a trial: it tells events, goes away, falls silent, breaks off within a line."""
+"""The change log as a peer of a trial: it tells events, goes away, falls silent, breaks off within
+a line.
+"""
 
 import json
-from typing import Callable
+from collections.abc import Callable
 
 from laddergw.lab.soak.messages import event
 from laddergw.lab.soak.peers import Owner
--- a/laddergw/lab/soak/faults.py
+++ b/laddergw/lab/soak/faults.py
@@ -1,6 +1,7 @@
 """Carries out the faults of a plan in a trial."""
 
-from typing import Any, Callable
+from collections.abc import Callable
+from typing import Any
 
 from laddergw.lab.soak.nodes import Node
 from laddergw.lab.soak.plan import WINDOWS, Fault
--- a/laddergw/lab/soak/fronts.py
+++ b/laddergw/lab/soak/fronts.py
@@ -35,7 +35,9 @@
         self.standing: dict[str, Request] = {}
 
     def ask(self, product: Product) -> None:
-        """A new viewer's request, on an open connection or on a new one; nobody comes where no process is."""
+        """A new viewer's request, on an open connection or on a new one; nobody comes where no
+        process is.
+        """
         if self.place.process is not None:
             self.carrier().ask(Request(self.next_session(), product))
 
@@ -70,6 +72,8 @@
         """A connection ended with a request on it that has no answer."""
         if request.asked_ms is None:
             request.state = "over"  # its last byte never left
+            if request.crossed:
+                self.record("not taken", session=request.session)
         elif side.process.pid in self.place.trial.killed:
             request.state = "over"
             self.record("cut", session=request.session)
--- a/laddergw/lab/soak/messages.py
+++ b/laddergw/lab/soak/messages.py
@@ -1,4 +1,6 @@
-"""What peers of a director send: its configuration, events of the change log, viewers' set-ups, media nodes' answers. No I/O."""
+"""What peers of a director send: its configuration, events of the change log, viewers' set-ups,
+media nodes' answers. No I/O.
+"""
 
 from typing import Any
 
@@ -98,7 +100,8 @@
 def answer(session: str, status: int = 200, body: bytes = b"v=0\r\n", more: str = "") -> bytes:
     """A media node's answer to a set-up; `more` holds further header lines."""
     return (
-        f"RTSP/1.0 {status} X\r\nCSeq: 1\r\nSession: {session}\r\n{more}Content-Length: {len(body)}\r\n\r\n".encode()
+        f"RTSP/1.0 {status} X\r\nCSeq: 1\r\nSession: {session}\r\n"
+        f"{more}Content-Length: {len(body)}\r\n\r\n".encode()
         + body
     )
 
--- a/laddergw/lab/soak/node_side.py
+++ b/laddergw/lab/soak/node_side.py
@@ -1,4 +1,6 @@
-"""One connection from a director to a media node of a trial: set-ups, answers, and answers that are spoilt."""
+"""One connection from a director to a media node of a trial: set-ups, answers, and answers that are
+spoilt.
+"""
 
 import re
 from typing import TYPE_CHECKING
--- a/laddergw/lab/soak/result.py
+++ b/laddergw/lab/soak/result.py
@@ -1,4 +1,6 @@
-"""Plays one plan and tells what came of it: counts, broken rules with what led to them, the trial's own lag."""
+"""Plays one plan and tells what came of it: counts, broken rules with what led to them, the trial's
+own lag.
+"""
 
 import os
 import re
@@ -19,7 +21,10 @@
 
 
 class Result(msgspec.Struct):
-    """What came of one plan. `judged` is false where the trial's own process was too slow to tell whose a delay was."""
+    """What came of one plan.
+
+    `judged` is false where the trial's own process was too slow to tell whose a delay was.
+    """
 
     plan: Plan
     asked: int
--- a/laddergw/lab/soak/viewers.py
+++ b/laddergw/lab/soak/viewers.py
@@ -94,7 +94,7 @@
             self.front.loop.after(LEAVES_MS * self.front.draw.random(), lambda: self.leave(request))
 
     def leave(self, request: Request) -> None:
-        """The viewer waits no more: it says so, or its connection ends where nothing else is on it."""
+        """The viewer waits no more: it says so, or ends a connection that carries nothing else."""
         if (
             request.state != "waits"
             or self.requests.get(request.session) is not request
--- a/laddergw/loop/__init__.py
+++ b/laddergw/loop/__init__.py
@@ -1,1 +1,4 @@
-"""One event loop a process: streams, timers, signals, children. Its clock and network can be handed in."""
+"""One event loop a process: streams, timers, signals, children.
+
+Its clock and network can be handed in.
+"""
--- a/laddergw/loop/base.py
+++ b/laddergw/loop/base.py
@@ -1,9 +1,13 @@
-"""What every loop offers: timers, deferred calls, ends of turns. Real sockets and memory add their streams."""
+"""What every loop offers: timers, deferred calls, ends of turns.
+
+Real sockets and memory add their streams.
+"""
 
 import logging
 import math
 from collections import deque
-from typing import Callable, Protocol
+from collections.abc import Callable
+from typing import Protocol
 
 from laddergw.loop.timers import HeapTimers, Timer
 
@@ -11,8 +15,10 @@
 MOST_CALLS = (
     10_000  # deferred calls in one turn: one that asks for itself again ends no turn otherwise
 )
-REFUSED = "Connection refused"  # why of a dial that found no process: it proves that nothing is held there
-SHORT = "no descriptor"  # why of a dial for which this process had none left: it tells nothing of the peer
+# why of a dial that found no process: it proves that nothing is held there
+REFUSED = "Connection refused"
+# why of a dial for which this process had none left: it tells nothing of the peer
+SHORT = "no descriptor"
 STALL_MS = (
     100.0  # a turn that comes so much later than it should counts as a stand-still of the process
 )
@@ -35,12 +41,15 @@
 
 
 class Outgoing:
-    """What the streams of every loop share: writes wait in `out` until they leave, one entry each."""
+    """What the streams of every loop share: writes wait in `out`, one entry each."""
 
     __slots__ = ()
 
     def take_back(self, data: bytes) -> bool:
-        """Takes a write out of the queue, whole. False where a byte of it has left: then only `abort` holds back the rest."""
+        """Takes a write out of the queue, whole.
+
+        False where a byte of it has left: then only `abort` holds back the rest.
+        """
         if data not in self.out:
             return False
         self.out.remove(data)
@@ -50,13 +59,17 @@
 
 
 class BaseLoop:
-    """Timers and turns. `now` is one reading a turn, ms; `stalled`, mostly 0: so long may what is read now have waited."""
+    """Timers and turns.
+
+    `now` is one reading a turn, ms; `stalled`, mostly 0: so long may what is read now have waited.
+    """
 
     def __init__(self, now: float):
         self.now, self.timers, self.calls = now, HeapTimers(now), deque()
         self.ends: list[Callable[[], None]] = []
         self.stalled = self.worst_lag = 0.0
-        self.lingering: dict = {}  # of real sockets: closed ones whose peers have not ended yet, oldest first
+        # of real sockets: closed ones whose peers have not ended yet, oldest first
+        self.lingering: dict = {}
         self.running = True
         self.may_call, self.mark, self.slow = (
             MOST_CALLS,
@@ -86,7 +99,9 @@
         self.ends.append(call)
 
     def guarded(self, call: Callable, *args) -> None:
-        """An error in one call must not end the program: it is logged with its trace and the loop goes on."""
+        """An error in one call must not end the program: it is logged with its trace and the loop
+        goes on.
+        """
         try:
             call(*args)
         except Exception:
@@ -125,7 +140,9 @@
             )
 
     def lagged(self, lag: float, gap: float) -> None:
-        """A turn came `lag` late, `gap` after the one before: what is read now may have waited all of the gap."""
+        """A turn came `lag` late, `gap` after the one before: what is read now may have waited all
+        of the gap.
+        """
         self.stalled = gap if lag >= STALL_MS else 0.0
         self.worst_lag = max(self.worst_lag, lag)
 
@@ -142,4 +159,6 @@
     """What a call is, for the log: its function and line, and of a method whose it is."""
     whose, code = getattr(call, "__self__", None), getattr(call, "__code__", None)
     owner = type(getattr(whose, "owner", None) or whose).__name__ if whose is not None else ""
-    return f"{owner and owner + '/'}{getattr(call, '__qualname__', type(call).__name__)}{f' line {code.co_firstlineno}' if code else ''}"
+    name = getattr(call, "__qualname__", type(call).__name__)
+    line = f" line {code.co_firstlineno}" if code else ""
+    return f"{owner and owner + '/'}{name}{line}"
--- a/laddergw/loop/held.py
+++ b/laddergw/loop/held.py
@@ -1,6 +1,8 @@
-"""Holds a process's signals back until the loop takes them: by the system's default it would die of them.
+"""Holds a process's signals back until the loop takes them: by the system's default it would die of
+them.
 
-Imports the C module alone, since `signal` imports `enum` for its names: milliseconds in which the default still holds.
+Imports the C module alone, since `signal` imports `enum` for its names: milliseconds in which the
+default still holds.
 """
 
 from _signal import SIG_BLOCK, SIG_UNBLOCK, SIGHUP, SIGINT, SIGTERM, pthread_sigmask
--- a/laddergw/loop/lingering.py
+++ b/laddergw/loop/lingering.py
@@ -1,4 +1,6 @@
-"""Sockets that we have closed for good, until their peers have ended too; and what the system has not delivered yet."""
+"""Sockets that we have closed for good, until their peers have ended too; and what the system has
+not delivered yet.
+"""
 
 import fcntl
 import selectors
@@ -10,7 +12,9 @@
 if TYPE_CHECKING:
     from laddergw.loop.sockets import SocketLoop
 
-LINGER_MS = 500.0  # a connection that we have closed is read for so long: its peer, a few round trips away, ends its side
+# a connection that we have closed is read for so long: its peer, a few round trips away, ends its
+# side
+LINGER_MS = 500.0
 READ_BYTES = 65_536  # read of one stream in a turn: the others get theirs
 RESET = (
     b"\1\0\0\0\0\0\0\0"  # SO_LINGER of no time: closing resets, and what has not arrived never does
@@ -18,8 +22,11 @@
 
 
 class Lingering:
-    """A socket that we have closed for good: our end is told, what its peer still sends is read and dropped until it ends too.
-    Closed at once beside bytes that lie unread, or come, the system resets it, and the peer loses what we sent last."""
+    """A socket that we have closed for good: our end is told, what its peer still sends is read and
+    dropped until it ends too.
+    Closed at once beside bytes that lie unread, or come, the system resets it, and the peer loses
+    what we sent last.
+    """
 
     def __init__(self, loop: "SocketLoop", sock: socket.socket, deliver_ms: float | None):
         self.loop, self.sock = loop, sock
--- a/laddergw/loop/listener.py
+++ b/laddergw/loop/listener.py
@@ -6,7 +6,8 @@
 import selectors
 import socket
 import struct
-from typing import TYPE_CHECKING, Callable
+from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 from laddergw.loop.base import Owner
 
@@ -15,7 +16,8 @@
     from laddergw.loop.streams import Stream
 
 ACCEPTS = 128  # connections accepted in one turn by one listener
-ACCEPT_REST_MS = 50.0  # a listener that finds no descriptor rests so long: its socket would stay readable all the while
+# a listener that finds no descriptor rests so long: its socket would stay readable all the while
+ACCEPT_REST_MS = 50.0
 SO_ATTACH_FILTER = 26  # of Linux, which Python's socket module does not name
 DROP_ALL = struct.pack(
     "=HBBI", 0x06, 0, 0, 0
@@ -58,7 +60,10 @@
         return True
 
     def stop_connecting(self) -> None:
-        """No connection comes up any more: the system drops what asks for one. Those that are up wait to be accepted."""
+        """No connection comes up any more: the system drops what asks for one.
+
+        Those that are up wait to be accepted.
+        """
         program = array.array("B", DROP_ALL)
         address, _ = program.buffer_info()
         with contextlib.suppress(
@@ -67,7 +72,10 @@
             self.sock.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, struct.pack("HP", 1, address))
 
     def accept_waiting(self) -> bool:
-        """All of the backlog, at the end: what is not accepted when the listener closes is reset. Whether some wait for a descriptor."""
+        """All of the backlog, at the end: what is not accepted when the listener closes is reset.
+
+        Whether some wait for a descriptor.
+        """
         if self.sock is not None:
             self.stop_connecting()
         while self.ready():
--- a/laddergw/loop/memory.py
+++ b/laddergw/loop/memory.py
@@ -1,14 +1,18 @@
-"""The loop in memory: many hosts in one process, one virtual clock, streams with delay and bounded buffers.
-
-A Host offers what SocketLoop offers, so the programs run on it unchanged. Everything that happens is ordered by
-(time, order of asking); the same seed and the same programs give the same run to the byte. A host can be frozen (as
-by SIGSTOP: its events wait in a heap), killed (its peers see resets) or made to vanish (its peers see nothing).
+"""The loop in memory: many hosts in one process, one virtual clock, streams with delay and bounded
+buffers.
+
+A Host offers what SocketLoop offers, so the programs run on it unchanged. Everything that happens
+is ordered by
+(time, order of asking); the same seed and the same programs give the same run to the byte. A host
+can be frozen (as
+by SIGSTOP: its events wait in a heap), killed (its peers see resets) or made to vanish (its peers
+see nothing).
 """
 
 import heapq
 import math
 from collections import deque
-from typing import Callable
+from collections.abc import Callable
 from zlib import crc32
 
 from laddergw.loop.base import REFUSED, BaseLoop, Owner
@@ -48,7 +52,7 @@
         self.now = max(self.now, until)
 
     def draw(self, *parts) -> float:
-        return crc32(repr((self.seed,) + parts).encode()) / 2**32
+        return crc32(repr((self.seed, *parts)).encode()) / 2**32
 
 
 class Host(BaseLoop):
--- a/laddergw/loop/memory_streams.py
+++ b/laddergw/loop/memory_streams.py
@@ -1,7 +1,10 @@
-"""Streams and listeners of the loop in memory: delay, bounded buffers, ends that come behind their data."""
+"""Streams and listeners of the loop in memory: delay, bounded buffers, ends that come behind their
+data.
+"""
 
 from collections import deque
-from typing import TYPE_CHECKING, Callable
+from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 from laddergw.loop.base import Outgoing, Owner
 
--- a/laddergw/loop/sockets.py
+++ b/laddergw/loop/sockets.py
@@ -1,4 +1,6 @@
-"""The loop on real sockets: selectors, signals by a wake-up descriptor, child processes by their descriptors."""
+"""The loop on real sockets: selectors, signals by a wake-up descriptor, child processes by their
+descriptors.
+"""
 
 import errno
 import math
@@ -7,7 +9,8 @@
 import signal
 import socket
 import time
-from typing import TYPE_CHECKING, Callable
+from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 from laddergw.loop import held
 from laddergw.loop.base import REFUSED, SHORT, BaseLoop, Owner, wait_ms
@@ -20,7 +23,9 @@
 
 BACKLOG = 1024  # connections that wait in the kernel: a burst while a turn runs
 LONGEST_WAIT_MS = 100.0  # wait of one turn: a stand-still of the process is seen to within this
-LINGERS = 16  # closed connections that still wait for their peers' ends; one more, and the oldest is cut off: a flood of
+# closed connections that still wait for their peers' ends; one more, and the oldest is cut off: a
+# flood of
+LINGERS = 16
 # connections that we close must not hold descriptors
 
 
@@ -29,7 +34,9 @@
 
 
 class Watch:
-    """Any descriptor that becomes readable: the wake-up socket of signals, a child's descriptor, a pipe."""
+    """Any descriptor that becomes readable: the wake-up socket of signals, a child's descriptor, a
+    pipe.
+    """
 
     def __init__(self, loop: "SocketLoop", fd, call: Callable[[], None]):
         self.loop, self.fd, self.call = loop, fd, call
@@ -46,7 +53,10 @@
 
 
 class SocketLoop(BaseLoop):
-    """The loop that programs run on. Work in one turn is bounded: one read a stream, so many accepts and timers."""
+    """The loop that programs run on.
+
+    Work in one turn is bounded: one read a stream, so many accepts and timers.
+    """
 
     def __init__(self, clock: Callable[[], float] = clock, selector=None):
         super().__init__(clock())
@@ -81,7 +91,9 @@
         stream.watch()
 
     def dial(self, address: tuple[str, int], owner: Owner, limit_ms: float) -> Stream:
-        """Connects; the owner is told `opened`, or `closed` with the reason, never within this call."""
+        """Connects; the owner is told `opened`, or `closed` with the reason, never within this
+        call.
+        """
         if self.over:  # asked for as a connection ends with the loop
             return Stream(self, None, owner, address)
         try:
@@ -111,7 +123,8 @@
         return stream
 
     def with_room(self, take: Callable):
-        """Takes a descriptor; where none is left, connections that are closed for good and wait for their peers' ends give way, oldest
+        """Takes a descriptor; where none is left, connections that are closed for good and wait for
+        their peers' ends give way, oldest
         first: whoever does not end its side would hold them from all others."""
         while True:
             try:
@@ -153,7 +166,7 @@
     def spawn(
         self, command: list[str], ended: Callable[[int], None], **options
     ) -> "subprocess.Popen":
-        """Starts a child process; `ended(status)` is called in a turn of the loop when it has gone."""
+        """Starts a child process; `ended(status)` is called in a turn when it has gone."""
         import subprocess  # only programs that have children pay for it
 
         child = subprocess.Popen(command, **options)
@@ -176,7 +189,8 @@
         self.now = self.clock()
         self.lagged(max(0.0, self.now - before - wait - 1.0), self.now - before)
         self.begin_turn()
-        # Peers are heard before connections come up and queues move on: what one of them took back must not leave in this turn
+        # Peers are heard before connections come up and queues move on: what one of them took back
+        # must not leave in this turn
         for wanted in selectors.EVENT_READ, selectors.EVENT_WRITE:
             for key, mask in events:
                 if key.data is not None and mask & wanted:
--- a/laddergw/loop/streams.py
+++ b/laddergw/loop/streams.py
@@ -1,4 +1,6 @@
-"""A connected socket on the loop: what is written waits until the kernel takes it, what comes is handed to the stream's owner."""
+"""A connected socket on the loop: what is written waits until the kernel takes it, what comes is
+handed to the stream's owner.
+"""
 
 import errno
 import os
@@ -13,30 +15,33 @@
 if TYPE_CHECKING:
     from laddergw.loop.sockets import SocketLoop
 
-STUCK_MS = 5_000.0  # what is queued on a connection that we have closed: a peer that takes nothing for so long gets no more
+# what is queued on a connection that we have closed: a peer that takes nothing for so long gets no
+# more
+STUCK_MS = 5_000.0
 
 
 class Stream(Outgoing):
-    """A connected socket. `taken` counts the bytes that the kernel took, `asked` those that we were given to write. `more`: the
+    """A connected socket. `taken` counts the bytes that the kernel took, `asked` those that we were
+    given to write. `more`: the
     last turn's read stopped at its bound, so its peer may have said more, or have left."""
 
     __slots__ = (
+        "asked",
+        "deliver_ms",
+        "ending",
+        "fd",
+        "limit",
         "loop",
-        "sock",
+        "mask",
+        "more",
+        "open",
+        "out",
         "owner",
         "peer",
-        "out",
         "queued",
-        "asked",
-        "taken",
         "reading",
-        "ending",
-        "open",
-        "mask",
-        "limit",
-        "fd",
-        "more",
-        "deliver_ms",
+        "sock",
+        "taken",
     )
 
     def __init__(self, loop: "SocketLoop", sock: socket.socket, owner: Owner, peer):
@@ -59,7 +64,10 @@
         self.deliver_ms = None
 
     def write(self, data: bytes) -> None:
-        """Writes what the kernel takes now and keeps the rest. Nothing is written once the stream has closed."""
+        """Writes what the kernel takes now and keeps the rest.
+
+        Nothing is written once the stream has closed.
+        """
         self.asked += len(data)
         if self.sock is None or self.ending or not data:
             return
@@ -129,7 +137,9 @@
             self.read_now()
 
     def read_now(self) -> None:
-        """Reads all that has come, within the bound: a peer's end stands behind its last bytes, and is seen in the turn that reads those."""
+        """Reads all that has come, within the bound: a peer's end stands behind its last bytes, and
+        is seen in the turn that reads those.
+        """
         left, self.more = READ_BYTES, False
         while self.sock is not None and self.reading and not self.more:
             try:
@@ -171,7 +181,8 @@
         self.watch()
 
     def close(self, deliver_ms: float | None = None) -> None:
-        """Ends after what is queued; nothing more is read. `deliver_ms`, where it is told: what the peer's system has not got so long
+        """Ends after what is queued; nothing more is read. `deliver_ms`, where it is told: what the
+        peer's system has not got so long
         after that is taken back from ours, and never arrives; else ours goes on delivering it."""
         if self.sock is None or self.ending:
             return
@@ -183,14 +194,18 @@
             self.hurry(STUCK_MS if deliver_ms is None else deliver_ms)
 
     def hurry(self, ms: float) -> None:
-        """Closed, with something queued: so long, then it is dropped. (A connection that does not come up has its own limit.)"""
+        """Closed, with something queued: so long, then it is dropped. (A connection that does not
+        come up has its own limit.)
+        """
         if self.open:
             if self.limit is not None:
                 self.limit.cancel()
             self.limit = self.loop.after(ms, self.abort)
 
     def part(self) -> None:
-        """Its owner is told that it has ended; the socket itself lingers until the peer has ended too."""
+        """Its owner is told that it has ended; the socket itself lingers until the peer has ended
+        too.
+        """
         if not self.open:
             return self.lose(None)
         self.loop.linger(self.leave_loop(), self.deliver_ms)
--- a/laddergw/loop/timers.py
+++ b/laddergw/loop/timers.py
@@ -1,12 +1,14 @@
 """Keeps what is to be called at which time: a heap and a hierarchical wheel behind one interface.
 
-Both hand out calls in order of (time, order of adding), so a run does not depend on which is used. Which one the
-loops use, and why, stands in docs/loop.md with the figures of benchmarks/timers.py. Times are ms with fractions.
+Both hand out calls in order of (time, order of adding), so a run does not depend on which is used.
+Which one the
+loops use, and why, stands in docs/loop.md with the figures of benchmarks/timers.py. Times are ms
+with fractions.
 """
 
 import heapq
 import math
-from typing import Callable
+from collections.abc import Callable
 
 TICK_MS = 1.0  # a wheel's slot: the loop turns no finer than this under load
 SLOT_BITS = 6  # 64 slots a level: four levels reach 4.6 hours, all that we ever wait
@@ -20,7 +22,7 @@
 class Timer:
     """A call to be made at a time; cancel() may be called at any moment, also after it was made."""
 
-    __slots__ = ("when", "order", "call", "owner")
+    __slots__ = ("call", "order", "owner", "when")
 
     def __init__(self, when: float, order: int, call: Callable[[], None], owner):
         self.when, self.order, self.call, self.owner = when, order, call, owner
@@ -73,7 +75,9 @@
 
 
 class WheelTimers:
-    """Timers in slots of a tick each, coarser by 64 a level; a slot is spread over the finer ones when it is reached."""
+    """Timers in slots of a tick each, coarser by 64 a level; a slot is spread over the finer ones
+    when it is reached.
+    """
 
     def __init__(self, now: float = 0.0):
         self.tick = int(now // TICK_MS)
@@ -113,7 +117,9 @@
         self.alive -= 1  # it stays in its slot, empty, until the slot is reached
 
     def next(self) -> float:
-        """Time of the earliest timer, or a lower bound within its slot; infinite where there is none."""
+        """Time of the earliest timer, or a lower bound within its slot; infinite where there is
+        none.
+        """
         while self.ready and self.ready[0].call is None:
             heapq.heappop(self.ready)
         if self.ready:
--- a/laddergw/loop/tls.py
+++ b/laddergw/loop/tls.py
@@ -1,11 +1,13 @@
-"""TLS over a loop's stream, by ssl's memory buffers: no call waits. Works on sockets and in memory alike.
+"""TLS over a loop's stream, by ssl's memory buffers: no call waits. Works on sockets and in memory
+alike.
 
-The layer stands between a stream and its owner: it is the stream's owner, and a stream to the owner behind it. Certificates of both sides are asked for and checked by `contexts`;
+The layer stands between a stream and its owner: it is the stream's owner, and a stream to the owner
+behind it. Certificates of both sides are asked for and checked by `contexts`;
 an unknown or expired peer is refused in the handshake, before a byte of ours is sent.
 """
 
 import ssl
-from typing import Callable
+from collections.abc import Callable
 
 from laddergw.loop.base import Owner
 
@@ -150,7 +152,7 @@
 
 
 def accepting(accept: Callable, context: ssl.SSLContext | None) -> Callable:
-    """A listener's callback: `accept(stream)` gives the owner, over TLS where a context is given."""
+    """A listener's callback: `accept(stream)` gives the owner, over TLS with a context."""
     if context is None:
         return accept
 
--- a/laddergw/machines/__init__.py
+++ b/laddergw/machines/__init__.py
@@ -1,1 +1,3 @@
-"""The pure machines that the directors run and the search that proves a file calls: an allocation, a try, the door, paces, budgets."""
+"""The pure machines that the directors run and the search that proves a file calls: an allocation,
+a try, the door, paces, budgets.
+"""
--- a/laddergw/machines/allocation.py
+++ b/laddergw/machines/allocation.py
@@ -1,12 +1,16 @@
-"""Decides what becomes of one allocation: a state machine without I/O, fed with facts from the sockets.
+"""Decides what becomes of one allocation: a state machine without I/O, fed with facts from the
+sockets.
 
     WAITING --sent--> OUT --set up in time--> HELD --ended, released, lost--> GONE
        |               |--refused, error, never ran------------------------> GONE
-       |               `--time-out, cut, viewer left--> ENDING --acknowledged, or its lease over--> GONE
+       |               `--time-out, cut, viewer left--> ENDING --acknowledged, or its lease over-->
+       GONE
        `--taken back, no connection--------------------------------------> GONE
 
-An allocation may be out until the node has acknowledged its release or can no longer hold it: its lease, told in the
-node's own clock, is over. Only then is its end told (`Step.ended`), so that what the module does next never stands
+An allocation may be out until the node has acknowledged its release or can no longer hold it: its
+lease, told in the
+node's own clock, is over. Only then is its end told (`Step.ended`), so that what the module does
+next never stands
 beside it. Times are ms of the director's clock, handed in.
 """
 
@@ -28,7 +32,10 @@
 
 
 class Step(NamedTuple):
-    """What follows from a fact. `ended`: the outcome to tell the module; the others are things to do."""
+    """What follows from a fact.
+
+    `ended`: the outcome to tell the module; the others are things to do.
+    """
 
     ended: str | None = None
     playing: bool = False
@@ -97,7 +104,10 @@
         return self.gone(REFUSALS.get(status, face.ERROR))
 
     def cut(self, written: int, size: int) -> Step:
-        """The set-up's connection ended before its answer. A request cut before its last byte runs nothing."""
+        """The set-up's connection ended before its answer.
+
+        A request cut before its last byte runs nothing.
+        """
         if self.state == ENDING:
             return self.gone(self.never_ran()) if written < size else NOTHING
         if self.state not in (WAITING, OUT):
@@ -112,7 +122,9 @@
         return self.ending(face.TIMED_OUT)
 
     def taken_back(self) -> Step:
-        """The request left no byte of this process and was given up: its node drains, or the director stops."""
+        """The request left no byte of this process and was given up: its node drains, or the
+        director stops.
+        """
         return self.gone(face.NEVER_SENT) if self.state == WAITING else NOTHING
 
     def viewer_left(self, written: int, size: int) -> Step:
@@ -128,7 +140,9 @@
         return self.ending(face.CANCELLED) if self.state == HELD else NOTHING
 
     def useless(self) -> Step:
-        """It is held, but the viewer gets nothing: the node lets go, and the module hears that it broke."""
+        """It is held, but the viewer gets nothing: the node lets go, and the module hears that it
+        broke.
+        """
         return self.ending(face.BROKEN) if self.state == HELD else NOTHING
 
     def node_ended(self, finished: bool) -> Step:
@@ -140,7 +154,7 @@
         return NOTHING
 
     def released(self, ran: bool) -> Step:
-        """The node acknowledged the release; `ran` false: it never set the play up and never will."""
+        """The node acknowledged the release; `ran` false: it never set the play up."""
         if self.state != ENDING:
             return NOTHING
         return self.gone(self.reason if ran or self.ran else self.never_ran(), drop_call=True)
@@ -154,14 +168,17 @@
         return self.gone_by
 
     def lease_over(self, now: float) -> Step:
-        """Its lease has ended by the clock, or the wait that the file allows for its release: it counts as over, whatever the
+        """Its lease has ended by the clock, or the wait that the file allows for its release: it
+        counts as over, whatever the
         node says later. A file is refused where the second can come before the first."""
         if self.state == ENDING and not self.confirmed and now >= self.gone_by:
             return self.gone(self.reason, drop_call=True)
         return NOTHING
 
     def session_lost(self) -> Step:
-        """The node's session is over, by its end of the connection or by the session's lease: it holds nothing that was confirmed."""
+        """The node's session is over, by its end of the connection or by the session's lease: it
+        holds nothing that was confirmed.
+        """
         if self.state == HELD:
             return self.gone(face.BROKEN)
         if self.state == ENDING and self.confirmed:
--- a/laddergw/machines/door.py
+++ b/laddergw/machines/door.py
@@ -1,6 +1,8 @@
-"""Decides who is let in: the director's own limits, its readiness and its stopping. No I/O; time and chance handed in.
+"""Decides who is let in: the director's own limits, its readiness and its stopping. No I/O; time
+and chance handed in.
 
-The door is not a second placement policy: it turns away only what the process itself cannot hold, and what it
+The door is not a second placement policy: it turns away only what the process itself cannot hold,
+and what it
 turns away gets its answer at once.
 """
 
@@ -57,17 +59,24 @@
 
 
 def earlier_try(paid: bool, ran: bool) -> Turned | None:
-    """A paid play whose earlier set-up may have run is not set up again, and not declined: that would say it is harmless."""
+    """A paid play whose earlier set-up may have run is not set up again, and not declined: that
+    would say it is harmless.
+    """
     return Turned(True, None, PAID_RAN) if paid and ran else None
 
 
 def hold_back(unsettled_ms: float, lease_most_ms: float) -> Turned | None:
-    """A retry whose earlier try, unanswered, may still hold an allocation elsewhere: told when to come back, ms. No allocation
-    outlives the longest lease. It is not held here: a play is taken when it is let in, and the budget counts from then."""
+    """A retry whose earlier try, unanswered, may still hold an allocation elsewhere: told when to
+    come back, ms. No allocation
+    outlives the longest lease. It is not held here: a play is taken when it is let in, and the
+    budget counts from then.
+    """
     hold = min(unsettled_ms, lease_most_ms)
     return Turned(False, hold, WAITS) if hold > 0 else None
 
 
 def waits(wait_ms: float, late_ms: float, margin_ms: float) -> float:
-    """What a viewer still waits, ms: its own figure less what its request lay unread while we stood still."""
+    """What a viewer still waits, ms: its own figure less what its request lay unread while we stood
+    still.
+    """
     return max(0.0, wait_ms - late_ms - margin_ms)
--- a/laddergw/machines/life.py
+++ b/laddergw/machines/life.py
@@ -1,12 +1,16 @@
-"""Decides the life of one try inside what the operators' file allows: a state machine without I/O, time and chance handed in.
+"""Decides the life of one try inside what the operators' file allows: a state machine without I/O,
+time and chance handed in.
 
-    asked --let in--> CHOOSING --a node is chosen--> PAUSED --its pause is over--> OUT --set up--> PLAYING
+    asked --let in--> CHOOSING --a node is chosen--> PAUSED --its pause is over--> OUT --set up-->
+    PLAYING
       |                  ^  |                                                       |
       `--turned away     |  `--no more to be had: declined, failed                  |
                          `--its allocation is over, and another may be had----------'
 
-Which node and rung, and whether to go on, the module says; how long, how often and with what pause the file allows is said here. The director runs this
-machine and allocation.py's, and so does the search that proves a file (terms/search.py). Times are ms of the director's clock.
+Which node and rung, and whether to go on, the module says; how long, how often and with what pause
+the file allows is said here. The director runs this
+machine and allocation.py's, and so does the search that proves a file (terms/search.py). Times are
+ms of the director's clock.
 """
 
 from typing import NamedTuple
@@ -25,11 +29,15 @@
     500.0,
     1_000.0,
 )  # come-back times of what we decline ourselves: as the module draws its own
-GUARD_MS = 10.0  # a try still without its answer so long before half of the margin is failed by the director
+# a try still without its answer so long before half of the margin is failed by the director
+GUARD_MS = 10.0
 
 
 class PlayTerms(NamedTuple):
-    """What holds for a play of one route and product. Times ms. What each means to operators: docs/limits.md."""
+    """What holds for a play of one route and product.
+
+    Times ms. What each means to operators: docs/limits.md.
+    """
 
     first_frame_ms: float = 1_500.0
     time_limit_ms: float = 600_000.0  # a viewer's own wait is cut to this
@@ -67,7 +75,9 @@
         self.sends, self.may_have_run = 0, False
 
     def turned(self, tries: int) -> Turned | None:
-        """A play that was tried too often is not let in: it is told so, without a time to come back."""
+        """A play that was tried too often is not let in: it is told so, without a time to come
+        back.
+        """
         return Turned(True, None, TRIES_OVER) if tries > self.terms.viewer_tries else None
 
     def pause(self) -> float:
@@ -78,7 +88,8 @@
     def allocate(
         self, name: str, play: int, node: int, rung: int, wanted_ms: float, now: float
     ) -> Allocation:
-        """The allocation for the module's choice. Its lease ends within what the viewer still waits; a time-out of nothing or
+        """The allocation for the module's choice. Its lease ends within what the viewer still
+        waits; a time-out of nothing or
         less means that it cannot be sent."""
         pause, terms = self.pause(), self.terms
         timeout = min(wanted_ms, terms.set_up_ms, self.limit - now - pause - terms.grace_ms)
@@ -100,7 +111,9 @@
         return self.sends >= self.terms.attempts
 
     def final(self, chance: float) -> tuple[str, float | None]:
-        """The answer of a try whose allocations are spent: declined, unless a set-up may have run that must not be run again."""
+        """The answer of a try whose allocations are spent: declined, unless a set-up may have run
+        that must not be run again.
+        """
         if self.may_have_run and self.repeat != "safe":
             return face.FAILED, None
         low, high = AGAIN_MS
--- a/laddergw/machines/pace.py
+++ b/laddergw/machines/pace.py
@@ -1,12 +1,16 @@
-"""Decides how many viewers a director lets wait for its nodes at once, from how its nodes answer, and who is turned away first when that is passed. Pure.
-
-A node that answers slower than it did has more before it than it does at once: what is sent then only waits there, its viewers' limits run out, and they come again. Each
-node's share of the waiting room follows its answers, by a gradient (answer times against the best ones seen lately) or by additive increase and multiplicative decrease; the door
-compares who waits with the sum. Placement is the module's alone: which node is asked is not decided here. Both are measured in docs/limits.md; times are ms.
+"""Decides how many viewers a director lets wait for its nodes at once, from how its nodes answer,
+and who is turned away first when that is passed. Pure.
+
+A node that answers slower than it did has more before it than it does at once: what is sent then
+only waits there, its viewers' limits run out, and they come again. Each
+node's share of the waiting room follows its answers, by a gradient (answer times against the best
+ones seen lately) or by additive increase and multiplicative decrease; the door
+compares who waits with the sum. Placement is the module's alone: which node is asked is not decided
+here. Both are measured in docs/limits.md; times are ms.
 """
 
 import math
-from typing import Iterable
+from collections.abc import Iterable
 
 OFF, GRADIENT, AIMD = "off", "gradient", "aimd"
 KINDS = (OFF, GRADIENT, AIMD)
@@ -27,7 +31,7 @@
 class NodePace:
     """One node's share of the waiting room."""
 
-    __slots__ = ("kind", "limit", "best", "usual")
+    __slots__ = ("best", "kind", "limit", "usual")
 
     def __init__(self, kind: str):
         self.kind, self.limit, self.best, self.usual = kind, START, math.inf, None
@@ -81,6 +85,8 @@
 
 
 def full(waiting: int, size: float, importance: float, most: float, tries: int) -> bool:
-    """Whether a play is turned away: further tries before first ones, what is worth less before what is worth more."""
+    """Whether a play is turned away: further tries before first ones, what is worth less before
+    what is worth more.
+    """
     worth = importance / most * (RETRY_WORTH if tries > 1 else 1.0)
     return waiting >= size * (ROOM_LEAST + (1 - ROOM_LEAST) * worth)
--- a/laddergw/machines/windows.py
+++ b/laddergw/machines/windows.py
@@ -1,10 +1,14 @@
-"""Counts within a sliding window in constant memory, and budgets of further allocations made of them. No I/O; time handed in.
+"""Counts within a sliding window in constant memory, and budgets of further allocations made of
+them. No I/O; time handed in.
 
-A window is cut into parts that are counted whole. What is asked from above (`most`) counts the part that is half out of the window, what is asked
-from below (`least`) leaves it out, so that a budget kept by these counts is kept by exact ones. Measured against exact deques in benchmarks/windows.py.
+A window is cut into parts that are counted whole. What is asked from above (`most`) counts the part
+that is half out of the window, what is asked
+from below (`least`) leaves it out, so that a budget kept by these counts is kept by exact ones.
+Measured against exact deques in benchmarks/windows.py.
 """
 
-from typing import Iterable, NamedTuple
+from collections.abc import Iterable
+from typing import NamedTuple
 
 PARTS = 20  # of a window: a count is off by a twentieth of the window at most
 
@@ -12,7 +16,7 @@
 class Window:
     """Counts by parts of a window, ms."""
 
-    __slots__ = ("part_ms", "counts", "last")
+    __slots__ = ("counts", "last", "part_ms")
 
     def __init__(self, window_ms: float):
         self.part_ms, self.counts, self.last = window_ms / PARTS, [0] * (PARTS + 1), 0
@@ -48,7 +52,10 @@
 
 
 class Budgets:
-    """Budgets by name, such as a route's or a tenant's. A change of what is allowed keeps what was counted, unless the window changed."""
+    """Budgets by name, such as a route's or a tenant's.
+
+    A change of what is allowed keeps what was counted, unless the window changed.
+    """
 
     def __init__(self):
         self.taken: dict[str, Window] = {}
@@ -72,7 +79,8 @@
                 self.taken[name].add(now)
 
     def may(self, names: Iterable[str], now: float) -> str | None:
-        """Counts a further allocation and returns None, or the name of the first budget that is spent, and counts nothing. One lowered
+        """Counts a further allocation and returns None, or the name of the first budget that is
+        spent, and counts nothing. One lowered
         below what is spent lets nothing through until its window has passed."""
         held, drawn = [name for name in names if name in self.allowed], set()
         for name in held:
--- a/laddergw/platform/__init__.py
+++ b/laddergw/platform/__init__.py
@@ -1,1 +1,4 @@
-"""The real director on the platform's protocol: sockets, configuration, signals. The module decides; nothing here does."""
+"""The real director on the platform's protocol: sockets, configuration, signals.
+
+The module decides; nothing here does.
+"""
--- a/laddergw/platform/__main__.py
+++ b/laddergw/platform/__main__.py
@@ -30,14 +30,16 @@
     try:
         found = with_descriptors(assignments.read_file(path))
         director.change(found)
-    except assignments.Refused as error:
+    except assignments.AssignmentError as error:
         log.error("configuration refused, what is in force stays: %s", error)
     else:
         log.info("configuration read again, change log at %s", found.changelog)
 
 
 def with_descriptors(found: assignments.Assignment) -> assignments.Assignment:
-    """Raises the process's limit to what the file tells, as far as it may; the parts are taken of what it may really hold."""
+    """Raises the process's limit to what the file tells, as far as it may; the parts are taken of
+    what it may really hold.
+    """
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     most = found.sockets if hard == resource.RLIM_INFINITY else min(found.sockets, hard)
     if soft != resource.RLIM_INFINITY and soft < most:
@@ -54,7 +56,7 @@
     path = os.environ.get("PROXY_CONFIG", "")
     try:
         found = with_descriptors(assignments.read_file(path))
-    except assignments.Refused as error:
+    except assignments.AssignmentError as error:
         print(error, file=sys.stderr)
         return EXIT_FILE
     loop = SocketLoop()
@@ -68,7 +70,8 @@
     loop.on_signal(signal.SIGHUP, lambda: read_again(path, director))
     gc.freeze()  # what the start has made stays: no pass looks at it again
     log.info(
-        "director %s runs at %s, %d nodes, change log at %s; started with %.0f ms of its processor's time",
+        "director %s runs at %s, %d nodes, change log at %s; "
+        "started with %.0f ms of its processor's time",
         found.name,
         found.listen,
         len(director.nodes.by_id),
--- a/laddergw/platform/admission.py
+++ b/laddergw/platform/admission.py
@@ -1,6 +1,7 @@
 """The viewers' side of plays: each set-up is taken in once and gets its one answer.
 
-It is answered in `stand` or `finish`, and both take it out of the open plays first, so that one answer goes out whatever comes together.
+It is answered in `stand` or `finish`, and both take it out of the open plays first, so that one
+answer goes out whatever comes together.
 """
 
 import logging
@@ -16,7 +17,9 @@
     20.0  # answers are due so long before the viewer's time limit: its clock began before ours
 )
 GUARD_MS = 10.0  # past the module's own time-out at the limit, which it answers by the play's terms
-CROSS_MS = 50.0  # what one peer says on two connections may cross for so long: the protocol's own time for a close and a set-up
+# what one peer says on two connections may cross for so long: the protocol's own time for a close
+# and a set-up
+CROSS_MS = 50.0
 TOLD_MOST = 40  # unusable set-ups told in the log: a flood must not fill it
 
 log = logging.getLogger("laddergw.platform")
@@ -29,7 +32,8 @@
         self.director, self.count = director, director.count
         self.fresh: list[
             Play
-        ] = []  # plays of which the module is to hear at the turn's end: asked for, or an allocation over
+            # plays that the module hears of at the turn's end: asked for, or an allocation over
+        ] = []
 
     def heard(self, viewer: Viewer, message: binary.Message) -> None:
         if message.kind == binary.SET_UP:
@@ -55,7 +59,7 @@
             return viewer.close("a session that is there")  # an answer on it would be the other's
         try:
             request = requests.read(message, self.director.assignment)
-        except requests.Unusable as error:
+        except requests.UnusableError as error:
             self.director.count("unusable")
             if self.director.counts["unusable"] <= TOLD_MOST:
                 log.info("%s: refused on %s, unusable: %s", session, viewer, error)
@@ -96,7 +100,8 @@
         return self.fresh.append(ply)
 
     def take_in(self) -> None:
-        """At a turn's end: asks for the plays that came in it, or goes on with those whose allocation is over. One whose connection has more
+        """At a turn's end: asks for the plays that came in it, or goes on with those whose
+        allocation is over. One whose connection has more
         to read waits for that: it may have been taken back there, or its viewer have left."""
         fresh, self.fresh = self.fresh, []
         for ply in fresh:
--- a/laddergw/platform/allocating.py
+++ b/laddergw/platform/allocating.py
@@ -1,10 +1,12 @@
-"""The nodes' side of plays: set-ups go out and end, and the module is told how; an allocation's facts become outcomes in allocation.py."""
+"""The nodes' side of plays: set-ups go out and end, and the module is told how; an allocation's
+facts become outcomes in allocation.py.
+"""
 
 import logging
 
 from laddergw import interface as face
 from laddergw.platform import allocation as life
-from laddergw.platform import requests
+from laddergw.platform import reports, requests
 from laddergw.platform.causes import ENDED
 from laddergw.platform.connection import Connection
 from laddergw.platform.ending import Ending
@@ -12,18 +14,15 @@
 from laddergw.platform.plays import Play
 from laddergw.signalling import description, rtsp
 
-ARRIVE_MS = 60.0  # what a node's system has not told to have after this it shall not get: acknowledgements wait 40 ms at most, and
-# nothing may begin 100 ms after its viewer has left, of which a turn may have passed before we read that
+# what a node's system has not told to have after this it shall not get: acknowledgements wait 40 ms
+# at most, and
+ARRIVE_MS = 60.0
+# nothing may begin 100 ms after its viewer has left, of which a turn may have passed before we read
+# that
 REST_MS = (
     250.0  # a description that may be cut short is passed on once so long nothing more has come
 )
 
-NOTES = {
-    "got": face.DELIVERED,
-    "level": face.RUNG_NOW,
-    "port": face.LINK_ASKED,
-    "spine": face.UPLINK_ASKED,
-}
 
 log = logging.getLogger("laddergw.platform")
 
@@ -98,7 +97,8 @@
         )
 
     def answered(self, node: Node, connection: Connection, message: rtsp.Message) -> None:
-        """A media node has answered an open set-up. Of a description that may be cut short the rest may be on its way, which would show
+        """A media node has answered an open set-up. Of a description that may be cut short the rest
+        may be on its way, which would show
         that its length is wrong; what begins another message has shown that it is right."""
         ply = connection.plays[message.session]
         complete = connection.reader.buffer or not description.may_be_cut(
@@ -134,21 +134,11 @@
         )
         if fact == life.THERE:
             return self.director.admission.stand(ply, message.body)
-        return self.ending.ended(ply, state, fact, self.report(message))
-
-    def report(self, message: rtsp.Message) -> tuple:
-        """The load report of a message, in the order that the settings name its values, or nothing."""
-        values = {}
-        for part in message.headers.get("x-state", "").split(";"):
-            name, _, text = part.partition(":")
-            if requests.FIGURE.fullmatch(text):
-                values[name] = float(text)
-        names = self.director.assignment.deployment.reports
-        return (
-            tuple(values[name] for name in names)
-            if values and all(name in values for name in names)
-            else ()
-        )
+        return self.ending.ended(ply, state, fact, self.report_of(message))
+
+    def report_of(self, message: rtsp.Message) -> tuple[float, ...]:
+        """The load report that a message carries, or nothing."""
+        return reports.report_of(message, self.director.assignment.deployment.reports)
 
     def told(self, node: Node, connection: Connection, message: rtsp.Message) -> None:
         """A media node speaks of a play: a note, or its release."""
@@ -169,7 +159,7 @@
                 self.released(ply, connection, message)
         elif message.method == "ANNOUNCE" and ply is not None and ply.stands:
             kind, value = (
-                NOTES.get(message.headers.get("x-note", "")),
+                reports.NOTES.get(message.headers.get("x-note", "")),
                 message.headers.get("figure", ""),
             )
             if kind is not None and requests.FIGURE.fullmatch(value):
@@ -183,7 +173,9 @@
                 )
 
     def released(self, ply: Play, connection: Connection, message: rtsp.Message) -> None:
-        """A media node has released a play, or one whose set-up is open: on any connection, so maybe before its answer is read."""
+        """A media node has released a play, or one whose set-up is open: on any connection, so
+        maybe before its answer is read.
+        """
         cause = message.headers.get("reason", "").removeprefix("cause=")
         log.debug(
             "%s.%d: released by its node on %s, cause %s",
@@ -192,7 +184,7 @@
             connection,
             cause[:8],
         )
-        fact, report = life.end(int(cause) if cause.isdigit() else 0), self.report(message)
+        fact, report = life.end(int(cause) if cause.isdigit() else 0), self.report_of(message)
         if ply.stands:
             self.ending.ended(ply, life.HELD, fact, report)
         elif ply.connection is connection:
@@ -208,15 +200,20 @@
         self.drop_set_up(ply, life.LATE)
 
     def give_up(self, ply: Play) -> None:
-        """Nobody waits for it any more: what is out ends, and the module hears of what has ended, before its name can come again."""
+        """Nobody waits for it any more: what is out ends, and the module hears of what has ended,
+        before its name can come again.
+        """
         if ply.connection is not None:
             self.drop_set_up(ply, life.GIVEN_UP)
         elif ply.untold is not None:
             self.ending.tell(ply)
 
     def drop_set_up(self, ply: Play, fact: str, report: tuple = ()) -> None:
-        """Gives a set-up up. Its connection ends too: what may still come on it belongs to nobody. While its node's system has not
-        all of what left, the connection is cut off, or a node that stood still or was away would begin it when it is back."""
+        """Gives a set-up up. Its connection ends too: what may still come on it belongs to nobody.
+        While its node's system has not
+        all of what left, the connection is cut off, or a node that stood still or was away would
+        begin it when it is back.
+        """
         connection = ply.connection
         log.debug(
             "%s.%d: %s on %s, set-up ends at byte %d",
--- a/laddergw/platform/allocation.py
+++ b/laddergw/platform/allocation.py
@@ -1,12 +1,15 @@
-"""An allocation's life on the platform: a table from what is seen on the sockets to its outcome. No I/O.
+"""An allocation's life on the platform: a table from what is seen on the sockets to its outcome. No
+I/O.
 
-UNSENT: not all bytes of its set-up have left, so a node can make nothing of it. OUT: all have. HELD: it stands.
+UNSENT: not all bytes of its set-up have left, so a node can make nothing of it. OUT: all have.
+HELD: it stands.
 """
 
 from laddergw import interface as face
 
 UNSENT, OUT, HELD = "unsent", "out", "held"
-# What is seen: answers to the set-up, ends told by the node, and what becomes of its connection or its wait.
+# What is seen: answers to the set-up, ends told by the node, and what becomes of its connection or
+# its wait.
 (
     THERE,
     FULL,
--- a/laddergw/platform/assignment.py
+++ b/laddergw/platform/assignment.py
@@ -1,4 +1,4 @@
-"""What the platform tells a director: the file of its configuration, read and checked as a whole."""
+"""What the platform tells a director: its configuration file, read and checked as a whole."""
 
 import json
 import math
@@ -9,7 +9,7 @@
 from laddergw.signalling import changes
 
 
-class Refused(Exception):
+class AssignmentError(Exception):
     """A configuration that is not taken; the text names what is wrong with it."""
 
 
@@ -36,7 +36,7 @@
 def address(tree: Any, key: str) -> tuple[str, int]:
     host, _, port = str(tree[key]).rpartition(":")
     if not host or not port.isdigit() or not 0 < int(port) < 65536:
-        raise Refused(f"{key}: {tree[key]!r} is no address")
+        raise AssignmentError(f"{key}: {tree[key]!r} is no address")
     return host.strip("[]"), int(port)
 
 
@@ -44,19 +44,20 @@
     try:
         return int(value) if isinstance(value, float) else int(str(value), base)
     except (ValueError, OverflowError):
-        raise Refused(f"{key}: {value!r} is no whole number") from None
+        raise AssignmentError(f"{key}: {value!r} is no whole number") from None
 
 
 def names(found: Any, key: str) -> dict[str, int]:
-    """Names by their place, as they are told: with spaces, accents, whatever people write. Not from the flattened settings, which
+    """Names by their place, as they are told: with spaces, accents, whatever people write. Not from
+    the flattened settings, which
     fold them into words."""
     told = [str(name) for name in found] if isinstance(found, list) else str(found or "").split(",")
     if len(set(told)) < len(told):
-        raise Refused(f"settings {key}: a name is there twice: {told}")
+        raise AssignmentError(f"settings {key}: a name is there twice: {told}")
     if any(
         sign < " " or sign == "\x7f" for sign in "".join(told)
     ):  # they would end a line of a message
-        raise Refused(f"settings {key}: a name cannot be sent: {told!a}")
+        raise AssignmentError(f"settings {key}: a name cannot be sent: {told!a}")
     return {name: index for index, name in enumerate(told)}
 
 
@@ -88,12 +89,12 @@
             read.ms("Permissions.ConnectTimeout", 250.0),
             read.ms("Permissions.ConnIdle", math.inf) or math.inf,
         )
-    except changes.Malformed as error:
-        raise Refused(f"known: {error}") from None
-    except settings.BadSetting as error:
-        raise Refused(str(error)) from None
+    except changes.MalformedError as error:
+        raise AssignmentError(f"known: {error}") from None
+    except settings.SettingError as error:
+        raise AssignmentError(str(error)) from None
     except (KeyError, TypeError, ValueError, AttributeError, RecursionError) as error:
-        raise Refused(f"configuration: {error!r}") from None
+        raise AssignmentError(f"configuration: {error!r}") from None
 
 
 def numbered(before: dict[str, int], found: dict[str, int]) -> dict[str, int]:
@@ -105,10 +106,14 @@
 
 
 def following(before: Assignment, found: Assignment) -> Assignment:
-    """The file read anew, in the numbers of the one in force: what is held, counted and listed under a number keeps its meaning,
-    however the new file orders its products, kinds and zones. Raises Refused for what cannot change while the director runs."""
+    """The file read anew, in the numbers of the one in force.
+
+    What is held, counted and listed under a number keeps its meaning, however the new file orders
+    its products, kinds and zones. Raises AssignmentError for what cannot change while the director
+    runs.
+    """
     if found.listen != before.listen:
-        raise Refused(
+        raise AssignmentError(
             f"listens at {before.listen}, and cannot at {found.listen} before it starts again"
         )
     products, kinds, zones = (
@@ -120,7 +125,8 @@
         )
     )
     old, new = before.deployment, found.deployment
-    # A product that is there no more is worth nothing to the decisions, and nobody is let in under its name
+    # A product that is there no more is worth nothing to the decisions, and nobody is let in under
+    # its name
     rows = [
         new.products[found.products[name]]
         if name in found.products
@@ -148,15 +154,15 @@
 
 
 def read_file(path: str) -> Assignment:
-    """Raises Refused with one line that names the file and what is wrong with it."""
+    """Raises AssignmentError with one line that names the file and what is wrong with it."""
     if not path:
-        raise Refused("PROXY_CONFIG names no file")
+        raise AssignmentError("PROXY_CONFIG names no file")
     try:
         with open(path, "rb") as file:
             return of(json.load(file))
-    except Refused as error:
-        raise Refused(f"{path}: {error}") from None
+    except AssignmentError as error:
+        raise AssignmentError(f"{path}: {error}") from None
     except OSError as error:
-        raise Refused(f"{path}: {error.strerror}") from None
+        raise AssignmentError(f"{path}: {error.strerror}") from None
     except (ValueError, RecursionError) as error:
-        raise Refused(f"{path}: {error}") from None
+        raise AssignmentError(f"{path}: {error}") from None
--- a/laddergw/platform/connection.py
+++ b/laddergw/platform/connection.py
@@ -1,4 +1,4 @@
-"""One connection to a media node: the set-ups that are open on it, and how much of each has left."""
+"""One connection to a media node: the set-ups open on it, and how much of each has left."""
 
 import logging
 from typing import TYPE_CHECKING, Any
@@ -35,7 +35,9 @@
 
     def __str__(self) -> str:
         stream = self.stream
-        return f"connection {id(self):x} ({'up' if self.up else 'coming up'}, {stream.taken} of {stream.asked} bytes gone, {len(self.plays)} set-ups)"
+        state = "up" if self.up else "coming up"
+        sent = f"{stream.taken} of {stream.asked} bytes gone"
+        return f"connection {id(self):x} ({state}, {sent}, {len(self.plays)} set-ups)"
 
     def opened(self, stream) -> None:
         self.up, self.node.owes_connection = True, False
@@ -79,7 +81,7 @@
         try:
             while (message := self.reader.next()) is not None:
                 self.node.said(self, message)
-        except rtsp.Malformed as error:
+        except rtsp.MalformedError as error:
             self.node.fleet.count("spoilt")
             log.info("node %s: %s", self.node.id, error)
             self.end(life.SPOILT)
@@ -100,7 +102,10 @@
         return state
 
     def give_up(self, session: str) -> str:
-        """Settles a set-up, and of one that is told as never sent no byte leaves any more: `close` would still write it out."""
+        """Settles a set-up, and of one that is told as never sent no byte leaves any more:
+
+        `close` would still write it out.
+        """
         data, end = self.set_ups[session], self.ends[session]
         state = self.settle(session)
         if state == life.UNSENT and self.stream.take_back(data):
@@ -115,7 +120,9 @@
         return self.stream.taken - self.stream.unacknowledged() >= end
 
     def cut_unless_arrived(self, end: int) -> None:
-        """A set-up that was given up and has not arrived must not begin later; what shares its connection ends with it."""
+        """A set-up that was given up and has not arrived must not begin later; what shares its
+        connection ends with it.
+        """
         if self in self.node.connections and not self.arrived(end):
             self.end(life.CUT)
             self.node.renew()
--- a/laddergw/platform/director.py
+++ b/laddergw/platform/director.py
@@ -1,7 +1,9 @@
 """The real director: hosts the Controller between viewers and media nodes of the platform.
 
-Order within a turn as in every director: what was read is told, then timers, then `decide`. Viewers are answered at the admission (admission.py),
-allocations are carried out in allocating.py; here are the configuration, the list, verdicts, and the process's end.
+Order within a turn as in every director: what was read is told, then timers, then `decide`. Viewers
+are answered at the admission (admission.py),
+allocations are carried out in allocating.py; here are the configuration, the list, verdicts, and
+the process's end.
 """
 
 import logging
@@ -94,8 +96,9 @@
     # The configuration, the list, and the process's end
 
     def change(self, assignment: Assignment) -> None:
-        """The file read anew: its list, change log and bounds hold at once, its terms for plays that come from now on. Raises
-        Refused, with nothing changed, for what cannot be taken over."""
+        """The file read anew: its list, change log and bounds hold at once, its terms for plays
+        that come from now on. Raises
+        AssignmentError, with nothing changed, for what cannot be taken over."""
         before, found = self.assignment, following(self.assignment, assignment)
         self.assignment = found
         if found.deployment != before.deployment:
@@ -158,7 +161,9 @@
             )
 
     def leave(self, latest: float) -> None:
-        """Ends the process once what it has said is heard: a connection that ends with something unread takes that along."""
+        """Ends the process once what it has said is heard: a connection that ends with something
+        unread takes that along.
+        """
         self.leaving = True
         if (self.listener.releases or self.nodes.unsent()) and self.loop.now < latest:
             self.loop.after(HEAR_LOOK_MS, lambda: self.leave(latest))
--- a/laddergw/platform/following.py
+++ b/laddergw/platform/following.py
@@ -1,7 +1,9 @@
-"""Follows the change log: connects, asks for what came since, begins anew where it breaks off or falls silent."""
+"""Follows the change log: connects, asks for what came since, begins anew where it breaks off or
+falls silent.
+"""
 
 import logging
-from typing import Callable
+from collections.abc import Callable
 
 from laddergw.signalling import changes
 
@@ -10,7 +12,9 @@
     50.0,
     1_000.0,
 )  # first and longest pause before the next connection; doubled while nothing good comes
-LEAST_BYTES = 1_024  # of a line that is not whole so much must come in that time, or it is a drip: a whole list has some hundred bytes a node
+# of a line that is not whole so much must come in that time, or it is a drip: a whole list has some
+# hundred bytes a node
+LEAST_BYTES = 1_024
 DIAL_MS = 500.0  # wait for a connection: what is told counts as told 2 s after a break
 
 log = logging.getLogger("laddergw.platform")
@@ -81,7 +85,7 @@
             if stream is self.stream and self.part >= LEAST_BYTES:
                 self.part = 0
                 self.listen_out(SILENT_MS)
-        except changes.Malformed as error:
+        except changes.MalformedError as error:
             self.again(str(error))
 
     def take(self, event: changes.Event) -> None:
--- a/laddergw/platform/listing.py
+++ b/laddergw/platform/listing.py
@@ -20,41 +20,55 @@
         self.director = director
 
     def listed(self, event: changes.Event) -> None:
-        lines, stopped = [], []
-        named = {member.id for member in event.members}
-        if event.whole:
-            for node in self.director.nodes.by_id.values():
-                if node.id not in named:
-                    self.director.nodes.is_gone(node)
-                    stopped.append(node)
+        """Takes up one event, tells the module, takes back what has not left for who stopped."""
+        stopped = self.unnamed(event) if event.whole else []
+        lines = []
         for member in event.members:
             if member.state == "DELETED" and member.id not in self.director.nodes.by_id:
                 continue
-            node = self.director.nodes.node_of(member)
-            if (
-                member.since > node.since
-            ):  # its process is another one: what stood at the last is over
-                node.lose("started anew")
-                node.since = member.since
-            node.gone = False
-            if node.member.state != member.state or node.member is member:
-                log.debug("node %s: %s at event %d", node.id, member.state, event.number)
-            if member.state == "DELETED":
-                self.director.nodes.is_gone(node)
+            node = self.take(member, event.number)
             if member.state != "SERVING":
                 stopped.append(node)
-            node.member = member
             lines.append(self.line_of(node))
         self.director.feed(
             self.director.controller.listed, self.director.loop.now, lines, event.whole
         )
-        for node in stopped:  # a set-up that has not left yet does not go there any more
-            for ply in list(node.open.values()):
-                if ply.connection is not None and ply.connection.state(ply.session) == life.UNSENT:
-                    self.director.allocating.drop_set_up(ply, life.TAKEN_BACK)
+        for node in stopped:
+            self.take_back(node)
+
+    def unnamed(self, event: changes.Event) -> list[Node]:
+        """Nodes that a whole list leaves out: they are gone."""
+        named = {member.id for member in event.members}
+        found = [node for node in self.director.nodes.by_id.values() if node.id not in named]
+        for node in found:
+            self.director.nodes.is_gone(node)
+        return found
+
+    def take(self, member: changes.Member, number: int) -> Node:
+        """One member of an event, as its node."""
+        node = self.director.nodes.node_of(member)
+        if member.since > node.since:  # another process: what stood at the last is over
+            node.lose("started anew")
+            node.since = member.since
+        node.gone = False
+        if node.member.state != member.state or node.member is member:
+            log.debug("node %s: %s at event %d", node.id, member.state, number)
+        if member.state == "DELETED":
+            self.director.nodes.is_gone(node)
+        node.member = member
+        return node
+
+    def take_back(self, node: Node) -> None:
+        """Set-ups that have not left yet do not go there any more."""
+        for ply in list(node.open.values()):
+            if ply.connection is not None and ply.connection.state(ply.session) == life.UNSENT:
+                self.director.allocating.drop_set_up(ply, life.TAKEN_BACK)
 
     def line_of(self, node: Node) -> face.NodeLine:
-        """The module's line of a node, by the names in force. `mark`: by its id, which every director hears alike."""
+        """The module's line of a node, by the names in force.
+
+        `mark`: by its id, which every director hears alike.
+        """
         m = node.member
         return face.NodeLine(
             node.number,
--- a/laddergw/platform/node.py
+++ b/laddergw/platform/node.py
@@ -1,7 +1,9 @@
 """One media node of the list, our connections to it, and what the ends of those prove.
 
-A play that stands belongs to no connection. It is over when its node says so, when the node's port refuses (the
-process has died, and with it all that it held), or when the node's machine answers nothing any more.
+A play that stands belongs to no connection. It is over when its node says so, when the node's port
+refuses (the
+process has died, and with it all that it held), or when the node's machine answers nothing any
+more.
 """
 
 import logging
@@ -12,14 +14,20 @@
 from laddergw.platform.connection import Connection
 from laddergw.signalling import rtsp
 
-IDLE_LESS_MS = 500.0  # a connection is not used for its last so long before the node closes it as idle: a set-up that crosses its
+# a connection is not used for its last so long before the node closes it as idle: a set-up that
+# crosses its
+IDLE_LESS_MS = 500.0
 # end may have run, for all we know, and a paid play then fails
-QUIET_MS = 1_500.0  # what a node says proves that it lives; so long after its last word it is tested. With a look (each LOOK_MS), the
+# what a node says proves that it lives; so long after its last word it is tested. With a look (each
+# LOOK_MS), the
+QUIET_MS = 1_500.0
 TEST_MS = (
     1_000.0  # test (it passes at once: unanswered for so long its connection is dead), another look
 )
-SILENCES = 2  # and so many connections in a row that never come up, a machine is found gone within 6 s of the 8
-HOLD_DIAL_MS = 1_000.0  # wait for a connection that carries no set-up: a late one still brings what its node has to tell
+# and so many connections in a row that never come up, a machine is found gone within 6 s of the 8
+SILENCES = 2
+# wait for a connection that carries no set-up: a late one still brings what its node has to tell
+HOLD_DIAL_MS = 1_000.0
 
 if TYPE_CHECKING:
     from laddergw.platform.nodes import Nodes
@@ -50,7 +58,9 @@
         self.words: list[
             tuple[bytes, str, float]
         ] = []  # what waits for a connection to be said (Connection.say)
-        self.owes_connection = False  # one has ended that may have taken along what the node said: it says that again on a new one
+        # one has ended that may have taken along what the node said: it says that again on a new
+        # one
+        self.owes_connection = False
 
     def dial(self, limit_ms: float = HOLD_DIAL_MS) -> Connection:
         connection = Connection(self, limit_ms)
@@ -58,14 +68,17 @@
         return connection
 
     def dial_owed(self) -> None:
-        """Opens the connection that is owed, unless one is coming up or none may be opened: then the next look does."""
+        """Opens the connection that is owed, unless one is coming up or none may be opened: then
+        the next look does.
+        """
         self.owes_connection = self.owes_connection and bool(self.held) and not self.gone
         coming_up = any(not connection.up for connection in self.connections)
         if self.owes_connection and not coming_up and self.fleet.connections() < self.fleet.most:
             self.dial()
 
     def free_connection(self) -> Connection | None:
-        """An idle connection that is up, and not so idle that its node is about to close it, else a new one; where no more may be
+        """An idle connection that is up, and not so idle that its node is about to close it, else a
+        new one; where no more may be
         opened, the least used here, if there is one."""
         idle_ms = self.fleet.idle_ms
         fresh_ms = max(idle_ms - IDLE_LESS_MS, idle_ms / 2)
@@ -86,7 +99,7 @@
 
     def said(self, connection: Connection, message: rtsp.Message) -> None:
         if message.session in connection.plays and connection.state(message.session) == life.UNSENT:
-            raise rtsp.Malformed(
+            raise rtsp.MalformedError(
                 "an answer to what has not left yet"
             )  # believed, the rest would leave all the same
         if message.method:
@@ -123,7 +136,9 @@
             self.dial_owed()
 
     def renew(self) -> None:
-        """After a connection that may have taken along a release of its node: that comes again on the next one that opens."""
+        """After a connection that may have taken along a release of its node: that comes again on
+        the next one that opens.
+        """
         self.owes_connection = True
         self.dial_owed()
 
--- a/laddergw/platform/nodes.py
+++ b/laddergw/platform/nodes.py
@@ -1,4 +1,6 @@
-"""All media nodes of the list: how many connections they may have together, and whose turn it is to have one."""
+"""All media nodes of the list: how many connections they may have together, and whose turn it is to
+have one.
+"""
 
 import logging
 
@@ -6,7 +8,9 @@
 from laddergw.platform.connection import Connection
 from laddergw.platform.node import Node
 
-AGAIN_MS = 8_000.0  # a release that its node has not told to have heard is told again for so long: what stood then counts as lost
+# a release that its node has not told to have heard is told again for so long: what stood then
+# counts as lost
+AGAIN_MS = 8_000.0
 LOOK_MS = 500.0  # pace of looking after nodes that hold plays
 
 log = logging.getLogger("laddergw.platform")
@@ -36,8 +40,11 @@
         return sum(len(node.connections) for node in self.by_number.values())
 
     def room(self, of_held: bool) -> bool:
-        """Whether one more may be opened. Over the bound the oldest idle one makes room, first where nothing stands. `of_held`: also
-        where plays stand: what their node has to tell comes on the next connection, and each of them has its turn."""
+        """Whether one more may be opened. Over the bound the oldest idle one makes room, first
+        where nothing stands. `of_held`: also
+        where plays stand: what their node has to tell comes on the next connection, and each of
+        them has its turn.
+        """
         if self.connections() < self.most:
             return True
         idle = [
@@ -58,7 +65,9 @@
         return True
 
     def say(self, node: Node, data: bytes, ends: str = "", until: float | None = None) -> None:
-        """On any connection that is up, or on the next that opens; one is opened past the bound too: what ends a play must leave."""
+        """On any connection that is up, or on the next that opens; one is opened past the bound
+        too: what ends a play must leave.
+        """
         up = [connection for connection in node.connections if connection.up]
         connection = next((connection for connection in up if not connection.plays), None) or next(
             iter(up), None
@@ -72,7 +81,10 @@
             self.let_speak(1)
 
     def let_speak(self, most: int) -> None:
-        """Dials for so many of those who wait. Who finds no descriptor waits on, until another connection gives way."""
+        """Dials for so many of those who wait.
+
+        Who finds no descriptor waits on, until another connection gives way.
+        """
         for node in list(self.waiting)[:most]:
             del self.waiting[node]
             if node.words and not node.connections and not node.gone:
@@ -92,7 +104,9 @@
         )
 
     def shut(self) -> None:
-        """The process's end: what was said to nodes goes out, then every connection ends in good order."""
+        """The process's end: what was said to nodes goes out, then every connection ends in good
+        order.
+        """
         self.let_speak(len(self.waiting))
         for node in self.by_number.values():
             connections, node.connections = node.connections, []
@@ -123,7 +137,8 @@
         return node
 
     def is_gone(self, node: Node) -> None:
-        """The list tells so. What stands there ends with its connections; where another node has its address, what answers there is that
+        """The list tells so. What stands there ends with its connections; where another node has
+        its address, what answers there is that
         one, and proves nothing of it."""
         node.gone = True
         if self.by_address.get(node.address) is not node:
--- a/laddergw/platform/releases.py
+++ b/laddergw/platform/releases.py
@@ -1,22 +1,28 @@
 """Keeps the releases that viewers have not acknowledged, and which connection carries each.
 
-A release is sent again where its connection ends before its viewer has said that it heard it. A connection on which a play has
+A release is sent again where its connection ends before its viewer has said that it heard it. A
+connection on which a play has
 stood is preferred; one that has asked for a play is used until there is such a one.
 """
 
 import logging
-from typing import TYPE_CHECKING, Callable, Iterable, NamedTuple
+from collections.abc import Callable, Iterable
+from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
     from laddergw.platform.viewers import Viewer
 
-KEPT_MS = 8_000.0  # a release that nobody has acknowledged for so long is given up: what stood counts as lost by then
+# a release that nobody has acknowledged for so long is given up: what stood counts as lost by then
+KEPT_MS = 8_000.0
 
 log = logging.getLogger("laddergw.platform")
 
 
 class Pending(NamedTuple):
-    """A release that is not acknowledged. `carrier`: the connection that it was written to last, or None while there is none."""
+    """A release that is not acknowledged.
+
+    `carrier`: the connection that it was written to last, or None while there is none.
+    """
 
     carrier: "Viewer | None"
     data: bytes
@@ -24,7 +30,10 @@
 
 
 class Releases:
-    """Releases on their way to viewers, by session. `viewers`: all connections; `count(what)` adds to the director's counts."""
+    """Releases on their way to viewers, by session.
+
+    `viewers`: all connections; `count(what)` adds to the director's counts.
+    """
 
     def __init__(self, loop, viewers: Iterable["Viewer"], count: Callable[[str], None]):
         self.loop, self.viewers, self.count = loop, viewers, count
@@ -35,7 +44,9 @@
         return bool(self.pending)
 
     def send(self, preferred: "Viewer | None", session: str, data: bytes) -> None:
-        """Sends a release, by `preferred` while that connection is open, and keeps it until its viewer acknowledges it."""
+        """Sends a release, by `preferred` while that connection is open, and keeps it until its
+        viewer acknowledges it.
+        """
         self.write(preferred, session, data, self.loop.now + KEPT_MS)
 
     def write(self, preferred: "Viewer | None", session: str, data: bytes, until: float) -> None:
@@ -52,7 +63,9 @@
             carrier.stream.write(data)
 
     def carrier_for(self, preferred: "Viewer | None") -> "Viewer | None":
-        """The connection that a play came on, else the last used that is proven, else the last used that asked for a play."""
+        """The connection that a play came on, else the last used that is proven, else the last used
+        that asked for a play.
+        """
         if preferred is not None and preferred.stream is not None:
             return preferred
         able = [viewer for viewer in self.viewers if viewer.spoke and viewer.stream is not None]
--- /dev/null
+++ b/laddergw/platform/reports.py
@@ -0,0 +1,30 @@
+"""What media nodes tell of their load: reports on answers, notes on plays. No I/O."""
+
+from collections.abc import Sequence
+
+from laddergw import interface as face
+from laddergw.platform import requests
+from laddergw.signalling import rtsp
+
+# The kinds of notes, by their names on the wire
+NOTES = {
+    "got": face.DELIVERED,
+    "level": face.RUNG_NOW,
+    "port": face.LINK_ASKED,
+    "spine": face.UPLINK_ASKED,
+}
+
+
+def report_of(message: rtsp.Message, names: Sequence[str]) -> tuple[float, ...]:
+    """The load report of a message, its values in the order of `names`, or nothing.
+
+    A report that lacks one of the values, or holds none that is a figure, is no report.
+    """
+    values = {}
+    for part in message.headers.get("x-state", "").split(";"):
+        name, _, text = part.partition(":")
+        if requests.FIGURE.fullmatch(text):
+            values[name] = float(text)
+    if not values or any(name not in values for name in names):
+        return ()
+    return tuple(values[name] for name in names)
--- a/laddergw/platform/requests.py
+++ b/laddergw/platform/requests.py
@@ -1,4 +1,7 @@
-"""Reads a viewer's set-up into what the module is asked. What makes no sense is refused whole; no choice is made."""
+"""Reads a viewer's set-up into what the module is asked.
+
+What makes no sense is refused whole; no choice is made.
+"""
 
 import math
 import re
@@ -17,11 +20,13 @@
 AHEAD = 1.0  # figures are counts of cells and rungs: one over the last is still within
 
 
-class Unusable(Exception):
+class UnusableError(Exception):
     """A set-up that is refused; the text says why."""
 
 
 class Request(NamedTuple):
+    """What a viewer asks for: what the module is asked, and what passes on to a media node."""
+
     ask: Asked
     product: str
     title: str
@@ -32,7 +37,7 @@
 def text_of(message: binary.Message, code: int, least: int = 1) -> str:
     value = message.parameters.get(code, b"")
     if not least <= len(value) <= 1024 or not value.isascii():
-        raise Unusable(f"parameter {code}: {value[:40]!r}")
+        raise UnusableError(f"parameter {code}: {value[:40]!r}")
     return value.decode("ascii")
 
 
@@ -41,23 +46,23 @@
     try:
         return message.parameters.get(binary.PRODUCT, b"").decode()
     except UnicodeDecodeError:
-        raise Unusable("a product that is no text") from None
+        raise UnusableError("a product that is no text") from None
 
 
 def figure(text: str, name: str, low: float, high: float) -> float:
     if not FIGURE.fullmatch(text) or not low <= float(text) <= high:
-        raise Unusable(f"{name}: {text[:40]!r}")
+        raise UnusableError(f"{name}: {text[:40]!r}")
     return float(text)
 
 
 def read(message: binary.Message, assignment: Assignment) -> Request:
     if message.parameters is None:
-        raise Unusable("parameters that do not fit")
+        raise UnusableError("parameters that do not fit")
     deployment, figures = assignment.deployment, {}
     for part in text_of(message, binary.FIGURES).split(";"):
         name, mark, value = part.partition(":")
         if not mark or name in figures:
-            raise Unusable(f"figures: {part[:40]!r}")
+            raise UnusableError(f"figures: {part[:40]!r}")
         figures[name] = value
     product, title = product_of(message), text_of(message, binary.TITLE)
     description = message.parameters.get(binary.DESCRIPTION, b"")
@@ -67,8 +72,9 @@
         or message.session == "0" * 16
         or not (description or "at" in figures)
     ):
-        raise Unusable(
-            f"{product[:40]!r}, {title[:40]!r}, {message.session}, description of {len(description)}"
+        raise UnusableError(
+            f"{product[:40]!r}, {title[:40]!r}, {message.session}, "
+            f"description of {len(description)}"
         )
     hint, cells, at = text_of(message, binary.HINT, 0), deployment.cells, figures.get("at", "")
     # Nobody waits for a play that is handed over; its patience says nothing
--- a/laddergw/platform/viewers.py
+++ b/laddergw/platform/viewers.py
@@ -1,4 +1,6 @@
-"""The viewers' side: connections, their messages, and bounds against those who say nothing or too much."""
+"""The viewers' side: connections, their messages, and bounds against those who say nothing or too
+much.
+"""
 
 import logging
 
@@ -6,18 +8,22 @@
 from laddergw.platform.releases import Releases
 from laddergw.signalling import binary
 
-SPEAK_MS = 2_000.0  # an unproven connection with nothing open, or half a message, is closed after this: 3 s are allowed
+# an unproven connection with nothing open, or half a message, is closed after this: 3 s are allowed
+SPEAK_MS = 2_000.0
 LOOK_MS = 250.0  # pace of looking for such connections
 FRESH_MS = 50.0  # a new connection is not closed for others before it can have spoken
 OPEN_MOST = 64  # open set-ups of one connection: a front's pool holds a few, a flood hundreds
 UNSENT_MOST = 256 * 1024  # bytes that wait for a peer that does not read
-READS_LAST = 64  # of one connection at the process's end, 64 KB each: as much as its system may hold, and no peer reads on for ever
+# of one connection at the process's end, 64 KB each: as much as its system may hold, and no peer
+# reads on for ever
+READS_LAST = 64
 
 log = logging.getLogger("laddergw.platform")
 
 
 class Viewer:
-    """One connection from viewers. `spoke`: it asked for a play. `proven`: one stands by it, begun on it or handed over on it.
+    """One connection from viewers. `spoke`: it asked for a play. `proven`: one stands by it, begun
+    on it or handed over on it.
     A test proves nothing: fronts leave after theirs, and anyone can ask."""
 
     def __init__(self, listener: "Listener"):
@@ -55,7 +61,7 @@
             while self.stream is not None and (message := self.reader.next()) is not None:
                 self.half = self.used = self.listener.loop.now
                 self.listener.admission.heard(self, message)
-        except binary.Malformed as error:
+        except binary.MalformedError as error:
             return self.close(str(error))
         self.stalled = 0.0
         if not self.reader.buffer:
@@ -89,10 +95,11 @@
                 self.listener.admission.finish(ply, FAILED)
             if self.stream is None:
                 return
-            self.stream.abort() if self.stream.queued else self.stream.close()  # who does not read would hold it open
+            # who does not read would hold it open
+            self.stream.abort() if self.stream.queued else self.stream.close()
 
     def outstays(self, now: float) -> str | None:
-        """Why it is to be closed for want of anything of use; never while a set-up is open on it."""
+        """Why it is to be closed as of no use; never while a set-up is open on it."""
         if self.plays:
             return None
         if self.half is not None and now - self.half >= SPEAK_MS:
@@ -143,7 +150,8 @@
         self.make_room()
 
     def make_room(self, last: Viewer | None = None) -> None:
-        """Over the bound who has said nothing goes first, then who was idle longest, `last` where all others have plays open. What one has
+        """Over the bound who has said nothing goes first, then who was idle longest, `last` where
+        all others have plays open. What one has
         to say may lie unread: it is read before it is closed, or a set-up would be lost."""
         idle = (
             [v for v in self.viewers if not v.plays and v is not last]
@@ -160,8 +168,10 @@
                 one.close("too many")
 
     def hear_last(self) -> bool:
-        """The process's end: all who have come are accepted, and what they have said is answered. Whether some wait for a descriptor,
-        and connections that end now make room for them. Else nobody else is let in before the first connection is closed: whose set-up
+        """The process's end: all who have come are accepted, and what they have said is answered.
+        Whether some wait for a descriptor,
+        and connections that end now make room for them. Else nobody else is let in before the first
+        connection is closed: whose set-up
         crosses that comes again at once, and would be cut off a second time."""
         starved = self.accepting.accept_waiting()
         if not starved:
@@ -199,7 +209,9 @@
     def send(
         self, preferred: Viewer | None, kind: int, session: str, *parameters: tuple[int, bytes]
     ) -> None:
-        """What ends a play, until its viewer has acknowledged it: a connection may end with it unread."""
+        """What ends a play, until its viewer has acknowledged it: a connection may end with it
+        unread.
+        """
         self.releases.send(preferred, session, binary.encode(kind, session, *parameters))
 
     def spoke(self, viewer: Viewer) -> None:
--- a/laddergw/settings.py
+++ b/laddergw/settings.py
@@ -1,11 +1,14 @@
-"""Decodes start settings, told as path=value lines or as nested JSON, into a Deployment. Decodes only."""
+"""Decodes start settings, told as path=value lines or as nested JSON, into a Deployment.
+
+Decodes only.
+"""
 
 import math
 
 from laddergw.interface import Deployment, Product
 
 
-class BadSetting(Exception):
+class SettingError(Exception):
     """A setting that is needed and missing or makes no sense; the text names its key."""
 
 
@@ -20,7 +23,9 @@
 
 
 def flatten(tree):
-    """Nested JSON as the same dotted keys: plain lists joined by commas, lists of objects counted and numbered."""
+    """Nested JSON as the same dotted keys: plain lists joined by commas, lists of objects counted
+    and numbered.
+    """
     found = {}
 
     def walk(path, value):
@@ -45,6 +50,8 @@
 
 
 class Reader:
+    """Reads typed values out of flattened settings; raises SettingError with the key."""
+
     def __init__(self, values):
         self.values = values
 
@@ -53,16 +60,16 @@
         if value:
             return value
         if default is REQUIRED:
-            raise BadSetting(f"setting {key} is missing")
+            raise SettingError(f"setting {key} is missing")
         return default
 
     def convert(self, key, text, low, high=math.inf):
         try:
             number = float(text)
         except ValueError:
-            raise BadSetting(f"setting {key}: {text!r} is not a number") from None
+            raise SettingError(f"setting {key}: {text!r} is not a number") from None
         if not math.isfinite(number) or not low <= number <= high:
-            raise BadSetting(f"setting {key}: {text} is out of range")
+            raise SettingError(f"setting {key}: {text} is out of range")
         return number
 
     def number(self, key, default=REQUIRED, low=0.0, high=math.inf):
@@ -76,27 +83,27 @@
     def flag(self, key, default):
         text = self.word(key, default)
         if text not in ("true", "false"):
-            raise BadSetting(f"setting {key}: {text!r} is neither true nor false")
+            raise SettingError(f"setting {key}: {text!r} is neither true nor false")
         return text == "true"
 
     def flags(self, key, size, default):
         parts = self.word(key, ",".join(["true" if default else "false"] * size)).split(",")
         if len(parts) != size or set(parts) - {"true", "false"}:
-            raise BadSetting(
+            raise SettingError(
                 f"setting {key}: {','.join(parts)!r} is not {size} times true or false"
             )
         return [part == "true" for part in parts]
 
     def among(self, key, words, default):
         if (text := self.word(key, default)) not in words:
-            raise BadSetting(f"setting {key}: {text!r} is not one of {', '.join(words)}")
+            raise SettingError(f"setting {key}: {text!r} is not one of {', '.join(words)}")
         return text
 
     def many(self, key, size=None, default=REQUIRED, low=0.0):
         text = self.word(key, default)
         numbers = tuple(self.convert(key, part, low) for part in text.split(",") if part)
         if size is not None and len(numbers) != size:
-            raise BadSetting(f"setting {key}: {len(numbers)} values where {size} are needed")
+            raise SettingError(f"setting {key}: {len(numbers)} values where {size} are needed")
         return numbers
 
 
@@ -104,7 +111,7 @@
     key = f"Grades.{index}."
     repeat = read.word(key + "Repeat")
     if repeat not in REPEATS:
-        raise BadSetting(f"setting {key}Repeat: {repeat!r} is not known")
+        raise SettingError(f"setting {key}Repeat: {repeat!r} is not known")
     return Product(
         read.number(key + "Points"),
         REPEATS[repeat],
@@ -123,7 +130,7 @@
     grades = int(read.number("Grades.count", low=1))
     ladder = read.many("Specifics.LadderKb", low=1e-9)
     if not ladder:
-        raise BadSetting("setting Specifics.LadderKb: no rung")
+        raise SettingError("setting Specifics.LadderKb: no rung")
     zeros, ones = ",".join(["0"] * grades), ",".join(["1"] * grades)
     tops = ",".join([str(len(ladder) - 1)] * grades)
     columns = zip(
@@ -132,6 +139,7 @@
         read.many("Specifics.ScaleByClass", grades, ones, 1e-9),
         read.many("Specifics.ClassSeats", grades, zeros),
         read.flags("Specifics.Live", grades, False),
+        strict=True,
     )
     return Deployment(
         products=tuple(product(read, i, *row) for i, row in enumerate(columns)),
--- a/laddergw/signalling/__init__.py
+++ b/laddergw/signalling/__init__.py
@@ -1,1 +1,4 @@
-"""Codecs of the platform's protocol, sans-I/O: bytes in, messages out, and back. Bounded; nothing of ours is imported."""
+"""Codecs of the platform's protocol, sans-I/O: bytes in, messages out, and back.
+
+Bounded; nothing of ours is imported.
+"""
--- a/laddergw/signalling/binary.py
+++ b/laddergw/signalling/binary.py
@@ -1,4 +1,6 @@
-"""The viewers' binary messages: length:2 type:1 session:8 parameters, each parameter code:1 length:2 value; big-endian."""
+"""The viewers' binary messages: length:2 type:1 session:8 parameters, each parameter code:1
+length:2 value; big-endian.
+"""
 
 import struct
 from typing import NamedTuple
@@ -31,12 +33,16 @@
 LEAST = HEAD.size - 2  # what the length counts of a message without parameters
 
 
-class Malformed(Exception):
-    """Bytes that are no messages of this protocol; what follows them on the connection cannot be read either."""
+class MalformedError(Exception):
+    """Bytes that are no messages of this protocol; what follows them on the connection cannot be
+    read either.
+    """
 
 
 class Message(NamedTuple):
-    """`parameters` is None where they do not fit into the message: it is whole, but cannot be understood."""
+    """`parameters` is None where they do not fit into the message: it is whole, but cannot be
+    understood.
+    """
 
     kind: int
     session: str
@@ -71,14 +77,17 @@
         self.buffer += data
 
     def next(self) -> Message | None:
-        """The next whole message, or None while it is not all here. What starts wrong is refused before its end."""
+        """The next whole message, or None while it is not all here.
+
+        What starts wrong is refused before its end.
+        """
         buffer = self.buffer
         if len(buffer) >= 2:
             length = buffer[0] << 8 | buffer[1]
             if not LEAST <= length <= LONGEST - 2:
-                raise Malformed(f"a message of {length} bytes")
+                raise MalformedError(f"a message of {length} bytes")
         if len(buffer) >= 3 and buffer[2] not in KINDS:
-            raise Malformed(f"a message of type {buffer[2]}")
+            raise MalformedError(f"a message of type {buffer[2]}")
         if len(buffer) < HEAD.size or len(buffer) < length + 2:
             return None
         _, kind, session = HEAD.unpack_from(buffer)
--- a/laddergw/signalling/changes.py
+++ b/laddergw/signalling/changes.py
@@ -1,4 +1,7 @@
-"""The change log: `since N`, then events as JSON lines in order and, each second, the last number alone."""
+"""The change log:
+
+`since N`, then events as JSON lines in order and, each second, the last number alone.
+"""
 
 import json
 from typing import Any, NamedTuple
@@ -7,7 +10,7 @@
 STATES = ("SERVING", "DRAINING", "DELETED")
 
 
-class Malformed(Exception):
+class MalformedError(Exception):
     """A line that is no event; the connection is begun again from the last good one."""
 
 
@@ -52,16 +55,16 @@
             float(fields.get("up_since_ms") or 0),
         )
     except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
-        raise Malformed(f"a member that makes no sense: {error!r}") from None
+        raise MalformedError(f"a member that makes no sense: {error!r}") from None
     if (
         found.state not in STATES
         or not 0 < found.port < 65536
         or not (host and found.id)
         or found.cell < 0
     ):
-        raise Malformed(f"a member that makes no sense: {found}")
+        raise MalformedError(f"a member that makes no sense: {found}")
     if not 0 <= found.weight < 1e9 or not 0 <= found.since < 1e15:
-        raise Malformed(f"a member that makes no sense: {found}")
+        raise MalformedError(f"a member that makes no sense: {found}")
     return found
 
 
@@ -74,14 +77,14 @@
         number, fleet = value["seq"], value["fleet"]
         members, whole = fleet["members"], fleet["complete"]
     except (KeyError, TypeError):
-        raise Malformed("an event without its parts") from None
+        raise MalformedError("an event without its parts") from None
     if (
         not isinstance(number, int)
         or isinstance(number, bool)
         or number < 1
         or not isinstance(members, list)
     ):
-        raise Malformed("an event that makes no sense")
+        raise MalformedError("an event that makes no sense")
     return Event(number, whole is True, tuple(map(member_of, members)))
 
 
@@ -89,7 +92,7 @@
     try:
         return event_of(json.loads(line))
     except (ValueError, RecursionError):
-        raise Malformed(f"a line that is no event: {line[:60]!r}") from None
+        raise MalformedError(f"a line that is no event: {line[:60]!r}") from None
 
 
 def known(value: Any) -> list[Event]:
@@ -97,9 +100,9 @@
     try:
         last, results = value["seq"], value["results"]
     except (KeyError, TypeError):
-        raise Malformed("no events of the start") from None
+        raise MalformedError("no events of the start") from None
     if not isinstance(last, int) or not isinstance(results, list):
-        raise Malformed("events of the start that make no sense")
+        raise MalformedError("events of the start that make no sense")
     events = [event for event in map(event_of, results) if event.members is not None]
     return sorted(events, key=lambda event: event.number)
 
@@ -120,5 +123,5 @@
             if line:
                 return read(line)
         if len(self.buffer) > LONGEST:
-            raise Malformed("a line without an end")
+            raise MalformedError("a line without an end")
         return None
--- a/laddergw/signalling/description.py
+++ b/laddergw/signalling/description.py
@@ -1,6 +1,8 @@
-"""Session descriptions (RFC 4566, as far as the platform writes them): lines, of which each `m=` line describes one stream.
+"""Session descriptions (RFC 4566, as far as the platform writes them): lines, of which each `m=`
+line describes one stream.
 
-Descriptions pass on unchanged; what is looked at here is only whether one may have been cut short. No I/O.
+Descriptions pass on unchanged; what is looked at here is only whether one may have been cut short.
+No I/O.
 """
 
 LINE_END = b"\n"
@@ -13,6 +15,7 @@
 
 
 def may_be_cut(answer: bytes, offer: bytes) -> bool:
-    """Whether an answer may lack its end: it stops within a line, or describes fewer streams than the offer (RFC 3264, section 6:
+    """Whether an answer may lack its end: it stops within a line, or describes fewer streams than
+    the offer (RFC 3264, section 6:
     an answer has as many `m=` lines as its offer)."""
     return not answer.endswith(LINE_END) or media_lines(answer) < media_lines(offer)
--- a/laddergw/signalling/rtsp.py
+++ b/laddergw/signalling/rtsp.py
@@ -1,4 +1,6 @@
-"""RTSP as the platform's media nodes speak it: requests and answers with Content-Length, matched by Session."""
+"""RTSP as the platform's media nodes speak it: requests and answers with Content-Length, matched by
+Session.
+"""
 
 import re
 from typing import NamedTuple
@@ -6,7 +8,8 @@
 LONGEST = 16 * 1024  # bytes of one message, by the protocol
 MOST_HEADERS = 64  # lines of one message: ours have six
 FIRST_LINE = re.compile(
-    rb"RTSP/1\.0 ([1-5]\d\d)(?: [\x20-\x7e]*)?|([A-Z_]{3,20}) (rtsp://media/[\x21-\x7e]*|\*) RTSP/1\.0"
+    rb"RTSP/1\.0 ([1-5]\d\d)(?: [\x20-\x7e]*)?|"
+    rb"([A-Z_]{3,20}) (rtsp://media/[\x21-\x7e]*|\*) RTSP/1\.0"
 )
 HEADER = re.compile(rb"([A-Za-z0-9-]{1,40}): ?([\x20-\x7e]*)")
 SESSION = re.compile(r"[0-9a-f]{16}")
@@ -16,12 +19,12 @@
 OTHER_SEQUENCE = 4
 
 
-class Malformed(Exception):
+class MalformedError(Exception):
     """Bytes that are no message of this protocol; the connection serves no further use."""
 
 
 class Message(NamedTuple):
-    """`status` is 0 in a request, `method` empty in an answer. Names of headers are in lower case."""
+    """`status` is 0 in a request, `method` empty in an answer. Headers in lower case."""
 
     status: int
     method: str
@@ -55,9 +58,14 @@
 
 
 def answer(status: int, reason: str, sequence: str, session: str) -> bytes:
-    return f"RTSP/1.0 {status} {reason}\r\nCSeq: {sequence}\r\nSession: {session}\r\nContent-Length: 0\r\n\r\n".encode(
-        "ascii"
+    """An answer without a body."""
+    lines = (
+        f"RTSP/1.0 {status} {reason}",
+        f"CSeq: {sequence}",
+        f"Session: {session}",
+        "Content-Length: 0",
     )
+    return "\r\n".join([*lines, "", ""]).encode("ascii")
 
 
 def head_of(head: bytes, header: re.Pattern[bytes] = HEADER) -> tuple:
@@ -65,21 +73,21 @@
     first, *lines = head.split(b"\r\n")
     match = FIRST_LINE.fullmatch(first)
     if match is None or len(lines) > MOST_HEADERS:
-        raise Malformed(f"first line {first[:60]!r}")
+        raise MalformedError(f"first line {first[:60]!r}")
     headers = {}
     for line in lines:
         parts = header.fullmatch(line)
         if parts is None:
-            raise Malformed(f"header {line[:60]!r}")
+            raise MalformedError(f"header {line[:60]!r}")
         name = parts[1].decode().lower()
         if name in headers:
-            raise Malformed(f"two headers {name}")
+            raise MalformedError(f"two headers {name}")
         headers[name] = parts[2].decode().strip()
     length = headers.get("content-length", "")
     if not length.isdigit() or len(length) > 6 or int(length) > LONGEST:
-        raise Malformed(f"a length of {length[:20]!r}")
+        raise MalformedError(f"a length of {length[:20]!r}")
     if not SESSION.fullmatch(headers.get("session", "")):
-        raise Malformed(f"session {headers.get('session', '')[:20]!r}")
+        raise MalformedError(f"session {headers.get('session', '')[:20]!r}")
     status, method, target = match.groups()
     return (
         int(status or 0),
@@ -120,6 +128,6 @@
         """Refuses what can become no message, before it has come to an end or grown without one."""
         start = bytes(self.buffer[:16])
         if start and not any(start.startswith(word[: len(start)]) for word in (PREFIX, *METHODS)):
-            raise Malformed(f"a message that starts with {start!r}")
+            raise MalformedError(f"a message that starts with {start!r}")
         if len(self.buffer) >= LONGEST:
-            raise Malformed("lines without an end")
+            raise MalformedError("lines without an end")
--- a/laddergw/wirehost/__main__.py
+++ b/laddergw/wirehost/__main__.py
@@ -99,7 +99,7 @@
         if key not in dead:
             dead.add(key)
             print(f"laddergw: instance {key}: {type(error).__name__}: {error}", file=sys.stderr)
-            if not isinstance(error, settings.BadSetting):
+            if not isinstance(error, settings.SettingError):
                 traceback.print_exc()
             out.append(codec.text_action(codec.BAIL_OUT, key, f"{type(error).__name__}: {error}"))
 
