--- /dev/null
+++ b/laddergw/cli/progress.py
@@ -0,0 +1,55 @@
+"""Shows on standard error how far a rehearsal is: a bar on a terminal, elsewhere a line at times.
+
+Driven by the process's interval timer: a rehearsal that knows nothing of it can be watched.
+"""
+
+import signal
+import sys
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+
+from rich.console import Console
+from rich.progress import BarColumn, Progress, TextColumn, TimeRemainingColumn
+
+LINE_EVERY_S = 30.0
+BAR_EVERY_S = 1.0
+
+
+@contextmanager
+def shown(expected_s: float | None, told: Callable[[], str]) -> Iterator[None]:
+    """While the body runs. `expected_s`: how long it should take; `told()`: what there is."""
+    began = time.monotonic()
+    if sys.stderr.isatty():
+        columns = TextColumn("rehearsal"), BarColumn(), TimeRemainingColumn()
+        with Progress(
+            *columns, TextColumn("{task.fields[told]}"), console=Console(stderr=True)
+        ) as bar:
+            task = bar.add_task("rehearsal", total=expected_s, told="")
+
+            def update() -> None:
+                bar.update(task, completed=time.monotonic() - began, told=told())
+
+            with alarm(BAR_EVERY_S, update):
+                yield
+        return
+
+    def line() -> None:
+        passed = time.monotonic() - began
+        whole = f" of some {expected_s:.0f} s" if expected_s is not None else " s"
+        print(f"{passed:.0f}{whole}, {told()}", file=sys.stderr, flush=True)
+
+    with alarm(LINE_EVERY_S, line):
+        yield
+
+
+@contextmanager
+def alarm(every_s: float, call: Callable[[], None]) -> Iterator[None]:
+    """Calls it again and again while the body runs, between two of its statements."""
+    before = signal.signal(signal.SIGALRM, lambda *_: call())
+    signal.setitimer(signal.ITIMER_REAL, every_s, every_s)
+    try:
+        yield
+    finally:
+        signal.setitimer(signal.ITIMER_REAL, 0.0)
+        signal.signal(signal.SIGALRM, before)
--- a/laddergw/cli/rehearsing.py
+++ b/laddergw/cli/rehearsing.py
@@ -9,6 +9,7 @@
 import typer
 
 from laddergw.cli.dayings import day_of
+from laddergw.cli.progress import shown
 
 EXIT_BROKEN, EXIT_COULD_NOT = 1, 2
 QUANTILES = (0.5, 0.9, 0.99, 1.0)
@@ -148,11 +149,19 @@
     return played(stage), stage.conductor.missed
 
 
+def so_far(stage) -> str:
+    """What a stage has recorded up to now."""
+    records = getattr(stage, "records", ())
+    return f"{sum(record[1] == 'asked' for record in list(records))} plays so far, {len(records)} records"
+
+
 def played(stage) -> list[tuple]:
     """A stage's records; the command ends where it could not run."""
     from laddergw.lab.stage_processes import CouldNotRun
+    the_plant = getattr(stage, "plant", None)
     try:
-        return stage.run()
+        with shown(the_plant.crowd.seconds if the_plant is not None else None, lambda: so_far(stage)):
+            return stage.run()
     except CouldNotRun as error:
         typer.echo(f"could not run: {error}", err=True)
         raise typer.Exit(EXIT_COULD_NOT) from None
