A stop counts from when it was ordered, also where the process stood still meanwhile

Cause: the times of a stop began when the loop took the signal. Before: Lists differ: [] != [('1', 41)] (no release within 3.7 s of the order). Why it works: what a turn came late is known; the order came at that stand-still's beginning at the earliest, and all times of the stop count from there.

--- a/laddergw/platform/director.py
+++ b/laddergw/platform/director.py
@@ -131,18 +131,23 @@
             self.follower.switch(found.changelog)
 
     def stop(self) -> None:
-        """Takes nothing new; what stands goes on while it may."""
-        if self.stopping is None:
-            self.stopping = self.loop.now
-            log.info("stopping: open %d, standing %d", len(self.open), len(self.standing))
-            self.loop.after(STOP_LEAST_MS, lambda: None)
-            longest = max(
-                [
-                    self.assignment.longest_ms,
-                    *(ply.limit - self.loop.now for ply in self.open.values()),
-                ]
-            )  # on older terms too
-            self.loop.after(min(longest, STOP_LIMIT_MS) + STOP_AFTER_MS, self.end_all)
+        """Takes nothing new; what stands goes on while it may.
+
+        The order may have waited while the process stood still: its time counts from then.
+        """
+        if self.stopping is not None:
+            return
+        self.stopping = ordered = self.loop.now - self.loop.stalled
+        log.info(
+            "stopping, ordered up to %.0f ms ago: open %d, standing %d",
+            self.loop.stalled,
+            len(self.open),
+            len(self.standing),
+        )
+        limits = [ply.limit - ordered for ply in self.open.values()]  # on older terms too
+        longest = max([self.assignment.longest_ms, *limits])
+        self.loop.at(ordered + STOP_LEAST_MS, lambda: None)
+        self.loop.at(ordered + min(longest, STOP_LIMIT_MS) + STOP_AFTER_MS, self.end_all)
 
     def end_all(self) -> None:
         if self.leaving:
--- a/tests/test_orders_stopping.py
+++ b/tests/test_orders_stopping.py
@@ -9,6 +9,8 @@
 
 TEST = binary.encode(binary.TEST, "0" * 16, (222, b"\0"))
 AWAY, BROKEN = 42, 41      # causes
+STOOD_STILL_MS = 800.0
+KILL_MS = 3_000.0 + 700.0  # earliest kill after the order: the longest time limit of the town's settings counts as 3 s, and 0.7 s
 
 
 class Stopping(unittest.TestCase):
@@ -142,6 +144,21 @@
         self.assertLess(self.to_the_end(), STOP_LEAST_MS + HEAR_MS + PART_MS + 50)
         self.assertEqual((viewer.hear(), viewer.ended, other.hear(), other.ended), ([], "end", [], "end"))
 
+    # Guards against a stop that begins to count when a process that stood still hears of it, and is killed before its end.
+    def test_an_order_to_stop_that_waited_while_the_process_stood_still(self):
+        viewer = self.town.viewer()
+        viewer.write(set_up(1))
+        line, message = self.town.come("a")
+        line.write(answer(message.session))
+        self.town.until(viewer.hear)
+        self.now[0] += STOOD_STILL_MS
+        self.town.loop.soon(self.town.director.stop)
+        self.town.turn()
+        ordered = self.now[0] - STOOD_STILL_MS
+        while not (heard := self.causes(viewer)) and self.now[0] - ordered < KILL_MS:
+            self.town.passes(self.now, 10.0)
+        self.assertEqual(heard, [("1", BROKEN)])
+
     def test_signals_together(self):
         """SIGTERM twice, SIGHUP during a stop, SIGTERM in the turn of a SIGHUP: one end, at the first order's time."""
         director = self.town.director
