--- a/laddergw/lab/soak/node_side.py
+++ b/laddergw/lab/soak/node_side.py
@@ -50,7 +50,11 @@
             self.write(release(int(session, 16), ENDED))
 
     def write(self, data: bytes) -> None:
-        self.writer.write(self.stream, data, "pieces" in self.node.conditions)
+        self.writer.write(
+            self.stream,
+            data,
+            self.writer.drawn_cuts(data) if "pieces" in self.node.conditions else (),
+        )
 
     def heard(self, message) -> None:
         node, session = self.node, message.headers["session"]
@@ -115,17 +119,15 @@
     def spoil(self, session: str, text: bytes) -> None:
         """It has run, and its answer cannot be used."""
         whole = answer(session, 200, text)
-        short = whole.replace(
-            b"Content-Length: %d" % len(text),
-            b"Content-Length: %d" % self.node.draw.randrange(1, len(text)),
-        )
+        size = self.node.draw.randrange(1, len(text))
+        short = whole.replace(b"Content-Length: %d" % len(text), b"Content-Length: %d" % size)
         way = self.node.draw.choice(("short", "short", "noise", "broken off", "empty", "huge"))
         self.over(session)
         if way == "broken off":
             self.stream.write(whole[: self.node.draw.randrange(1, len(whole))])
             return self.stream.abort()
         if way == "short":  # what shows that its length is wrong comes a moment later
-            return self.writer.write(self.stream, short, True)
+            return self.writer.write(self.stream, short, [len(short) - len(text) + size])
         return self.write(
             {
                 "noise": b"\x00\xff" * 20,
--- a/laddergw/lab/soak/peers.py
+++ b/laddergw/lab/soak/peers.py
@@ -1,7 +1,8 @@
 """What every peer's end of a connection shares, and writes that leave in pieces."""
 
 import random
-from typing import Any
+from collections.abc import Callable, Sequence
+from typing import Any, NamedTuple
 
 PIECES = (2, 4)  # of one message
 PIECE_MS = (0.0, 30.0)  # between two pieces
@@ -31,40 +32,55 @@
         pass
 
 
+class Piece(NamedTuple):
+    """A part of a message that waits to be written; `done` is called behind its last one."""
+
+    data: bytes
+    done: Callable[[], None] | None
+
+
+PAUSE = Piece(b"", None)  # stands in front while a pause lasts: what is written queues behind it
+
+
 class PieceWriter:
     """Writes messages to one stream, whole or in pieces; never one within another."""
 
     def __init__(self, loop, draw: random.Random):
-        self.loop, self.draw, self.waiting = loop, draw, []
-
-    def write(self, stream, data: bytes, in_pieces: bool, done=lambda: None) -> None:
-        """`done` is called when the last byte has been written."""
-        cuts = (
-            sorted(self.draw.randrange(1, len(data)) for _ in range(self.draw.randint(*PIECES) - 1))
-            if in_pieces
-            else []
-        )
+        self.loop, self.draw = loop, draw
+        self.waiting: list[Piece] = []
+
+    def drawn_cuts(self, data: bytes) -> list[int]:
+        """Where to cut a message."""
+        pieces = self.draw.randint(*PIECES)
+        return sorted(self.draw.randrange(1, len(data)) for _ in range(pieces - 1))
+
+    def write(
+        self,
+        stream,
+        data: bytes,
+        cuts: Sequence[int] = (),
+        done: Callable[[], None] = lambda: None,
+    ) -> None:
+        """Writes a message with a pause at each cut; `done` is called behind its last byte."""
         idle = not self.waiting
-        self.waiting += [
-            (data[start:end], end == len(data) and done)
-            for start, end in zip([0, *cuts], [*cuts, len(data)], strict=True)
-        ]
+        ends = [*cuts, len(data)]
+        for start, end in zip([0, *cuts], ends, strict=True):
+            self.waiting.append(Piece(data[start:end], done if end == len(data) else None))
         if idle:
             self.go_on(stream)
 
     def go_on(self, stream) -> None:
+        """Writes until the next pause."""
         while self.waiting and stream.sock is not None:
-            part, done = self.waiting.pop(0)
-            stream.write(part)
-            if done:
-                done()
-            else:
-                self.waiting.insert(
-                    0, (b"", None)
-                )  # marks the pause: what is written now queues behind
+            piece = self.waiting.pop(0)
+            stream.write(piece.data)
+            if piece.done is None:
+                self.waiting.insert(0, PAUSE)
                 self.loop.after(self.draw.uniform(*PIECE_MS), lambda: self.after_pause(stream))
                 return
+            piece.done()
 
     def after_pause(self, stream) -> None:
+        """A pause is over."""
         del self.waiting[:1]
         self.go_on(stream)
--- a/laddergw/lab/soak/viewers.py
+++ b/laddergw/lab/soak/viewers.py
@@ -73,9 +73,8 @@
             "1200.0",
             offer_of(request.session).encode(),
         )
-        self.writer.write(
-            self.stream, message, "pieces" in self.front.conditions, lambda: self.asked(request)
-        )
+        cuts = self.writer.drawn_cuts(message) if "pieces" in self.front.conditions else ()
+        self.writer.write(self.stream, message, cuts, lambda: self.asked(request))
 
     def asked(self, request: Request) -> None:
         request.asked_ms = self.front.loop.now
@@ -113,7 +112,7 @@
 
     def say(self, kind: int, session: str, *parameters: tuple[int, bytes]) -> None:
         """Behind what is being written in pieces."""
-        self.writer.write(self.stream, binary.encode(kind, session, *parameters), False)
+        self.writer.write(self.stream, binary.encode(kind, session, *parameters))
 
     def heard(self, message: binary.Message) -> None:
         self.used_ms = self.front.loop.now
