Dense trials judge the budget of further attempts and processors that are used up

The trial's own deployment has a budget now (5 and a tenth of the requests within 10 s); another's is read from its rules.

--- a/benchmarks/broken_soak.py
+++ b/benchmarks/broken_soak.py
@@ -61,6 +61,16 @@
     "grows": Broken(
         f"held = bytearray({int(USUAL.memory_mb) << 20}); held[::4096] = held[::4096]", "limits"
     ),
+    "spins": Broken(
+        "from laddergw.loop import base; ends = base.BaseLoop.end_turn; "
+        "base.BaseLoop.end_turn = lambda self: (ends(self), self.soon(lambda: None))",
+        "limits",
+        "spins",
+    ),
+    "spends past its budget": Broken(
+        "from laddergw.control import plays; plays.Allocations.ration = lambda *args: None",
+        "budget",
+    ),
     "fails in its calls": Broken(
         "from laddergw.platform import following as f; f.Follower.take = lambda *args: 1 / 0",
         "crash",
--- a/laddergw/lab/soak/directors.py
+++ b/laddergw/lab/soak/directors.py
@@ -24,6 +24,7 @@
 TEST = binary.encode(binary.TEST, "0" * 16, (binary.CAUSE, b"\0"))
 LOOK_MS = 50.0
 STOPPED_MS = (200.0, 400.0)  # new connections go on coming so long after the order to stop
+TICK_MS = 1000.0 / os.sysconf("SC_CLK_TCK")
 PAGE_KB = os.sysconf("SC_PAGE_SIZE") / 1024
 
 
@@ -182,16 +183,22 @@
             self.start()
 
     def measure(self) -> None:
-        """Descriptors and resident memory of its process."""
+        """Descriptors, resident memory and processor time of its process."""
         if self.process is None or not self.takes:
             return
         try:
             descriptors = len(os.listdir(f"/proc/{self.process.pid}/fd"))
             pages = int(pathlib.Path(f"/proc/{self.process.pid}/statm").read_text().split()[1])
+            stat = pathlib.Path(f"/proc/{self.process.pid}/stat").read_text().rpartition(")")[2]
         except (OSError, IndexError):
             return
+        user, system = stat.split()[11:13]
         self.trial.record(
-            "held", director=self.name, descriptors=descriptors, memory_mb=pages * PAGE_KB / 1024
+            "held",
+            director=self.name,
+            descriptors=descriptors,
+            memory_mb=pages * PAGE_KB / 1024,
+            cpu_ms=(int(user) + int(system)) * TICK_MS,
         )
 
     def troubles(self) -> list[str]:
--- a/laddergw/lab/soak/judge.py
+++ b/laddergw/lab/soak/judge.py
@@ -14,6 +14,7 @@
 from laddergw.lab.soak.breaks import Break
 from laddergw.lab.soak.judge_cold import cold
 from laddergw.lab.soak.judge_drains import drains
+from laddergw.lab.soak.judge_limits import further_attempts, spinning
 from laddergw.lab.soak.judge_releases import releases
 from laddergw.lab.soak.terms import Terms
 
@@ -40,6 +41,8 @@
         releases(records),
         unchanged(records),
         refusals(records, terms.paid),
+        further_attempts(records, terms.budget),
+        spinning(records),
     )
     return [broken for rule in rules for broken in rule]
 
--- a/laddergw/lab/soak/terms.py
+++ b/laddergw/lab/soak/terms.py
@@ -33,6 +33,14 @@
         return PATIENCE_SHARE * self.limit_ms
 
 
+class Budget(NamedTuple):
+    """Further attempts that a director may send within any window: `free`, and a share."""
+
+    free: float
+    share: float
+    window_ms: float
+
+
 class Terms(NamedTuple):
     """What the rules need to know of a deployment. Times in ms."""
 
@@ -45,6 +53,7 @@
     grace_ms: float = 250.0
     sockets: int = 256
     memory_mb: float = 192.0
+    budget: Budget | None = Budget(5.0, 0.1, 10_000.0)  # None where they are not limited
 
     @property
     def paid(self) -> set[str]:
@@ -76,6 +85,13 @@
     )
 
 
+def budget_of(rules: dict[str, Any]) -> Budget | None:
+    """Of the settings' rules."""
+    if "FreeResends" not in rules:
+        return None
+    return Budget(rules["FreeResends"], rules.get("ExtraRatio", 0.0), rules["CountedOver"] / 1000)
+
+
 def terms_of(tree: dict[str, Any], sockets: int) -> Terms:
     """Of nested settings, as far as they tell rules; `sockets` that a director may hold."""
     rules, terms = tree.get("Rules", {}), Terms(products_of(tree), sockets=sockets)
@@ -87,6 +103,7 @@
     }
     if rules:
         told["streams"] = float(min(tree["Specifics"]["KindSlots"]))
+        told["budget"] = budget_of(rules)
     return terms._replace(**told)
 
 
@@ -110,6 +127,12 @@
         "Fall": int(terms.fall_ms * 1000),
         "StopSendingWithin": int(terms.grace_ms * 1000),
     }
+    if terms.budget is not None:
+        rules |= {
+            "FreeResends": terms.budget.free,
+            "ExtraRatio": terms.budget.share,
+            "CountedOver": int(terms.budget.window_ms * 1000),
+        }
     limits = {product.name: int(product.limit_ms * 1000) for product in terms.products}
     grades = [grade | {"GiveUp": limits[grade["Name"]]} for grade in base["Grades"]]
     return base | {
--- a/tests/test_soak_releases.py
+++ b/tests/test_soak_releases.py
@@ -79,5 +79,39 @@
         )
 
 
+class JudgedLimits(JudgeTest):
+    """The budget of further attempts, and processors that are used up."""
+
+    def further(self, number, at_ms):
+        sessions = [f"f{n}" for n in range(number)]
+        first = [record for name in sessions for record in (asked(0, name), answered(900, name))]
+        tries = [record for name in sessions for record in (arrived(10, name), over_(20, name))]
+        return [*first, *tries, *(arrived(at_ms, name, "b") for name in sessions)]
+
+    def test_further_attempts_in_their_budget(self):
+        budget = TERMS.budget
+        allowed = int((budget.free + budget.share * 8) * 1.15 + 1) - 1  # the good day has one
+        self.assertEqual(judge([*GOOD, *self.further(allowed, 300)], TERMS), [])
+        found = judge([*GOOD, *self.further(allowed + 3, 300)], TERMS)
+        self.assertEqual({broken.rule for broken in found}, {"budget"})
+        self.assertEqual(judge([*GOOD, *self.further(9, 300)], TERMS._replace(budget=None)), [])
+
+    def held(self, at_ms, cpu_ms):
+        facts = {"descriptors": 9, "memory_mb": 9.0, "cpu_ms": cpu_ms}
+        return at(at_ms, "held", director="n1", **facts)
+
+    def test_a_processor_that_is_used_up(self):
+        busy = [self.held(1_000.0 + n * 250, n * 245.0) for n in range(8)]
+        self.assertEqual(judge([*GOOD, *busy], TERMS), [])
+        self.broken(*busy, self.held(3_000.0, 8 * 245.0), part="spins")
+        rests = self.held(2_900.0, 7 * 245.0)
+        self.assertEqual(judge([*GOOD, *busy, rests, self.held(3_000.0, 1_760.0)], TERMS), [])
+
+
+def over_(at_ms, session):
+    """The end of an attempt that provably never ran."""
+    return at(at_ms, "over", session=session, node="a", never_ran=True, lag=0.0)
+
+
 if __name__ == "__main__":
     unittest.main()
