--- a/laddergw/cli/rehearsing_soak.py
+++ b/laddergw/cli/rehearsing_soak.py
@@ -6,6 +6,7 @@
 import multiprocessing
 import os
 import re
+import signal
 import sys
 import tempfile
 import time
@@ -107,13 +108,21 @@
         return f"seed {chosen.seed}: {error}"
 
 
+def end_in_order() -> None:
+    """In each process that plays: told to end, it ends its directors and keeps its records."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_COULD_NOT))
+
+
 def played(
     chosen: list[plans.Plan], terms: Terms, settings: dict[str, Any], base: str, jobs: int
 ) -> list[Result]:
     """All results that came, in the order of their seeds, also after an interrupt."""
     tasks = [(plan, terms, settings, os.path.join(base, f"seed-{plan.seed}")) for plan in chosen]
     results: list[Result] = []
-    with progress(len(tasks)) as advance, multiprocessing.Pool(min(jobs, len(tasks))) as pool:
+    with (
+        progress(len(tasks)) as advance,
+        multiprocessing.Pool(min(jobs, len(tasks)), end_in_order) as pool,
+    ):
         try:
             for found in pool.imap_unordered(one, tasks):
                 if isinstance(found, str):
@@ -122,6 +131,8 @@
                     results.append(found)
                 advance(results)
         except KeyboardInterrupt:
+            pool.terminate()
+            pool.join()
             typer.echo("interrupted: what has ended so far is told", err=True)
     return sorted(results, key=lambda result: result.plan.seed)
 
--- a/laddergw/lab/soak/result.py
+++ b/laddergw/lab/soak/result.py
@@ -55,10 +55,10 @@
 ) -> Result:
     """Plays a plan with real processes; logs and the directors' files go into `folder`."""
     trial = trial_of(plan, terms, settings=settings, keep=folder, log_level="DEBUG", run=run)
-    records = trial.run()
-    with open(os.path.join(folder, "records.jsonl"), "wb") as stream:
-        for record in records:
-            stream.write(msgspec.json.encode(record) + b"\n")
+    try:
+        records = trial.run()
+    finally:
+        keep_records(trial.records, folder)
     judged = trial.worst_lag <= LAG_MOST_MS
     breaks = judge.judge(records, trial.terms) if judged else []
     whats = Counter(what for _, what, _ in records)
@@ -79,6 +79,13 @@
     )
 
 
+def keep_records(records: list[tuple], folder: str) -> None:
+    """Writes what was recorded, also of a trial that was interrupted."""
+    with open(os.path.join(folder, "records.jsonl"), "wb") as stream:
+        for record in records:
+            stream.write(msgspec.json.encode(record) + b"\n")
+
+
 def story(broken: judge.Break, records: list[tuple], folder: str) -> str:
     """What led to a break, a line each, at most so many."""
     seen = [
