--- a/laddergw/cli/rehearsing_soak.py
+++ b/laddergw/cli/rehearsing_soak.py
@@ -2,10 +2,8 @@
 of its protocol.
 """
 
-import json
 import multiprocessing
 import os
-import re
 import signal
 import sys
 import tempfile
@@ -21,24 +19,18 @@
 from rich.console import Console
 from rich.progress import BarColumn, MofNCompleteColumn, Progress, TextColumn, TimeRemainingColumn
 
+from laddergw.cli.soak_input import SOCKETS, InputError, plan_of, seeds_of, settings_of
 from laddergw.lab.shrink import shrink
 from laddergw.lab.soak import plan as plans
-from laddergw.lab.soak.messages import SETTINGS
 from laddergw.lab.soak.result import Result, play
 from laddergw.lab.soak.terms import Terms, terms_of
 
 EXIT_BROKEN, EXIT_COULD_NOT = 1, 2
-SOCKETS = 256  # descriptors that each director may hold
-SEEDS = re.compile(r"(\d{1,9})(?:-(\d{1,9}))?")
 SAY_EVERY_S = 30.0  # of progress, where nobody watches a terminal
 SHRINK_PLAYS = 3  # of each smaller plan: orders are not exact
 SHRINK_MOST = 60  # smaller plans
 
 
-class InputError(Exception):
-    """Input that is not taken; the text is one line that says why."""
-
-
 def soak(
     seeds: str,
     plan: Path | None,
@@ -69,36 +61,6 @@
     conclude(results, len(chosen), report)
 
 
-def seeds_of(text: str) -> list[int]:
-    match = SEEDS.fullmatch(text)
-    if match is None or (match[2] and int(match[2]) < int(match[1])):
-        raise InputError(f"seeds: {text!r} is neither a number nor A-B")
-    return list(range(int(match[1]), int(match[2] or match[1]) + 1))
-
-
-def plan_of(path: Path) -> plans.Plan:
-    try:
-        return plans.from_json(path.read_bytes())
-    except OSError as error:
-        raise InputError(f"{path}: {error.strerror}") from None
-    except (msgspec.ValidationError, msgspec.DecodeError) as error:
-        raise InputError(f"{path}: no plan: {error}") from None
-
-
-def settings_of(path: Path | None) -> dict[str, Any]:
-    """The settings of a director's configuration file, or the trial's own."""
-    if path is None:
-        return SETTINGS
-    try:
-        found = json.loads(path.read_bytes())["settings"]
-        terms_of(found, SOCKETS)
-    except OSError as error:
-        raise InputError(f"{path}: {error.strerror}") from None
-    except (ValueError, KeyError, TypeError, IndexError) as error:
-        raise InputError(f"{path}: no director's configuration: {error!r}") from None
-    return found
-
-
 def one(task: tuple) -> Result | str:
     """Plays one plan in a process of its own; a text tells why it could not run."""
     chosen, terms, settings, folder = task
--- /dev/null
+++ b/laddergw/cli/soak_input.py
@@ -0,0 +1,49 @@
+"""Reads what `laddergw rehearse soak` is given: seeds, plans, a deployment's settings."""
+
+import json
+import re
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from laddergw.lab.soak import plan as plans
+from laddergw.lab.soak.messages import SETTINGS
+from laddergw.lab.soak.terms import terms_of
+
+SOCKETS = 256  # descriptors that each director may hold
+SEEDS = re.compile(r"(\d{1,9})(?:-(\d{1,9}))?")
+
+
+class InputError(Exception):
+    """Input that is not taken; the text is one line that says why."""
+
+
+def seeds_of(text: str) -> list[int]:
+    match = SEEDS.fullmatch(text)
+    if match is None or (match[2] and int(match[2]) < int(match[1])):
+        raise InputError(f"seeds: {text!r} is neither a number nor A-B")
+    return list(range(int(match[1]), int(match[2] or match[1]) + 1))
+
+
+def plan_of(path: Path) -> plans.Plan:
+    try:
+        return plans.from_json(path.read_bytes())
+    except OSError as error:
+        raise InputError(f"{path}: {error.strerror}") from None
+    except (msgspec.ValidationError, msgspec.DecodeError) as error:
+        raise InputError(f"{path}: no plan: {error}") from None
+
+
+def settings_of(path: Path | None) -> dict[str, Any]:
+    """The settings of a director's configuration file, or the trial's own."""
+    if path is None:
+        return SETTINGS
+    try:
+        found = json.loads(path.read_bytes())["settings"]
+        terms_of(found, SOCKETS)
+    except OSError as error:
+        raise InputError(f"{path}: {error.strerror}") from None
+    except (ValueError, KeyError, TypeError, IndexError) as error:
+        raise InputError(f"{path}: no director's configuration: {error!r}") from None
+    return found
--- a/laddergw/control/accounts.py
+++ b/laddergw/control/accounts.py
@@ -4,7 +4,7 @@
 from collections import Counter, deque
 from zlib import crc32
 
-from laddergw import interface as face
+from laddergw import interface
 from laddergw.control.account import AGE_MS, Account, Fading
 
 MARGIN = 0.06  # share of a link or uplink kept free: true rates stray by more than reports show
@@ -50,7 +50,7 @@
         super().__init__(now)
         self.id, self.plays, self.log, self.setups = line.node, {}, deque(), Fading(SHARE_MS, now)
         self.state, self.rack, self.started, self.shared = (
-            face.GONE,
+            interface.GONE,
             None,
             None,
             Counter(),
@@ -70,7 +70,7 @@
             self.links - self.known.now(now),
             min(others, MOST * self.links) - self.told.now(now),
         )
-        for part in (self,) if self.state == face.GONE else (self, self.rack):
+        for part in (self,) if self.state == interface.GONE else (self, self.rack):
             part.known.add(now, known)
             part.told.add(now, told)
             part.touched += 1
@@ -108,14 +108,14 @@
     def listed(self, now, lines, whole):
         named = {line.node for line in lines}
         for node in [n for n in self.nodes.values() if n.id not in named] if whole else ():
-            self.enlist(now, node, face.GONE)
+            self.enlist(now, node, interface.GONE)
         for line in lines:
             if line.node not in self.nodes:
-                if line.state == face.GONE:
+                if line.state == interface.GONE:
                     continue  # (after our own start any may be cold)
                 self.nodes[line.node] = Node(line, now, -math.inf if self.known else now)
-            self.enlist(now, node := self.nodes[line.node], face.GONE)
-            if line.state != face.GONE:
+            self.enlist(now, node := self.nodes[line.node], interface.GONE)
+            if line.state != interface.GONE:
                 self.fit(node, line)
             self.enlist(now, node, line.state)
             if node.started is None:
@@ -137,15 +137,15 @@
         node.streams = d.streams[min(line.kind, len(d.streams) - 1)]
 
     def enlist(self, now, node, state):  # takes it out of the sums of its rack and fleet, or in
-        if (node.state == face.GONE) != (state == face.GONE):
-            sign, rack = (-1 if state == face.GONE else 1), node.rack
+        if (node.state == interface.GONE) != (state == interface.GONE):
+            sign, rack = (-1 if state == interface.GONE else 1), node.rack
             rack.links, rack.own = rack.links + sign * node.links, rack.own + sign * node.own
             rack.touched += 1
             for total, part in (rack.known, node.known), (rack.told, node.told):
                 total.add(now, sign * part.now(now))
             for index in rack.members, self.cells[node.cell % len(self.cells)]:
                 index.pop(node.id, None) if sign < 0 else index.update({node.id: node})
-        self.ready += node.links * ((state == face.READY) - (node.state == face.READY))
+        self.ready += node.links * ((state == interface.READY) - (node.state == interface.READY))
         node.state = state
 
     def retold(self, now, deployment):  # accounts move into a new shape: told then
@@ -156,7 +156,7 @@
             return False
         states = [(node, node.state) for node in self.nodes.values()]
         for node, _ in states:
-            self.enlist(now, node, face.GONE)
+            self.enlist(now, node, interface.GONE)
         self.racks = [Rack(n, d.rack_kb, now) for n in range(d.racks)]
         self.cells = [{} for _ in range(d.cells)]  # their nodes, by id
         for node, state in states:
@@ -200,34 +200,34 @@
     def sizes(self, now, node):
         return (node, self.size(now, node)), (node.rack, node.rack.size(now))
 
-    def put(self, now, ply, node):
-        ply.node, node.plays[ply.id] = node, ply
-        self.seats[ply.ask.product, ply.ask.title] += 1
-        self.weigh(now, ply, 1)
+    def put(self, now, play, node):
+        play.node, node.plays[play.id] = node, play
+        self.seats[play.ask.product, play.ask.title] += 1
+        self.weigh(now, play, 1)
 
-    def put_back(self, now, ply, node, outcome):
-        if ply.node and ply.node.plays.pop(ply.id, None):
-            self.seats[ply.ask.product, ply.ask.title] -= 1
-            self.weigh(now, ply, -1)
-            ply.node = None
+    def put_back(self, now, play, node, outcome):
+        if play.node and play.node.plays.pop(play.id, None):
+            self.seats[play.ask.product, play.ask.title] -= 1
+            self.weigh(now, play, -1)
+            play.node = None
 
-    def adds(self, ply, node, rung):  # of a live stream that is there, only a part of its rate
-        return ply.rate(rung) * (
-            ply.d.join if ply.shares() and node.shared[ply.stream(rung)] else 1
+    def adds(self, play, node, rung):  # of a live stream that is there, only a part of its rate
+        return play.rate(rung) * (
+            play.d.join if play.shares() and node.shared[play.stream(rung)] else 1
         )
 
-    def weigh(self, now, ply, sign):  # into what its node carries (1) or out of it (-1)
-        self.rates, self.count = self.rates + sign * ply.rate(), self.count + sign
-        node, key = ply.node, ply.stream(ply.rung)
+    def weigh(self, now, play, sign):  # into what its node carries (1) or out of it (-1)
+        self.rates, self.count = self.rates + sign * play.rate(), self.count + sign
+        node, key = play.node, play.stream(play.rung)
         node.shared[key] -= sign < 0
-        self.carry(now, node, sign * self.adds(ply, node, ply.rung))
+        self.carry(now, node, sign * self.adds(play, node, play.rung))
         node.shared[key] += sign > 0
         node.shared[key] or node.shared.pop(key)
 
     def carry(self, now, node, change):
         change = max(change, -node.own)
         node.own, node.touched = node.own + change, node.touched + 1
-        if node.state != face.GONE:
+        if node.state != interface.GONE:
             node.rack.own, node.rack.touched = node.rack.own + change, node.rack.touched + 1
         node.log.append((now, change))
         while node.log[0][0] < now - 2 * self.d.seen_after_ms - REPORT_LAG_MS:
--- a/laddergw/control/controller.py
+++ b/laddergw/control/controller.py
@@ -2,7 +2,7 @@
 
 import math
 
-from laddergw import interface as face
+from laddergw import interface
 from laddergw.control.accounts import Fading, Fleet
 from laddergw.control.holders import Holders
 from laddergw.control.plays import RETRY_MS, Allocations, Play
@@ -50,13 +50,13 @@
 
     def asked(self, now, ask):
         self.prices.hinted(ask)
-        ply = self.plays[ask.play] = Play(ask, self.fleet.d, now)
+        play = self.plays[ask.play] = Play(ask, self.fleet.d, now)
         self.allocations.taken.extend([now] * (self.fleet.d.budget_free is not None))
-        return self.done(self.pending.append(ply))
+        return self.done(self.pending.append(play))
 
     def decide(self, now, most=None):  # when all that came together is known: a drain, a leaving
         waiting, self.pending = self.pending[:most], self.pending[most:] if most else []
-        return self.done([verdict for ply in waiting for verdict in self.run(now, ply)])
+        return self.done([verdict for play in waiting for verdict in self.run(now, play)])
 
     def seen(self, now, node_id, others):  # a planner's view: what others ask, kB a second
         if node := self.fleet.nodes.get(node_id):
@@ -64,36 +64,38 @@
         return self.done()
 
     def handed_over(self, now, ask, node_id):
-        ply = self.plays[ask.play] = Play(ask, self.fleet.d, now)
-        ply.started, ply.sends = now, 1
+        play = self.plays[ask.play] = Play(ask, self.fleet.d, now)
+        play.started, play.sends = now, 1
         self.prices.demand[ask.product].add(
-            now, 1 / ply.length
+            now, 1 / play.length
         )  # of plays over length: Little's law
         if node := self.fleet.nodes.get(node_id):
-            self.fleet.put(now, ply, node)
+            self.fleet.put(now, play, node)
         return self.done()
 
-    def playing(self, now, play, number, delay, node_id):
-        if (ply := self.plays.get(play)) and ply.out == number + 1:
-            self.allocations.answered(now, ply, delay)
+    def playing(self, now, play_id, number, delay, node_id):
+        if (play := self.plays.get(play_id)) and play.out == number + 1:
+            self.allocations.answered(now, play, delay)
         return self.done()
 
-    def ended(self, now, play, number, outcome, node_id, over, report):
-        node, ply = self.fleet.nodes.get(node_id), self.plays.get(play)
+    def ended(self, now, play_id, number, outcome, node_id, over, report):
+        node, play = self.fleet.nodes.get(node_id), self.plays.get(play_id)
         node and report and self.rungs.reported(now, node, report)
-        if ply and ply.sends - 1 == number and ply not in self.pending:
+        if play and play.sends - 1 == number and play not in self.pending:
             for _, back in reversed(self.chain):
-                back and back(now, ply, node or ply.node, outcome)
-            self.plays.pop(play) if over or ply.started is not None else self.pending.append(ply)
+                back and back(now, play, node or play.node, outcome)
+            self.plays.pop(play_id) if over or play.started is not None else self.pending.append(
+                play
+            )
         return self.done()
 
     def probed(self, now, node_id, outcome, delay, report):
         if (node := self.fleet.nodes.get(node_id)) is None:
             return self.done()
         node.asked, out = None, []
-        if outcome == face.SERVED and report:
+        if outcome == interface.SERVED and report:
             out = self.rungs.reported(now, node, report)
-        elif outcome != face.FULL:  # too many probes at once tell nothing
+        elif outcome != interface.FULL:  # too many probes at once tell nothing
             self.holders.fail(now, node)
         self.pending += self.holders.waited(lambda p: p.asks is node)
         return self.done(out)
@@ -101,23 +103,23 @@
     def mail(self, now, sender, loads, shares):
         return self.done(self.rungs.mail(now, loads, shares))
 
-    def note(self, now, play, node_id, kind, value):
-        return self.done(self.rungs.note(now, self.plays.get(play), node_id, kind, value))
+    def note(self, now, play_id, node_id, kind, value):
+        return self.done(self.rungs.note(now, self.plays.get(play_id), node_id, kind, value))
 
-    def left(self, now, play):
-        if ply := self.plays.get(play):
-            ply.over = True  # it keeps its place until its allocation is told to end
+    def left(self, now, play_id):
+        if play := self.plays.get(play_id):
+            play.over = True  # it keeps its place until its allocation is told to end
         return self.done()
 
     def wake(self, now):
-        out = [face.Verdict(follow=True)] if now >= self.ask_at else []
+        out = [interface.Verdict(follow=True)] if now >= self.ask_at else []
         self.ask_at = math.inf if out else self.ask_at
         self.pending += self.holders.waited(lambda p: now >= p.until)
         if now >= self.next_look:
             self.next_look = now + LOOK_MS
             self.rungs.try_more(now, self.plays)
             out += (
-                [face.Verdict(probe=self.rungs.look_up(now, self.plays))]
+                [interface.Verdict(probe=self.rungs.look_up(now, self.plays))]
                 if self.fleet.blind
                 else []
             )
@@ -130,12 +132,12 @@
         )  # all wait equally long: it came first
         return verdicts or [], min(self.next_look, self.ask_at, first.until if first else math.inf)
 
-    def run(self, now, ply):  # each stage passes a play on (None) or ends it (a verdict)
+    def run(self, now, play):  # each stage passes a play on (None) or ends it (a verdict)
         verdict = (
-            None if ply.over else next(filter(None, (stage(now, ply) for stage, _ in self.chain)))
+            None if play.over else next(filter(None, (stage(now, play) for stage, _ in self.chain)))
         )
-        if ply.over or verdict.answer:  # left meanwhile: no answer is owed
-            self.plays.pop(ply.id, None)
-        if ply.id not in self.holders.waiting:
-            self.prices.came(now, ply)
+        if play.over or verdict.answer:  # left meanwhile: no answer is owed
+            self.plays.pop(play.id, None)
+        if play.id not in self.holders.waiting:
+            self.prices.came(now, play)
         return [verdict] if verdict else []
--- a/laddergw/control/holders.py
+++ b/laddergw/control/holders.py
@@ -6,7 +6,7 @@
 from operator import attrgetter
 from zlib import crc32
 
-from laddergw import interface as face
+from laddergw import interface
 from laddergw.control.accounts import DOUBT, MIX
 from laddergw.control.plays import give_up
 
@@ -28,26 +28,26 @@
     def __init__(self, fleet):
         self.fleet, self.waiting = fleet, {}
 
-    def holding(self, now, ply):  # holders that the list calls ready, most room first
+    def holding(self, now, play):  # holders that the list calls ready, most room first
         fleet, d = self.fleet, self.fleet.d
-        home, copies = int(ply.ask.home), min(int(ply.ask.copies) or d.cells, d.cells)
-        ply.holders = [
+        home, copies = int(play.ask.home), min(int(play.ask.copies) or d.cells, d.cells)
+        play.holders = [
             n
             for j in range(copies)
             for n in fleet.cells[(home + j) % d.cells].values()
-            if n.state == face.READY and n.id not in ply.tried
+            if n.state == interface.READY and n.id not in play.tried
         ]
-        if ply.may_have_run and ply.product.repeat == "keyed":
+        if play.may_have_run and play.product.repeat == "keyed":
             alike = {"zone": attrgetter("zone"), "cell": attrgetter("cell")}.get(
-                ply.product.group, bool
+                play.product.group, bool
             )
-            ply.holders = [
-                n for n in ply.holders if now < ply.key_ends and alike(n) == alike(ply.first)
+            play.holders = [
+                n for n in play.holders if now < play.key_ends and alike(n) == alike(play.first)
             ]
-        shares, need = ply.shares(), ply.rate(ply.highest())
+        shares, need = play.shares(), play.rate(play.highest())
         # Where many directors know little, like accounts rank alike: what was not told of a link is
         # drawn
-        for n in ply.holders:
+        for n in play.holders:
             state = now, d, fleet.crowd, n.touched, n.rack.touched
             if n.roomed != state:  # once a moment, not once a play in a heap of thousands
                 n.roomed, n.room, n.doubt = state, fleet.room(now, n), n.links - n.known.now(now)
@@ -59,8 +59,8 @@
             )
             if shares:  # a common draw: all directors' viewers meet there
                 n.rank = math.inf if n.room > need else n.room
-                n.draw = crc32(b"%d %d" % (n.id, ply.ask.title)) * MIX % 2**32
-        ply.holders.sort(key=lambda n: (fleet.crossing(n), -n.rank, n.draw))
+                n.draw = crc32(b"%d %d" % (n.id, play.ask.title)) * MIX % 2**32
+        play.holders.sort(key=lambda n: (fleet.crossing(n), -n.rank, n.draw))
 
     def turn(
         self, now, node
@@ -101,28 +101,33 @@
         return node.last_send < node.cold or self.planned(node, node.last_send) < plan - since
 
     def health(
-        self, now, ply
+        self, now, play
     ):  # skips who rests, had its share while cold, or (paid plays) failed lately
-        ply.holders = [
+        play.holders = [
             n
-            for n in ply.holders
+            for n in play.holders
             if now >= n.rest
             and n.paced
             and not (
-                n.ill and (ply.product.repeat == "paid" or any(p.out for p in n.plays.values()))
+                n.ill and (play.product.repeat == "paid" or any(p.out for p in n.plays.values()))
             )
         ]
-        return None if ply.holders else give_up(self.fleet, ply)
-
-    def health_back(self, now, ply, node, outcome):
-        if node and outcome in (face.ERROR, face.TIMED_OUT, face.UNREACHABLE, face.BROKEN):
+        return None if play.holders else give_up(self.fleet, play)
+
+    def health_back(self, now, play, node, outcome):
+        if node and outcome in (
+            interface.ERROR,
+            interface.TIMED_OUT,
+            interface.UNREACHABLE,
+            interface.BROKEN,
+        ):
             self.fail(now, node)
             if outcome in (
-                face.UNREACHABLE,
-                face.BROKEN,
+                interface.UNREACHABLE,
+                interface.BROKEN,
             ):  # it may be starting: pace it when it answers
                 node.pace, node.early = now, self.fleet.chance()
-        elif node and outcome == face.FULL:  # fuller than we were told
+        elif node and outcome == interface.FULL:  # fuller than we were told
             node.hear(
                 now, max(node.others(now, self.fleet.crowd), self.fleet.size(now, node) - node.own)
             )
@@ -133,15 +138,15 @@
             node.rest = now + ILL_MS * 2**node.ill * (1 + self.fleet.chance())
             node.ill = min(node.ill + 1, ILL_MOST)
 
-    def inquire(self, now, ply):  # where load is told to probes only: asks the first holder first
-        ply.holders.sort(key=lambda n: n.asked is not None and now - n.asked >= ECHO_WAIT_MS)
+    def inquire(self, now, play):  # where load is told to probes only: asks the first holder first
+        play.holders.sort(key=lambda n: n.asked is not None and now - n.asked >= ECHO_WAIT_MS)
         # What left a probe unanswered comes last, it may stand still; too near its limit a play
         # does not ask
-        node, late = ply.holders[0], ply.limit - now <= 2 * ECHO_WAIT_MS
-        if not self.fleet.blind or ply.until is not None or late or now - node.heard <= FRESH_MS:
+        node, late = play.holders[0], play.limit - now <= 2 * ECHO_WAIT_MS
+        if not self.fleet.blind or play.until is not None or late or now - node.heard <= FRESH_MS:
             return None
-        ply.until, ply.asks, self.waiting[ply.id] = now + ECHO_WAIT_MS, node, ply
-        return face.Verdict(ply.id, probe=probe(now, [node]))
+        play.until, play.asks, self.waiting[play.id] = now + ECHO_WAIT_MS, node, play
+        return interface.Verdict(play.id, probe=probe(now, [node]))
 
     def waited(self, done):
         return [self.waiting.pop(p.id) for p in list(self.waiting.values()) if done(p)]
--- a/laddergw/control/plays.py
+++ b/laddergw/control/plays.py
@@ -2,7 +2,7 @@
 
 from collections import deque
 
-from laddergw import interface as face
+from laddergw import interface
 
 LENGTH_MS, LENGTH_STEP = (
     40_000.0,
@@ -70,50 +70,52 @@
         self.fleet, self.prices, self.usual = fleet, prices, ANSWER_START_MS
         self.taken, self.further = deque(), deque()  # times for the budget
 
-    def terms(self, now, ply):
-        row, held = ply.product, self.fleet.seats[ply.ask.product, ply.ask.title]
-        barred = (ply.may_have_run and row.repeat == "paid") or (row.seats and held >= row.seats)
-        barred = barred or row.floor > ply.highest() or now >= ply.limit
-        if barred or ply.sends >= self.fleet.d.max_allocations:
-            return give_up(self.fleet, ply)
+    def terms(self, now, play):
+        row, held = play.product, self.fleet.seats[play.ask.product, play.ask.title]
+        barred = (play.may_have_run and row.repeat == "paid") or (row.seats and held >= row.seats)
+        barred = barred or row.floor > play.highest() or now >= play.limit
+        if barred or play.sends >= self.fleet.d.max_allocations:
+            return give_up(self.fleet, play)
 
-    def ration(self, now, ply):  # the stated budget, counted over a sliding window
-        if ply.sends and (d := self.fleet.d).budget_free is not None:
+    def ration(self, now, play):  # the stated budget, counted over a sliding window
+        if play.sends and (d := self.fleet.d).budget_free is not None:
             late = d.connect_ms + 1  # it leaves so much later, or never; 1: rounding
             for times, slack in (self.taken, late), (self.further, -late):
                 while times and times[0] < now - d.budget_ms + slack:
                     times.popleft()
             if len(self.further) + 1 > d.budget_free + d.budget_share * len(self.taken):
-                return give_up(self.fleet, ply)
+                return give_up(self.fleet, play)
             self.further.append(now)
 
-    def send(self, now, ply):
-        node, due, most = ply.holders[0], ply.limit - now, self.fleet.d.max_allocations
-        least = max(WAIT_MS, due * (ply.product.repeat == "paid" or ply.sends + 1 >= most))
-        ply.first, node.last_send = ply.first or node, now
-        ply.out = ply.sends = ply.sends + 1
-        ply.tried.add(node.id)
+    def send(self, now, play):
+        node, due, most = play.holders[0], play.limit - now, self.fleet.d.max_allocations
+        least = max(WAIT_MS, due * (play.product.repeat == "paid" or play.sends + 1 >= most))
+        play.first, node.last_send = play.first or node, now
+        play.out = play.sends = play.sends + 1
+        play.tried.add(node.id)
         for setups in node.setups, self.prices.setups:
             setups.add(now, 1)
-        self.fleet.put(now, ply, node)
-        return face.Verdict(ply.id, node.id, ply.rung, min(due, max(PATIENCE * self.usual, least)))
+        self.fleet.put(now, play, node)
+        return interface.Verdict(
+            play.id, node.id, play.rung, min(due, max(PATIENCE * self.usual, least))
+        )
 
-    def send_back(self, now, ply, node, outcome):
-        ply.until = ply.out = None
-        if outcome not in (face.FULL, face.UNREACHABLE, face.NEVER_SENT):
-            ply.may_have_run = True
+    def send_back(self, now, play, node, outcome):
+        play.until = play.out = None
+        if outcome not in (interface.FULL, interface.UNREACHABLE, interface.NEVER_SENT):
+            play.may_have_run = True
 
-    def answered(self, now, ply, delay):
-        ply.started, ply.changed, ply.out = now, now, None
+    def answered(self, now, play, delay):
+        play.started, play.changed, play.out = now, now, None
         self.usual += ANSWER_STEP * (delay - self.usual)
-        ply.node.ill, ply.node.rest = max(0, ply.node.ill - 2), 0.0
+        play.node.ill, play.node.rest = max(0, play.node.ill - 2), 0.0
 
 
 def give_up(
-    fleet, ply
+    fleet, play
 ):  # the final answer at once: a decline with a time to come back, where none ran
-    row, wait = ply.product, min(RETRY_MS, fleet.d.retry_max_ms) * (1 + fleet.chance()) / 2
+    row, wait = play.product, min(RETRY_MS, fleet.d.retry_max_ms) * (1 + fleet.chance()) / 2
     runs_once = row.repeat == "paid" or (row.repeat == "keyed" and row.group != "all")
-    if ply.may_have_run and runs_once:
-        return face.Verdict(ply.id, answer=face.FAILED)
-    return face.Verdict(ply.id, answer=face.DECLINED, retry_ms=wait)
+    if play.may_have_run and runs_once:
+        return interface.Verdict(play.id, answer=interface.FAILED)
+    return interface.Verdict(play.id, answer=interface.DECLINED, retry_ms=wait)
--- a/laddergw/control/prices.py
+++ b/laddergw/control/prices.py
@@ -27,24 +27,24 @@
         )
 
     def came(
-        self, now, ply
+        self, now, play
     ):  # after its pricing; no further tries: a storm of them priced all out, for go
-        self.demand[ply.ask.product].add(now, (not (ply.seen or ply.ask.again)) / FORECAST_MS)
-        ply.seen = True
+        self.demand[play.ask.product].add(now, (not (play.seen or play.ask.again)) / FORECAST_MS)
+        play.seen = True
 
-    def price(self, now, ply):  # the first holder that makes an offer gets the play
-        for node in ply.holders:
-            rung = self.offer(now, ply, node, ply.length, node.room)
+    def price(self, now, play):  # the first holder that makes an offer gets the play
+        for node in play.holders:
+            rung = self.offer(now, play, node, play.length, node.room)
             if rung is not None:
-                ply.rung, ply.holders = rung, [node]
+                play.rung, play.holders = rung, [node]
                 return None
-        return give_up(self.fleet, ply)
+        return give_up(self.fleet, play)
 
-    def offer(self, now, ply, node, lk, room, held=None):
+    def offer(self, now, play, node, lk, room, held=None):
         """The highest rung that fits and whose payoff beats its cost at the node, or None."""
         fleet = self.fleet
         if held is None and (
-            fleet.adds(ply, node, ply.product.floor) > node.over
+            fleet.adds(play, node, play.product.floor) > node.over
             or node.streams - len(node.plays) - fleet.other_streams(now, node) < 1
         ):
             return None
@@ -54,32 +54,32 @@
             link / fleet.size(now, node) + uplink / node.rack.size(now),
         )
         chosen, below, has = None, (0.0, 0.0), 0.0
-        cross = fleet.crossing(node) * ply.product.importance * lk if held is None else 0.0
+        cross = fleet.crossing(node) * play.product.importance * lk if held is None else 0.0
         if held is not None:  # a play under way: what it has, and what a change costs
-            has = ply.rate(held) * (
-                ply.d.join if ply.shares() and node.shared[ply.stream(held)] > 1 else 1
+            has = play.rate(held) * (
+                play.d.join if play.shares() and node.shared[play.stream(held)] > 1 else 1
             )
             below = (
-                ply.product.importance * (ply.d.rung_worth[held] * lk + fleet.d.step_cost_ms),
+                play.product.importance * (play.d.rung_worth[held] * lk + fleet.d.step_cost_ms),
                 lk / 2 * (place + has * kb),
             )
-        for rung in range(ply.product.floor if held is None else held + 1, ply.highest() + 1):
-            rate = fleet.adds(ply, node, rung)
-            payoff = ply.product.importance * ply.d.rung_worth[rung] * lk
+        for rung in range(play.product.floor if held is None else held + 1, play.highest() + 1):
+            rate = fleet.adds(play, node, rung)
+            payoff = play.product.importance * play.d.rung_worth[rung] * lk
             cost = cross + lk / 2 * (place + rate * kb)
-            least = held is None and rung == ply.product.floor  # a low play beats a decline
+            least = held is None and rung == play.product.floor  # a low play beats a decline
             # Each step must pay for what it adds: a top rung can pay as a whole while its last step
             # does not
             if (rate - has <= room or least) and payoff - below[0] > (cost - below[1]) * SURE:
                 chosen, below = rung, (payoff, cost)
         return chosen
 
-    def pays(self, now, ply):  # its last step, by the admission's test
-        if (size := self.fleet.size(now, ply.node)) <= 0:  # weighted out
+    def pays(self, now, play):  # its last step, by the admission's test
+        if (size := self.fleet.size(now, play.node)) <= 0:  # weighted out
             return False
-        lk, (_, link, uplink) = ply.left(now), self.shadow_prices(now, ply.node, ply.left(now))
-        kb = link / size + uplink / ply.node.rack.size(now)
-        return ply.gain(ply.rung - 1) * lk > lk / 2 * ply.frees() * kb * SURE
+        lk, (_, link, uplink) = play.left(now), self.shadow_prices(now, play.node, play.left(now))
+        kb = link / size + uplink / play.node.rack.size(now)
+        return play.gain(play.rung - 1) * lk > lk / 2 * play.frees() * kb * SURE
 
     def shadow_prices(
         self, now, node, lk
--- a/laddergw/control/rungs.py
+++ b/laddergw/control/rungs.py
@@ -2,7 +2,7 @@
 
 import math
 
-from laddergw import interface as face
+from laddergw import interface
 from laddergw.control.accounts import ABSURD, MARGIN, REPORT_LAG_MS
 from laddergw.control.holders import probe
 
@@ -30,21 +30,21 @@
     def __init__(self, fleet, prices):
         self.fleet, self.prices, self.loads, self.shorts = fleet, prices, {}, {}
 
-    def note(self, now, ply, node_id, kind, value):
+    def note(self, now, play, node_id, kind, value):
         fleet, node = self.fleet, self.fleet.nodes.get(node_id)
-        fresh = ply and ply.first and ply.started is not None and now - ply.started < 1
+        fresh = play and play.first and play.started is not None and now - play.started < 1
         kind = kind if node and 0 <= value < ABSURD else None  # also NaN and infinite: no note
-        if kind == face.RUNG_NOW and ply and ply.node is node:
-            self.step(now, ply, min(int(value), len(ply.d.ladder) - 1))
-            ply.changed = -math.inf  # not our change: it may step up at once
-        elif kind == face.LINK_ASKED:
+        if kind == interface.RUNG_NOW and play and play.node is node:
+            self.step(now, play, min(int(value), len(play.d.ladder) - 1))
+            play.changed = -math.inf  # not our change: it may step up at once
+        elif kind == interface.LINK_ASKED:
             fleet.told(now, node, value, 0.0 if fresh else fleet.d.seen_after_ms)
             return self.shed(now, node, [node], value) or self.step_up(now, node)
-        elif kind == face.UPLINK_ASKED and value > 0:
+        elif kind == interface.UPLINK_ASKED and value > 0:
             node.rack.heard = now
             node.rack.learn(now, fleet.load(now, node.rack) / value)
             return self.shed(now, node.rack, node.rack.members.values(), value)
-        elif kind == face.DELIVERED and value < SHORT:
+        elif kind == interface.DELIVERED and value < SHORT:
             return self.delivered(now, node, node.rack, max(value, 0.1))
 
     def delivered(
@@ -93,7 +93,7 @@
             node = self.fleet.nodes.get(node_id)
             if (
                 node
-                and node.state != face.GONE
+                and node.state != interface.GONE
                 and 0 <= asked < ABSURD
                 and now - node.heard > LOOK_MS
             ):
@@ -121,7 +121,7 @@
             :many
         ]
         self.loads, self.shorts = {}, {}
-        return face.Verdict(tell=tuple(peers), loads=loads, shares=shares)
+        return interface.Verdict(tell=tuple(peers), loads=loads, shares=shares)
 
     def shed(
         self, now, short, nodes, asked
@@ -167,11 +167,11 @@
                 want -= p.rate() - had
         return out
 
-    def step(self, now, ply, rung):
-        self.fleet.weigh(now, ply, -1)
-        ply.rung, ply.changed = rung, now
-        self.fleet.weigh(now, ply, 1)
-        return face.Verdict(ply.id, rung=rung)
+    def step(self, now, play, rung):
+        self.fleet.weigh(now, play, -1)
+        play.rung, play.changed = rung, now
+        self.fleet.weigh(now, play, 1)
+        return interface.Verdict(play.id, rung=rung)
 
     def may_rise(self, now, p):
         return (
@@ -188,7 +188,10 @@
         for node in {p.node.id: p.node for p in plays.values() if p.node and not p.out}.values():
             if node.next_up is None:  # not all at once after a start
                 node.next_up = now + self.fleet.chance() * ECHO_GAP_MS
-            if now < max(node.next_up, node.heard + ECHO_GAP_MS / 2) or node.state == face.GONE:
+            if (
+                now < max(node.next_up, node.heard + ECHO_GAP_MS / 2)
+                or node.state == interface.GONE
+            ):
                 continue
             if cost < sum(
                 p.gain(p.rung) * p.left(now) for p in node.plays.values() if self.may_rise(now, p)
--- a/laddergw/machines/allocation.py
+++ b/laddergw/machines/allocation.py
@@ -17,17 +17,17 @@
 import math
 from typing import NamedTuple
 
-from laddergw import interface as face
+from laddergw import interface
 
 WAITING, OUT, HELD, ENDING, GONE = "waiting", "out", "held", "ending", "gone"
 GRACE_MS = (
     60.0  # a lease outlives its time-out by this: an answer just in time can still be confirmed
 )
 REFUSALS = {
-    503: face.FULL,
-    410: face.FULL,
-    409: face.UNREACHABLE,
-    429: face.FULL,
+    503: interface.FULL,
+    410: interface.FULL,
+    409: interface.UNREACHABLE,
+    429: interface.FULL,
 }  # by the protocol: it never ran
 
 
@@ -100,8 +100,8 @@
             return Step(playing=True, confirm=True)
         if status == 201:  # too late to be confirmed before its lease ends, or not to be understood
             self.ran = True
-            return self.ending(face.TIMED_OUT if sound else face.ERROR)
-        return self.gone(REFUSALS.get(status, face.ERROR))
+            return self.ending(interface.TIMED_OUT if sound else interface.ERROR)
+        return self.gone(REFUSALS.get(status, interface.ERROR))
 
     def cut(self, written: int, size: int) -> Step:
         """The set-up's connection ended before its answer.
@@ -112,43 +112,43 @@
             return self.gone(self.never_ran()) if written < size else NOTHING
         if self.state not in (WAITING, OUT):
             return NOTHING
-        return self.gone(face.UNREACHABLE) if written < size else self.ending(face.BROKEN)
+        return self.gone(interface.UNREACHABLE) if written < size else self.ending(interface.BROKEN)
 
     def timed_out(self, now: float, written: int, size: int) -> Step:
         if self.state not in (WAITING, OUT):
             return NOTHING
         if written < size:  # also when none was written: no connection came in time
-            return self.gone(face.UNREACHABLE, drop_call=True)
-        return self.ending(face.TIMED_OUT)
+            return self.gone(interface.UNREACHABLE, drop_call=True)
+        return self.ending(interface.TIMED_OUT)
 
     def taken_back(self) -> Step:
         """The request left no byte of this process and was given up: its node drains, or the
         director stops.
         """
-        return self.gone(face.NEVER_SENT) if self.state == WAITING else NOTHING
+        return self.gone(interface.NEVER_SENT) if self.state == WAITING else NOTHING
 
     def viewer_left(self, written: int, size: int) -> Step:
         if self.state == HELD:
-            return self.ending(face.SERVED)
+            return self.ending(interface.SERVED)
         if self.state in (WAITING, OUT):
             if written < size:
-                return self.gone(face.CANCELLED, drop_call=True)
-            return self.ending(face.CANCELLED)
+                return self.gone(interface.CANCELLED, drop_call=True)
+            return self.ending(interface.CANCELLED)
         return NOTHING
 
     def moved(self) -> Step:
-        return self.ending(face.CANCELLED) if self.state == HELD else NOTHING
+        return self.ending(interface.CANCELLED) if self.state == HELD else NOTHING
 
     def useless(self) -> Step:
         """It is held, but the viewer gets nothing: the node lets go, and the module hears that it
         broke.
         """
-        return self.ending(face.BROKEN) if self.state == HELD else NOTHING
+        return self.ending(interface.BROKEN) if self.state == HELD else NOTHING
 
     def node_ended(self, finished: bool) -> Step:
         """The node says that the allocation is over there."""
         if self.state == HELD:
-            return self.gone(face.SERVED if finished else face.BROKEN)
+            return self.gone(interface.SERVED if finished else interface.BROKEN)
         if self.state == ENDING:
             return self.gone(self.reason)
         return NOTHING
@@ -160,7 +160,7 @@
         return self.gone(self.reason if ran or self.ran else self.never_ran(), drop_call=True)
 
     def never_ran(self) -> str:
-        return face.CANCELLED if self.reason == face.CANCELLED else face.UNREACHABLE
+        return interface.CANCELLED if self.reason == interface.CANCELLED else interface.UNREACHABLE
 
     def let_go_by(self, now: float) -> float:
         """It was given up now: from when on it counts as over though the node says nothing."""
@@ -180,9 +180,9 @@
         holds nothing that was confirmed.
         """
         if self.state == HELD:
-            return self.gone(face.BROKEN)
+            return self.gone(interface.BROKEN)
         if self.state == ENDING and self.confirmed:
             return self.gone(self.reason, drop_call=True)
         if self.state == OUT:
-            return self.ending(face.BROKEN)
+            return self.ending(interface.BROKEN)
         return NOTHING
--- a/laddergw/machines/life.py
+++ b/laddergw/machines/life.py
@@ -15,14 +15,14 @@
 
 from typing import NamedTuple
 
-from laddergw import interface as face
+from laddergw import interface
 from laddergw.machines.allocation import Allocation
 from laddergw.machines.door import Turned
 
 NEVER_RAN = (
-    face.FULL,
-    face.UNREACHABLE,
-    face.NEVER_SENT,
+    interface.FULL,
+    interface.UNREACHABLE,
+    interface.NEVER_SENT,
 )  # outcomes after which a set-up has provably not run
 TRIES_OVER = "it was tried as often as its terms allow"
 AGAIN_MS = (
@@ -115,9 +115,9 @@
         that must not be run again.
         """
         if self.may_have_run and self.repeat != "safe":
-            return face.FAILED, None
+            return interface.FAILED, None
         low, high = AGAIN_MS
-        return face.DECLINED, self.retry(low + (high - low) * chance)
+        return interface.DECLINED, self.retry(low + (high - low) * chance)
 
     def retry(self, wanted_ms: float) -> float:
         """When a declined viewer is told to come back: as wanted, inside the file's range."""
--- a/laddergw/platform/admission.py
+++ b/laddergw/platform/admission.py
@@ -6,8 +6,7 @@
 
 import logging
 
-from laddergw.platform import allocation as life
-from laddergw.platform import requests
+from laddergw.platform import allocation, requests
 from laddergw.platform.causes import DECLINED, ENDED, FAILED
 from laddergw.platform.plays import Play
 from laddergw.platform.viewers import OPEN_MOST, Viewer
@@ -92,27 +91,29 @@
             viewer,
             request.ask.wait_ms,
         )
-        ply = self.director.open[session] = viewer.plays[session] = Play(request, session, viewer)
-        ply.limit = self.director.loop.now + max(
+        play = self.director.open[session] = viewer.plays[session] = Play(request, session, viewer)
+        play.limit = self.director.loop.now + max(
             0.0, request.ask.wait_ms - viewer.stalled - EARLY_MS
         )
-        ply.guard = self.director.loop.at(ply.limit + GUARD_MS, lambda: self.overdue(ply))
-        return self.fresh.append(ply)
+        play.guard = self.director.loop.at(play.limit + GUARD_MS, lambda: self.overdue(play))
+        return self.fresh.append(play)
 
     def take_in(self) -> None:
         """At a turn's end: asks for the plays that came in it, or goes on with those whose
         allocation is over. One whose connection has more
         to read waits for that: it may have been taken back there, or its viewer have left."""
         fresh, self.fresh = self.fresh, []
-        for ply in fresh:
-            if self.director.open.get(ply.session) is not ply:
+        for play in fresh:
+            if self.director.open.get(play.session) is not play:
                 continue
-            if ply.viewer.stream.more:
-                self.fresh.append(ply)
-            elif ply.untold is not None:
-                self.director.allocating.ending.tell(ply)
+            if play.viewer.stream.more:
+                self.fresh.append(play)
+            elif play.untold is not None:
+                self.director.allocating.ending.tell(play)
             else:
-                ask = ply.request.ask._replace(wait_ms=max(0.0, ply.limit - self.director.loop.now))
+                ask = play.request.ask._replace(
+                    wait_ms=max(0.0, play.limit - self.director.loop.now)
+                )
                 self.director.feed(self.director.controller.asked, self.director.loop.now, ask)
 
     def takes_over(self, message: binary.Message) -> bool:
@@ -129,10 +130,10 @@
         if session not in self.director.standing:
             self.director.count("handed over")
             log.debug("%s: handed over on %s, plays at node %s", session, viewer, node.id)
-            ply = self.director.standing[session] = node.held[session] = Play(
+            play = self.director.standing[session] = node.held[session] = Play(
                 request, session, viewer
             )
-            ply.node, ply.number, ply.stands = node, 0, True
+            play.node, play.number, play.stands = node, 0, True
             self.director.feed(
                 self.director.controller.handed_over,
                 self.director.loop.now,
@@ -147,18 +148,18 @@
         return binary.AWAY, b"%d" % (ms or 0)
 
     def viewer_ends(self, viewer: Viewer, session: str) -> None:
-        if ply := self.director.standing.get(
+        if play := self.director.standing.get(
             session
         ):  # it gave up as our answer left: what stood is released to it too
-            log.debug("%s.%d: ended by its viewer on %s", ply.session, ply.number, viewer)
-            self.director.allocating.release(ply)
+            log.debug("%s.%d: ended by its viewer on %s", play.session, play.number, viewer)
+            self.director.allocating.release(play)
             self.director.listener.send(
                 viewer, binary.RELEASE, session, (binary.CAUSE, bytes([ENDED]))
             )
-            self.director.feed(self.director.controller.left, self.director.loop.now, ply.id)
-            self.director.allocating.ending.ended(ply, life.HELD, life.GIVEN_UP)
-        elif (ply := self.director.open.get(session)) and ply.viewer is viewer:
-            return self.given_up(ply)
+            self.director.feed(self.director.controller.left, self.director.loop.now, play.id)
+            self.director.allocating.ending.ended(play, allocation.HELD, allocation.GIVEN_UP)
+        elif (play := self.director.open.get(session)) and play.viewer is viewer:
+            return self.given_up(play)
         elif (
             session not in self.director.open
         ):  # its hand-over may be on its way on another connection
@@ -166,63 +167,63 @@
         return viewer.write(binary.HEARD, session)
 
     def overtaken(self, viewer: Viewer, session: str) -> None:
-        if (ply := self.director.standing.get(session)) and ply.request.at:
+        if (play := self.director.standing.get(session)) and play.request.at:
             self.viewer_ends(viewer, session)
 
-    def given_up(self, ply: Play) -> None:
+    def given_up(self, play: Play) -> None:
         """The viewer waits no more: no answer is owed, and its allocation ends."""
-        if self.director.open.pop(ply.session, None) is None:
+        if self.director.open.pop(play.session, None) is None:
             return
-        log.debug("%s: given up by its viewer", ply.session)
+        log.debug("%s: given up by its viewer", play.session)
         self.director.count("given up")
-        ply.viewer.plays.pop(ply.session, None)
-        ply.stop_timers()
-        self.director.feed(self.director.controller.left, self.director.loop.now, ply.id)
-        self.director.allocating.give_up(ply)
+        play.viewer.plays.pop(play.session, None)
+        play.stop_timers()
+        self.director.feed(self.director.controller.left, self.director.loop.now, play.id)
+        self.director.allocating.give_up(play)
 
-    def overdue(self, ply: Play) -> None:
+    def overdue(self, play: Play) -> None:
         """The last guard of the one answer: whatever holds it up, it is failed in time."""
-        ply.guard = None
-        if ply.session in self.director.open:
-            log.info("%s: overdue, failed by the last guard", ply.session)
+        play.guard = None
+        if play.session in self.director.open:
+            log.info("%s: overdue, failed by the last guard", play.session)
             self.director.count("overdue")
-            self.director.feed(self.director.controller.left, self.director.loop.now, ply.id)
-            if ply.session in self.director.open:
-                self.finish(ply, FAILED)
+            self.director.feed(self.director.controller.left, self.director.loop.now, play.id)
+            if play.session in self.director.open:
+                self.finish(play, FAILED)
 
-    def finish(self, ply: Play, cause: int, *more: tuple[int, bytes]) -> None:
+    def finish(self, play: Play, cause: int, *more: tuple[int, bytes]) -> None:
         """The final answer of a play that does not stand."""
-        if self.director.open.pop(ply.session, None) is None:
+        if self.director.open.pop(play.session, None) is None:
             return
-        ply.viewer.plays.pop(ply.session, None)
-        ply.stop_timers()
+        play.viewer.plays.pop(play.session, None)
+        play.stop_timers()
         log.debug(
             "%s: answered with cause %d on %s after %d set-ups",
-            ply.session,
+            play.session,
             cause,
-            ply.viewer,
-            ply.number + 1,
+            play.viewer,
+            play.number + 1,
         )
         self.director.count("declined" if cause == DECLINED else "failed")
-        ply.viewer.refuse(ply.session, cause, *more)
-        self.director.allocating.give_up(ply)
+        play.viewer.refuse(play.session, cause, *more)
+        self.director.allocating.give_up(play)
 
-    def stand(self, ply: Play, description: bytes) -> None:
+    def stand(self, play: Play, description: bytes) -> None:
         """The play stands: its viewer gets the description that its node gave."""
-        del self.director.open[ply.session]
-        ply.viewer.plays.pop(ply.session, None)
-        ply.stop_timers()
-        ply.stands = True
-        self.director.standing[ply.session] = ply.node.held[ply.session] = ply
-        ply.viewer.write(binary.ANSWER, ply.session, (binary.DESCRIPTION, description))
-        self.director.listener.prove(ply.viewer)
-        log.debug("%s.%d: plays, answered on %s", ply.session, ply.number, ply.viewer)
+        del self.director.open[play.session]
+        play.viewer.plays.pop(play.session, None)
+        play.stop_timers()
+        play.stands = True
+        self.director.standing[play.session] = play.node.held[play.session] = play
+        play.viewer.write(binary.ANSWER, play.session, (binary.DESCRIPTION, description))
+        self.director.listener.prove(play.viewer)
+        log.debug("%s.%d: plays, answered on %s", play.session, play.number, play.viewer)
         self.director.count("playing")
         self.director.feed(
             self.director.controller.playing,
             self.director.loop.now,
-            ply.id,
-            ply.number,
-            self.director.loop.now - ply.sent_at,
-            ply.node.number,
+            play.id,
+            play.number,
+            self.director.loop.now - play.sent_at,
+            play.node.number,
         )
--- a/laddergw/platform/allocating.py
+++ b/laddergw/platform/allocating.py
@@ -4,9 +4,8 @@
 
 import logging
 
-from laddergw import interface as face
-from laddergw.platform import allocation as life
-from laddergw.platform import reports, requests
+from laddergw import interface
+from laddergw.platform import allocation, reports, requests
 from laddergw.platform.causes import ENDED
 from laddergw.platform.connection import Connection
 from laddergw.platform.ending import Ending
@@ -34,17 +33,17 @@
         self.director, self.count = director, director.count
         self.ending = Ending(director)
 
-    def allocate(self, ply: Play, verdict: face.Verdict) -> None:
-        ply.number, ply.sent_at = ply.number + 1, self.director.loop.now
-        node = ply.node = self.director.nodes.by_number.get(verdict.node)
+    def allocate(self, play: Play, verdict: interface.Verdict) -> None:
+        play.number, play.sent_at = play.number + 1, self.director.loop.now
+        node = play.node = self.director.nodes.by_number.get(verdict.node)
         connection = (
             None if node is None or node.gone or verdict.timeout_ms <= 0 else node.free_connection()
         )
         if connection is None:
             log.debug(
                 "%s.%d: not sent, node %s is %s",
-                ply.session,
-                ply.number,
+                play.session,
+                play.number,
                 node and node.id,
                 "unknown"
                 if node is None
@@ -54,15 +53,15 @@
                 if verdict.timeout_ms > 0
                 else "left no time",
             )
-            return self.ending.tell_end(ply, face.NEVER_SENT)
-        r = ply.request
-        node.open[ply.session], ply.connection = ply, connection
+            return self.ending.tell_end(play, interface.NEVER_SENT)
+        r = play.request
+        node.open[play.session], play.connection = play, connection
         connection.set_up(
-            ply,
+            play,
             rtsp.request(
                 "SETUP",
                 r.title,
-                ply.session,
+                play.session,
                 (
                     ("Subject", r.product),
                     ("X-Patience", str(max(1, int(verdict.timeout_ms)))),
@@ -73,68 +72,70 @@
         )
         log.debug(
             "%s.%d %s: to node %s on %s, time-out %.0f ms",
-            ply.session,
-            ply.number,
+            play.session,
+            play.number,
             r.product,
             node.id,
-            ply.connection,
+            play.connection,
             verdict.timeout_ms,
         )
-        ply.timer = self.director.loop.after(verdict.timeout_ms, lambda: self.late(ply))
+        play.timer = self.director.loop.after(verdict.timeout_ms, lambda: self.late(play))
 
     def say(self, node: Node, data: bytes, ends: str = "") -> None:
         """To a node about a play that stands, or that this `ends`, on any connection."""
         self.director.nodes.say(node, data, ends)
 
-    def release(self, ply: Play) -> None:
-        log.debug("%s.%d: release to node %s", ply.session, ply.number, ply.node.id)
+    def release(self, play: Play) -> None:
+        log.debug("%s.%d: release to node %s", play.session, play.number, play.node.id)
         self.say(
-            ply.node,
+            play.node,
             rtsp.request(
-                "TEARDOWN", ply.request.title, ply.session, (("Reason", f"cause={ENDED}"),)
+                "TEARDOWN", play.request.title, play.session, (("Reason", f"cause={ENDED}"),)
             ),
-            ply.session,
+            play.session,
         )
 
     def answered(self, node: Node, connection: Connection, message: rtsp.Message) -> None:
         """A media node has answered an open set-up. Of a description that may be cut short the rest
         may be on its way, which would show
         that its length is wrong; what begins another message has shown that it is right."""
-        ply = connection.plays[message.session]
+        play = connection.plays[message.session]
         complete = connection.reader.another_begun() or not description.may_be_cut(
-            message.body, ply.request.description
+            message.body, play.request.description
         )
-        if complete or life.answer(message.status) != life.THERE or not message.body:
+        if complete or allocation.answer(message.status) != allocation.THERE or not message.body:
             return self.take_answer(node, connection, message)
         self.director.loop.after(
             REST_MS,
             lambda: (
-                connection.plays.get(ply.session) is ply
+                connection.plays.get(play.session) is play
                 and self.take_answer(node, connection, message)
             ),
         )
         return None
 
     def take_answer(self, node: Node, connection: Connection, message: rtsp.Message) -> None:
-        ply = connection.plays[message.session]
-        fact = life.answer(message.status)
-        if fact == life.THERE and not message.body:
-            connection.end(life.SPOILT)  # an answer without its description cannot be passed on
+        play = connection.plays[message.session]
+        fact = allocation.answer(message.status)
+        if fact == allocation.THERE and not message.body:
+            connection.end(
+                allocation.SPOILT
+            )  # an answer without its description cannot be passed on
             return node.renew()
-        state = connection.settle(ply.session)
-        ply.connection = None
-        node.open.pop(ply.session, None)
+        state = connection.settle(play.session)
+        play.connection = None
+        node.open.pop(play.session, None)
         log.debug(
             "%s.%d: node %s answers %d after %.0f ms",
-            ply.session,
-            ply.number,
+            play.session,
+            play.number,
             node.id,
             message.status,
-            self.director.loop.now - ply.sent_at,
+            self.director.loop.now - play.sent_at,
         )
-        if fact == life.THERE:
-            return self.director.admission.stand(ply, message.body)
-        return self.ending.ended(ply, state, fact, self.report_of(message))
+        if fact == allocation.THERE:
+            return self.director.admission.stand(play, message.body)
+        return self.ending.ended(play, state, fact, self.report_of(message))
 
     def report_of(self, message: rtsp.Message) -> tuple[float, ...]:
         """The load report that a message carries, or nothing."""
@@ -142,12 +143,12 @@
 
     def told(self, node: Node, connection: Connection, message: rtsp.Message) -> None:
         """A media node speaks of a play: a note, or its release."""
-        ply = node.held.get(message.session) or node.open.get(message.session)
+        play = node.held.get(message.session) or node.open.get(message.session)
         if message.method == "TEARDOWN":
             connection.stream.write(
                 rtsp.answer(200, "OK", message.sequence or "2", message.session)
             )
-            if ply is None:
+            if play is None:
                 log.debug(
                     "%s: released by node %s on %s, held by nobody",
                     message.session,
@@ -156,8 +157,8 @@
                 )
                 self.count("released by its node, held by nobody")
             else:
-                self.released(ply, connection, message)
-        elif message.method == "ANNOUNCE" and ply is not None and ply.stands:
+                self.released(play, connection, message)
+        elif message.method == "ANNOUNCE" and play is not None and play.stands:
             kind, value = (
                 reports.NOTES.get(message.headers.get("x-note", "")),
                 message.headers.get("figure", ""),
@@ -166,72 +167,77 @@
                 self.director.feed(
                     self.director.controller.note,
                     self.director.loop.now,
-                    ply.id,
+                    play.id,
                     node.number,
                     kind,
                     float(value),
                 )
 
-    def released(self, ply: Play, connection: Connection, message: rtsp.Message) -> None:
+    def released(self, play: Play, connection: Connection, message: rtsp.Message) -> None:
         """A media node has released a play, or one whose set-up is open: on any connection, so
         maybe before its answer is read.
         """
         cause = message.headers.get("reason", "").removeprefix("cause=")
         log.debug(
             "%s.%d: released by its node on %s, cause %s",
-            ply.session,
-            ply.number,
+            play.session,
+            play.number,
             connection,
             cause[:8],
         )
-        fact, report = life.end(int(cause) if cause.isdigit() else 0), self.report_of(message)
-        if ply.stands:
-            self.ending.ended(ply, life.HELD, fact, report)
-        elif ply.connection is connection:
-            self.ending.ended(ply, connection.state(ply.session), fact, report)
-        elif ply.connection.state(ply.session) == life.OUT:
+        fact, report = allocation.end(int(cause) if cause.isdigit() else 0), self.report_of(message)
+        if play.stands:
+            self.ending.ended(play, allocation.HELD, fact, report)
+        elif play.connection is connection:
+            self.ending.ended(play, connection.state(play.session), fact, report)
+        elif play.connection.state(play.session) == allocation.OUT:
             self.drop_set_up(
-                ply, fact, report
+                play, fact, report
             )  # an answer that is still on its way belongs to nobody
 
-    def late(self, ply: Play) -> None:
+    def late(self, play: Play) -> None:
         """The module's time-out for this allocation."""
-        ply.timer = None
-        self.drop_set_up(ply, life.LATE)
+        play.timer = None
+        self.drop_set_up(play, allocation.LATE)
 
-    def give_up(self, ply: Play) -> None:
+    def give_up(self, play: Play) -> None:
         """Nobody waits for it any more: what is out ends, and the module hears of what has ended,
         before its name can come again.
         """
-        if ply.connection is not None:
-            self.drop_set_up(ply, life.GIVEN_UP)
-        elif ply.untold is not None:
-            self.ending.tell(ply)
+        if play.connection is not None:
+            self.drop_set_up(play, allocation.GIVEN_UP)
+        elif play.untold is not None:
+            self.ending.tell(play)
 
-    def drop_set_up(self, ply: Play, fact: str, report: tuple = ()) -> None:
+    def drop_set_up(self, play: Play, fact: str, report: tuple = ()) -> None:
         """Gives a set-up up. Its connection ends too: what may still come on it belongs to nobody.
         While its node's system has not
         all of what left, the connection is cut off, or a node that stood still or was away would
         begin it when it is back.
         """
-        connection = ply.connection
+        connection = play.connection
         log.debug(
             "%s.%d: %s on %s, set-up ends at byte %d",
-            ply.session,
-            ply.number,
+            play.session,
+            play.number,
             fact,
             connection,
-            connection.ends[ply.session],
+            connection.ends[play.session],
         )
-        end = connection.ends[ply.session]
-        state = connection.give_up(ply.session)
-        late = self.director.loop.now - ply.sent_at >= ARRIVE_MS
-        away = state == life.OUT and not connection.plays and late and not connection.arrived(end)
-        if state == life.OUT and not away:
-            connection.stream.write(rtsp.request("TEARDOWN", ply.request.title, ply.session))
+        end = connection.ends[play.session]
+        state = connection.give_up(play.session)
+        late = self.director.loop.now - play.sent_at >= ARRIVE_MS
+        away = (
+            state == allocation.OUT
+            and not connection.plays
+            and late
+            and not connection.arrived(end)
+        )
+        if state == allocation.OUT and not away:
+            connection.stream.write(rtsp.request("TEARDOWN", play.request.title, play.session))
         if not connection.plays and connection in connection.node.connections:
-            connection.end(life.CUT) if away else connection.close(ARRIVE_MS)
+            connection.end(allocation.CUT) if away else connection.close(ARRIVE_MS)
             connection.node.renew()
-        elif state == life.OUT:  # others share it
+        elif state == allocation.OUT:  # others share it
             self.director.loop.after(ARRIVE_MS, lambda: connection.cut_unless_arrived(end))
-        self.ending.ended(ply, state, fact, report)
+        self.ending.ended(play, state, fact, report)
--- a/laddergw/platform/allocation.py
+++ b/laddergw/platform/allocation.py
@@ -5,7 +5,7 @@
 HELD: it stands.
 """
 
-from laddergw import interface as face
+from laddergw import interface
 
 UNSENT, OUT, HELD = "unsent", "out", "held"
 # What is seen: answers to the set-up, ends told by the node, and what becomes of its connection or
@@ -46,33 +46,39 @@
 CAUSES = {16: ENDED, 31: LEFT}  # of a release by the node; every other tells a cut
 
 SAID = {
-    FULL: face.FULL,
-    ERROR: face.ERROR,
-    MOOT: face.NEVER_SENT,
-    RESET: face.BROKEN,
-    ENDED: face.BROKEN,
-    LEFT: face.BROKEN,
-    BROKEN_OFF: face.BROKEN,
-    GIVEN_UP: face.CANCELLED,
+    FULL: interface.FULL,
+    ERROR: interface.ERROR,
+    MOOT: interface.NEVER_SENT,
+    RESET: interface.BROKEN,
+    ENDED: interface.BROKEN,
+    LEFT: interface.BROKEN,
+    BROKEN_OFF: interface.BROKEN,
+    GIVEN_UP: interface.CANCELLED,
 }
 LIFE = {
     # A set-up of which the node has not every byte runs nothing, whatever became of its connection
     UNSENT: SAID
     | {
-        CUT: face.UNREACHABLE,
-        SPOILT: face.UNREACHABLE,
-        LATE: face.UNREACHABLE,
-        LOST: face.UNREACHABLE,
-        TAKEN_BACK: face.NEVER_SENT,
+        CUT: interface.UNREACHABLE,
+        SPOILT: interface.UNREACHABLE,
+        LATE: interface.UNREACHABLE,
+        LOST: interface.UNREACHABLE,
+        TAKEN_BACK: interface.NEVER_SENT,
+    },
+    OUT: SAID
+    | {
+        CUT: interface.BROKEN,
+        SPOILT: interface.ERROR,
+        LATE: interface.TIMED_OUT,
+        LOST: interface.BROKEN,
     },
-    OUT: SAID | {CUT: face.BROKEN, SPOILT: face.ERROR, LATE: face.TIMED_OUT, LOST: face.BROKEN},
     # Connections come and go while a play stands: only its node's word, or its node's end, ends it
     HELD: {
-        ENDED: face.SERVED,
-        LEFT: face.CANCELLED,
-        BROKEN_OFF: face.BROKEN,
-        LOST: face.BROKEN,
-        GIVEN_UP: face.CANCELLED,
+        ENDED: interface.SERVED,
+        LEFT: interface.CANCELLED,
+        BROKEN_OFF: interface.BROKEN,
+        LOST: interface.BROKEN,
+        GIVEN_UP: interface.CANCELLED,
     },
 }
 
--- a/laddergw/platform/connection.py
+++ b/laddergw/platform/connection.py
@@ -4,7 +4,7 @@
 from typing import TYPE_CHECKING, Any
 
 from laddergw.loop.base import SHORT
-from laddergw.platform import allocation as life
+from laddergw.platform import allocation
 from laddergw.signalling import rtsp
 
 if TYPE_CHECKING:
@@ -84,16 +84,16 @@
         except rtsp.MalformedError as error:
             self.node.fleet.count("spoilt")
             log.info("node %s: %s", self.node.id, error)
-            self.end(life.SPOILT)
+            self.end(allocation.SPOILT)
             self.node.renew()
 
     def state(self, session: str) -> str:
-        return life.OUT if self.stream.taken >= self.ends[session] else life.UNSENT
+        return allocation.OUT if self.stream.taken >= self.ends[session] else allocation.UNSENT
 
-    def set_up(self, ply, data: bytes) -> None:
-        self.plays[ply.session], self.set_ups[ply.session], self.used = ply, data, self.loop.now
+    def set_up(self, play, data: bytes) -> None:
+        self.plays[play.session], self.set_ups[play.session], self.used = play, data, self.loop.now
         self.stream.write(data)
-        self.ends[ply.session] = self.stream.asked
+        self.ends[play.session] = self.stream.asked
 
     def settle(self, session: str) -> str:
         """Its set-up is open no more; says whether all of it had left."""
@@ -108,10 +108,10 @@
         """
         data, end = self.set_ups[session], self.ends[session]
         state = self.settle(session)
-        if state == life.UNSENT and self.stream.take_back(data):
+        if state == allocation.UNSENT and self.stream.take_back(data):
             self.ends = {other: at - len(data) * (at > end) for other, at in self.ends.items()}
-        elif state == life.UNSENT:  # a part of it has left: what is open beside it ends too
-            self.end(life.CUT)
+        elif state == allocation.UNSENT:  # a part of it has left: what is open beside it ends too
+            self.end(allocation.CUT)
             self.node.renew()
         return state
 
@@ -124,7 +124,7 @@
         connection ends with it.
         """
         if self in self.node.connections and not self.arrived(end):
-            self.end(life.CUT)
+            self.end(allocation.CUT)
             self.node.renew()
 
     def close(self, deliver_ms: float | None = None) -> None:
@@ -145,7 +145,7 @@
             )
             self.node.fleet.count("connections to nodes ended: " + fact)
             self.leave()
-            plays = [(ply, self.settle(session)) for session, ply in list(self.plays.items())]
+            plays = [(play, self.settle(session)) for session, play in list(self.plays.items())]
             self.stream.abort()
             for ends, (
                 data,
@@ -153,13 +153,13 @@
             ) in self.said.items():  # it may have taken along what was said on it last
                 if until > self.loop.now:
                     self.node.fleet.say(self.node, data, ends, until)
-            for ply, state in plays:
-                self.node.fleet.ended(ply, state, fact)
+            for play, state in plays:
+                self.node.fleet.ended(play, state, fact)
 
     def closed(self, stream, why: str | None) -> None:
         if self in self.node.connections:
             log.debug("node %s: %s: %s", self.node.id, self, why or "closed by its node")
             self.end(
-                life.TAKEN_BACK if why == SHORT else life.CUT
+                allocation.TAKEN_BACK if why == SHORT else allocation.CUT
             )  # without a descriptor its node has heard nothing, and has no part in it
             self.node.connection_ended(self, why)
--- a/laddergw/platform/director.py
+++ b/laddergw/platform/director.py
@@ -10,10 +10,10 @@
 import time
 from collections import Counter
 
-from laddergw import interface as face
+from laddergw import interface
 from laddergw.control import Controller
 from laddergw.hosting import Hosting
-from laddergw.platform import allocation as life
+from laddergw.platform import allocation
 from laddergw.platform.admission import Admission
 from laddergw.platform.allocating import Allocating
 from laddergw.platform.assignment import Assignment, following
@@ -137,32 +137,33 @@
         """
         if self.stopping is not None:
             return
-        self.stopping = ordered = self.loop.now - self.loop.stalled
+        waited = self.loop.stalled
+        self.stopping = ordered = self.loop.now - waited
         log.info(
             "stopping, ordered up to %.0f ms ago: open %d, standing %d",
-            self.loop.stalled,
+            waited,
             len(self.open),
             len(self.standing),
         )
-        limits = [ply.limit - ordered for ply in self.open.values()]  # on older terms too
+        limits = [play.limit - ordered for play in self.open.values()]  # on older terms too
         longest = max([self.assignment.longest_ms, *limits])
-        self.loop.at(ordered + STOP_LEAST_MS, lambda: None)
-        self.loop.at(ordered + min(longest, STOP_LIMIT_MS) + STOP_AFTER_MS, self.end_all)
+        self.loop.after(STOP_LEAST_MS - waited, lambda: None)
+        self.loop.after(min(longest, STOP_LIMIT_MS) + STOP_AFTER_MS - waited, self.end_all)
 
     def end_all(self) -> None:
         if self.leaving:
             return
-        for ply in list(self.open.values()):
-            self.admission.finish(ply, FAILED)
+        for play in list(self.open.values()):
+            self.admission.finish(play, FAILED)
         self.release_all()
         self.leave(self.loop.now + HEAR_MS)
 
     def release_all(self) -> None:
-        for ply in list(self.standing.values()):
-            self.allocating.release(ply)
-            self.allocating.ending.settle_standing(ply)
+        for play in list(self.standing.values()):
+            self.allocating.release(play)
+            self.allocating.ending.settle_standing(play)
             self.listener.send(
-                ply.viewer, binary.RELEASE, ply.session, (binary.CAUSE, bytes([BROKEN]))
+                play.viewer, binary.RELEASE, play.session, (binary.CAUSE, bytes([BROKEN]))
             )
 
     def leave(self, latest: float) -> None:
@@ -201,35 +202,35 @@
 
     # Verdicts
 
-    def carry_out(self, verdict: face.Verdict) -> None:
-        ply = (
+    def carry_out(self, verdict: interface.Verdict) -> None:
+        play = (
             self.open.get(f"{verdict.play:016x}") or self.standing.get(f"{verdict.play:016x}")
             if verdict.play is not None
             else None
         )
-        if ply is None:
+        if play is None:
             return
         if verdict.node is not None:
-            self.allocating.allocate(ply, verdict)
+            self.allocating.allocate(play, verdict)
         elif verdict.answer is not None:
-            declined = verdict.answer == face.DECLINED
+            declined = verdict.answer == interface.DECLINED
             self.admission.finish(
-                ply,
+                play,
                 DECLINED if declined else FAILED,
                 *([self.admission.away(verdict.retry_ms)] if declined else ()),
             )
-        elif verdict.move and ply.stands:
-            self.allocating.release(ply)
-            self.listener.send(ply.viewer, binary.MOVE, ply.session)
-            self.allocating.ending.ended(ply, life.HELD, life.GIVEN_UP)
-        elif verdict.rung is not None and ply.stands:
+        elif verdict.move and play.stands:
+            self.allocating.release(play)
+            self.listener.send(play.viewer, binary.MOVE, play.session)
+            self.allocating.ending.ended(play, allocation.HELD, allocation.GIVEN_UP)
+        elif verdict.rung is not None and play.stands:
             self.count("steps")
             self.allocating.say(
-                ply.node,
+                play.node,
                 rtsp.request(
                     "SET_PARAMETER",
-                    ply.request.title,
-                    ply.session,
+                    play.request.title,
+                    play.session,
                     (("Rate-Step", str(verdict.rung)),),
                 ),
             )
--- a/laddergw/platform/ending.py
+++ b/laddergw/platform/ending.py
@@ -2,7 +2,7 @@
 
 import logging
 
-from laddergw.platform import allocation as life
+from laddergw.platform import allocation
 from laddergw.platform.causes import BROKEN, ENDED
 from laddergw.platform.plays import Play
 from laddergw.signalling import binary
@@ -16,58 +16,58 @@
     def __init__(self, director):
         self.director = director
 
-    def ended(self, ply: Play, state: str, fact: str, report: tuple = ()) -> None:
+    def ended(self, play: Play, state: str, fact: str, report: tuple = ()) -> None:
         """An allocation has ended; the module is told, and a viewer whose play stood."""
-        outcome = life.outcome(state, fact)
+        outcome = allocation.outcome(state, fact)
         if outcome is None:
             return
-        if ply.stands:
-            self.settle_standing(ply)
+        if play.stands:
+            self.settle_standing(play)
             if (
-                fact != life.GIVEN_UP
+                fact != allocation.GIVEN_UP
             ):  # also who left: our answer may still be on its way to it, and be all that it gets
-                cause = BROKEN if fact in (life.BROKEN_OFF, life.LOST) else ENDED
+                cause = BROKEN if fact in (allocation.BROKEN_OFF, allocation.LOST) else ENDED
                 self.director.listener.send(
-                    ply.viewer, binary.RELEASE, ply.session, (binary.CAUSE, bytes([cause]))
+                    play.viewer, binary.RELEASE, play.session, (binary.CAUSE, bytes([cause]))
                 )
-        elif ply.connection is not None:
-            if ply.session in ply.connection.plays:
-                ply.connection.settle(ply.session)
-            ply.connection = None
-            ply.node.open.pop(ply.session, None)
-        self.tell_end(ply, outcome, report)
+        elif play.connection is not None:
+            if play.session in play.connection.plays:
+                play.connection.settle(play.session)
+            play.connection = None
+            play.node.open.pop(play.session, None)
+        self.tell_end(play, outcome, report)
 
-    def settle_standing(self, ply: Play) -> None:
-        self.director.standing.pop(ply.session, None)
-        ply.node.held.pop(ply.session, None)
+    def settle_standing(self, play: Play) -> None:
+        self.director.standing.pop(play.session, None)
+        play.node.held.pop(play.session, None)
 
-    def tell_end(self, ply: Play, outcome: str, report: tuple = ()) -> None:
-        if ply.timer is not None:
-            ply.timer.cancel()
-            ply.timer = None
-        log.debug("%s.%d: ends, %s", ply.session, ply.number, outcome)
-        self.director.count(("stood: " if ply.stands else "set-up: ") + outcome)
-        ply.untold = outcome, report
-        if ply.stands or self.director.open.get(ply.session) is not ply:
-            return self.tell(ply)
+    def tell_end(self, play: Play, outcome: str, report: tuple = ()) -> None:
+        if play.timer is not None:
+            play.timer.cancel()
+            play.timer = None
+        log.debug("%s.%d: ends, %s", play.session, play.number, outcome)
+        self.director.count(("stood: " if play.stands else "set-up: ") + outcome)
+        play.untold = outcome, report
+        if play.stands or self.director.open.get(play.session) is not play:
+            return self.tell(play)
         self.director.admission.fresh.append(
-            ply
+            play
         )  # it may be tried again, once its connection has been read to its end
         self.director.loop.after(
             0, lambda: None
         )  # at this turn's end, or of the next, which waits for nothing
         return None
 
-    def tell(self, ply: Play) -> None:
-        (outcome, report), ply.untold = ply.untold, None
-        over = ply.stands or self.director.open.get(ply.session) is not ply
+    def tell(self, play: Play) -> None:
+        (outcome, report), play.untold = play.untold, None
+        over = play.stands or self.director.open.get(play.session) is not play
         self.director.feed(
             self.director.controller.ended,
             self.director.loop.now,
-            ply.id,
-            ply.number,
+            play.id,
+            play.number,
             outcome,
-            ply.node.number if ply.node else 0,
+            play.node.number if play.node else 0,
             over,
             report,
         )
--- a/laddergw/platform/listing.py
+++ b/laddergw/platform/listing.py
@@ -3,12 +3,12 @@
 import logging
 from zlib import crc32
 
-from laddergw import interface as face
-from laddergw.platform import allocation as life
+from laddergw import interface
+from laddergw.platform import allocation
 from laddergw.platform.node import Node
 from laddergw.signalling import changes
 
-STATES = {"SERVING": face.READY, "DRAINING": face.DRAINING, "DELETED": face.GONE}
+STATES = {"SERVING": interface.READY, "DRAINING": interface.DRAINING, "DELETED": interface.GONE}
 
 log = logging.getLogger("laddergw.platform")
 
@@ -60,17 +60,20 @@
 
     def take_back(self, node: Node) -> None:
         """Set-ups that have not left yet do not go there any more."""
-        for ply in list(node.open.values()):
-            if ply.connection is not None and ply.connection.state(ply.session) == life.UNSENT:
-                self.director.allocating.drop_set_up(ply, life.TAKEN_BACK)
+        for play in list(node.open.values()):
+            if (
+                play.connection is not None
+                and play.connection.state(play.session) == allocation.UNSENT
+            ):
+                self.director.allocating.drop_set_up(play, allocation.TAKEN_BACK)
 
-    def line_of(self, node: Node) -> face.NodeLine:
+    def line_of(self, node: Node) -> interface.NodeLine:
         """The module's line of a node, by the names in force.
 
         `mark`: by its id, which every director hears alike.
         """
         m = node.member
-        return face.NodeLine(
+        return interface.NodeLine(
             node.number,
             m.cell,
             m.weight,
--- a/laddergw/platform/node.py
+++ b/laddergw/platform/node.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING, Any
 
 from laddergw.loop.base import REFUSED, SHORT
-from laddergw.platform import allocation as life
+from laddergw.platform import allocation
 from laddergw.platform.connection import Connection
 from laddergw.signalling import rtsp
 
@@ -98,7 +98,10 @@
         return self.silent == 0 and connection.loop.now - connection.since < self.fleet.connect_ms
 
     def said(self, connection: Connection, message: rtsp.Message) -> None:
-        if message.session in connection.plays and connection.state(message.session) == life.UNSENT:
+        if (
+            message.session in connection.plays
+            and connection.state(message.session) == allocation.UNSENT
+        ):
             raise rtsp.MalformedError(
                 "an answer to what has not left yet"
             )  # believed, the rest would leave all the same
@@ -146,8 +149,8 @@
         self.words = []
         if self.held:
             log.info("node %s: %d plays lost: %s", self.id, len(self.held), why)
-        for ply in list(self.held.values()):
-            self.fleet.ended(ply, life.HELD, life.LOST)
+        for play in list(self.held.values()):
+            self.fleet.ended(play, allocation.HELD, allocation.LOST)
 
     def look(self, now: float) -> None:
         """Whether its machine still answers, while plays stand there."""
@@ -157,7 +160,7 @@
             if connection.test is not None and now - connection.tested >= TEST_MS
         ]:
             log.info("node %s: a test was not answered", self.id)
-            connection.end(life.CUT)
+            connection.end(allocation.CUT)
             self.renew()
         up = [connection for connection in self.connections if connection.up]
         if up and up[0].test is None and now - self.heard >= QUIET_MS:
--- a/laddergw/platform/nodes.py
+++ b/laddergw/platform/nodes.py
@@ -4,7 +4,7 @@
 
 import logging
 
-from laddergw.platform import allocation as life
+from laddergw.platform import allocation
 from laddergw.platform.connection import Connection
 from laddergw.platform.node import Node
 
@@ -146,14 +146,14 @@
 
     def close(self, node: Node) -> None:
         for connection in list(node.connections):
-            connection.end(life.CUT)
+            connection.end(allocation.CUT)
         node.lose("another address")
         self.waiting.pop(node, None)
 
     def forget_gone(self) -> None:
         for node in [n for n in self.by_number.values() if n.gone and not n.held and not n.open]:
             for connection in list(node.connections):
-                connection.end(life.CUT)
+                connection.end(allocation.CUT)
             del self.by_number[node.number]
             if self.by_address.get(node.address) is node:
                 del self.by_address[node.address]
--- a/laddergw/platform/reports.py
+++ b/laddergw/platform/reports.py
@@ -2,16 +2,16 @@
 
 from collections.abc import Sequence
 
-from laddergw import interface as face
+from laddergw import interface
 from laddergw.platform import requests
 from laddergw.signalling import rtsp
 
 # The kinds of notes, by their names on the wire
 NOTES = {
-    "got": face.DELIVERED,
-    "level": face.RUNG_NOW,
-    "port": face.LINK_ASKED,
-    "spine": face.UPLINK_ASKED,
+    "got": interface.DELIVERED,
+    "level": interface.RUNG_NOW,
+    "port": interface.LINK_ASKED,
+    "spine": interface.UPLINK_ASKED,
 }
 
 
--- a/laddergw/platform/viewers.py
+++ b/laddergw/platform/viewers.py
@@ -91,8 +91,8 @@
                 self.listener.loop.now - self.used,
                 len(self.plays),
             )
-            for ply in list(self.plays.values()):
-                self.listener.admission.finish(ply, FAILED)
+            for play in list(self.plays.values()):
+                self.listener.admission.finish(play, FAILED)
             if self.stream is None:
                 return
             # who does not read would hold it open
@@ -120,8 +120,8 @@
         )
         self.listener.admission.count("viewers' connections ended: " + (why or "in good order"))
         self.listener.leave(self)
-        for ply in list(self.plays.values()):
-            self.listener.admission.given_up(ply)
+        for play in list(self.plays.values()):
+            self.listener.admission.given_up(play)
 
 
 class Listener:
