--- a/laddergw/lab/soak/terms.py
+++ b/laddergw/lab/soak/terms.py
@@ -53,7 +53,7 @@
     grace_ms: float = 250.0
     sockets: int = 256
     memory_mb: float = 192.0
-    budget: Budget | None = Budget(5.0, 0.1, 10_000.0)  # None where they are not limited
+    budget: Budget | None = Budget(1.0, 0.02, 10_000.0)  # None where they are not limited
 
     @property
     def paid(self) -> set[str]:
