A session that its node calls left in the same read as its answer is failed, not answered

Cause: an answer was passed on as soon as it was read, whatever stood behind it in the same read. A client whose session is over takes neither the answer nor the release behind it for its final answer. Why it works: an answer is passed on once its read is over; a word behind it that the viewer has left makes it one final answer, failed, without a session, and no further attempt. One that the session has run to its end is answered and released as before; one that it was cut is what it is before an answer. Related: several answers in one read, the first counts as before; noise behind an answer, spoilt as before. The test of cause 31 in memory asked for the answer and the release; it asks for the one failure now, and holds that the decisions keep nothing of the play.

--- a/laddergw/platform/allocating.py
+++ b/laddergw/platform/allocating.py
@@ -6,21 +6,19 @@
 
 from laddergw import interface
 from laddergw.platform import allocation, reports, requests
+from laddergw.platform.answers import Answers
 from laddergw.platform.causes import ENDED
 from laddergw.platform.connection import Connection
 from laddergw.platform.ending import Ending
 from laddergw.platform.node import Node
 from laddergw.platform.plays import Play
-from laddergw.signalling import description, rtsp
+from laddergw.signalling import rtsp
 
 # what a node's system has not told to have after this it shall not get: acknowledgements wait 40 ms
 # at most, and
 ARRIVE_MS = 60.0
 # nothing may begin 100 ms after its viewer has left, of which a turn may have passed before we read
 # that
-REST_MS = (
-    250.0  # a description that may be cut short is passed on once so long nothing more has come
-)
 
 
 log = logging.getLogger("laddergw.platform")
@@ -32,9 +30,11 @@
     def __init__(self, director):
         self.director, self.count = director, director.count
         self.ending = Ending(director)
+        self.answers = Answers(director, self.ending, self.report_of)
 
     def allocate(self, play: Play, verdict: interface.Verdict) -> None:
         play.number, play.sent_at = play.number + 1, self.director.loop.now
+        play.answer = None
         node = play.node = self.director.nodes.by_number.get(verdict.node)
         connection = (
             None if node is None or node.gone or verdict.timeout_ms <= 0 else node.free_connection()
@@ -95,48 +95,6 @@
             play.session,
         )
 
-    def answered(self, node: Node, connection: Connection, message: rtsp.Message) -> None:
-        """A media node has answered an open set-up. Of a description that may be cut short the rest
-        may be on its way, which would show
-        that its length is wrong; what begins another message has shown that it is right."""
-        play = connection.plays[message.session]
-        complete = connection.reader.another_begun() or not description.may_be_cut(
-            message.body, play.request.description
-        )
-        if complete or allocation.answer(message.status) != allocation.THERE or not message.body:
-            return self.take_answer(node, connection, message)
-        self.director.loop.after(
-            REST_MS,
-            lambda: (
-                connection.plays.get(play.session) is play
-                and self.take_answer(node, connection, message)
-            ),
-        )
-        return None
-
-    def take_answer(self, node: Node, connection: Connection, message: rtsp.Message) -> None:
-        play = connection.plays[message.session]
-        fact = allocation.answer(message.status)
-        if fact == allocation.THERE and not message.body:
-            connection.end(
-                allocation.SPOILT
-            )  # an answer without its description cannot be passed on
-            return node.renew()
-        state = connection.settle(play.session)
-        play.connection = None
-        node.open.pop(play.session, None)
-        log.debug(
-            "%s.%d: node %s answers %d after %.0f ms",
-            play.session,
-            play.number,
-            node.id,
-            message.status,
-            self.director.loop.now - play.sent_at,
-        )
-        if fact == allocation.THERE:
-            return self.director.admission.stand(play, message.body)
-        return self.ending.ended(play, state, fact, self.report_of(message))
-
     def report_of(self, message: rtsp.Message) -> tuple[float, ...]:
         """The load report that a message carries, or nothing."""
         return reports.report_of(message, self.director.assignment.deployment.reports)
@@ -188,6 +146,8 @@
         fact, report = allocation.end(int(cause) if cause.isdigit() else 0), self.report_of(message)
         if play.stands:
             self.ending.ended(play, allocation.HELD, fact, report)
+        elif play.connection is connection and play.answer is not None:
+            self.answers.ended_behind(play, fact, report)
         elif play.connection is connection:
             self.ending.ended(play, connection.state(play.session), fact, report)
         elif play.connection.state(play.session) == allocation.OUT:
--- a/laddergw/platform/nodes.py
+++ b/laddergw/platform/nodes.py
@@ -32,7 +32,7 @@
             allocating.count,
             allocating.ending.ended,
             allocating.told,
-            allocating.answered,
+            allocating.answers.answered,
         )
         loop.after(LOOK_MS, self.look)
 
--- a/laddergw/platform/plays.py
+++ b/laddergw/platform/plays.py
@@ -4,6 +4,7 @@
 from laddergw.platform.connection import Connection
 from laddergw.platform.node import Node
 from laddergw.platform.viewers import Viewer
+from laddergw.signalling import rtsp
 
 
 class Play:
@@ -22,6 +23,7 @@
         self.timer = self.guard = None
         self.limit = 0.0  # when its viewer stops waiting for its answer, by the loop's clock
         self.stands = False
+        self.answer: rtsp.Message | None = None  # its node's, until it is passed on
         self.untold: tuple | None = (
             None  # how its allocation ended, and what its node reported, until the module is told
         )
--- a/tests/test_lost_requests.py
+++ b/tests/test_lost_requests.py
@@ -150,6 +150,16 @@
                     [],
                 )
 
+    # Guards against the answer of a session that its node calls left in the same read: its client
+    # takes neither that answer nor a release behind it for a final one.
+    def test_an_answer_with_the_word_that_its_viewer_has_left_behind_it(self):
+        viewer = self.town.viewer()
+        side = self.town.set_up(viewer, 1, product="paid")
+        side.write(answer(name_of(1)) + release(1, 31))
+        message = self.town.hears(viewer, binary.RELEASE, 1)
+        self.assertEqual(message.parameters[binary.CAUSE], bytes([FAILED]))
+        self.assertEqual([m for m in viewer.heard if m.kind == binary.ANSWER], [])
+
     # Guards against holding back for good a description that ends within a line and is whole.
     def test_a_description_without_a_line_end_is_passed_on(self):
         viewer = self.town.viewer()
--- a/tests/test_platform_viewers.py
+++ b/tests/test_platform_viewers.py
@@ -130,12 +130,22 @@
         self.assertEqual([line.split()[1] for line in town.lines if "closed" in line], ["stayed"] * 3)
         self.assertEqual(sorted(line.split()[1] for line in town.lines if " gets 9 20" in line), ["one", "three", "two"])
 
+    # Guards against passing on the answer of a session that its node calls left in the same breath: no client takes it for a final one.
     def test_a_play_that_is_left_as_it_begins_is_over_for_its_viewer(self):
-        """Seen on sockets: the node's answer and its release came together; the viewer got the answer to a play that was over, and no end."""
         town = Town(nodes=("a",))
         town.answers["a"] = lambda s, m: s.stream.write(answer(m.session) + release(int(m.session, 16), 31))
         town.viewer().stream.write(set_up(1))
         town.run(50)
+        self.assertEqual([line.split(maxsplit=1)[1] for line in town.lines if "viewer gets" in line],
+                         ["viewer gets 12 1 cause 41"])
+        self.assertEqual((len(town.director.standing), town.director.controller.plays), (0, {}))
+        self.assertFalse(any(node.plays for node in town.director.controller.fleet.nodes.values()))
+
+    def test_a_play_that_ends_as_it_begins_is_played_and_over_for_its_viewer(self):
+        town = Town(nodes=("a",))
+        town.answers["a"] = lambda s, m: s.stream.write(answer(m.session) + release(int(m.session, 16), 16))
+        town.viewer().stream.write(set_up(1))
+        town.run(50)
         self.assertEqual([line.split(maxsplit=1)[1] for line in town.lines if "viewer gets" in line],
                          ["viewer gets 9 1 description 'v=0\\r\\n'", "viewer gets 12 1 cause 16"])
         self.assertEqual(len(town.director.standing), 0)
