--- a/laddergw/lab/soak/node_side.py
+++ b/laddergw/lab/soak/node_side.py
@@ -19,7 +19,7 @@
     0.01,
 )  # parts of set-ups that a node refuses, fails, and never answers
 SPOILT = 0.4  # part of the good answers that are spoilt while answers are
-ENDED = 16  # cause of a release: the session has come to its end
+ENDED, LEFT = 16, 31  # causes of a release: the session has come to its end; its viewer has left
 ANY_TEXT = re.compile(
     rb"([A-Za-z0-9-]{1,40}): ?([^\r\n]*)"
 )  # a header's line: products have names in any language
@@ -46,8 +46,8 @@
     def opened(self, stream) -> None:
         super().opened(stream)
         self.node.sides.append(self)
-        for session in self.node.untold.get(self.director, ()):
-            self.write(release(int(session, 16), ENDED))
+        for session, cause in self.node.untold.get(self.director, {}).items():
+            self.write(release(int(session, 16), cause))
 
     def write(self, data: bytes) -> None:
         self.writer.write(
@@ -113,7 +113,7 @@
         self.node.record("made", session=session, node=self.node.id, text=text.decode())
         self.write(answer(session, 200, text))
         if "release_at_once" in self.node.conditions and self.node.draw.random() < 0.5:
-            self.node.end(session)
+            self.node.end(session, self.node.draw.choice((ENDED, LEFT)))
         return None
 
     def spoil(self, session: str, text: bytes) -> None:
--- a/laddergw/lab/soak/nodes.py
+++ b/laddergw/lab/soak/nodes.py
@@ -43,9 +43,8 @@
             cell,
         )
         self.sides, self.playing, self.still, self.gone, self.fillers = [], {}, False, False, []
-        self.untold: dict[
-            int, dict[str, None]
-        ] = {}  # by director: sessions whose end it has not acknowledged
+        # by director: sessions whose end it has not acknowledged, with the cause
+        self.untold: dict[int, dict[str, int]] = {}
         self.listeners = [
             loop.listen((HOST, 0), lambda stream, number=number: NodeSide(self, number))
             for number in range(directors)
@@ -70,16 +69,17 @@
         self.playing[session] = side
         self.loop.after(self.draw.uniform(*LENGTH_MS), lambda: self.end(session))
 
-    def end(self, session: str) -> None:
+    def end(self, session: str, cause: int = ENDED) -> None:
+        """What plays there is over; its director hears of it until it says so."""
         side = self.playing.get(session)
         if side is None or self.gone:
             return
         if self.still:
-            self.loop.after(STILL_MS, lambda: self.end(session))
+            self.loop.after(STILL_MS, lambda: self.end(session, cause))
             return
         del self.playing[session]
         side.over(session)
-        self.untold.setdefault(side.director, {})[session] = None
+        self.untold.setdefault(side.director, {})[session] = cause
         self.record("ended by its node", session=session, node=self.id)
         speaker = (
             side
@@ -87,7 +87,7 @@
             else next((one for one in self.sides if one.director == side.director), None)
         )
         if speaker is not None:
-            speaker.write(release(int(session, 16), ENDED))
+            speaker.write(release(int(session, 16), cause))
 
     def torn_down(self, side: NodeSide, session: str) -> None:
         for one in {side, self.playing.pop(session, side)}:
