Who leaves while our answer is on its way hears a final answer behind it

Callers saw: an answer to a session that its viewer has left by then, and a release with cause 16 behind it: no final answer, lost. Cause: what its viewer left was released with cause 16, 'has come to its end', whenever it was; a client that has left before our answer reached it takes that answer for none, and an end of what it does not have is no final answer. Before: Lists differ: ['viewer gets 12 1 cause 16'] != ['viewer gets 12 1 cause 41'], 1 and 18 ms after the answer.

--- a/laddergw/platform/admission.py
+++ b/laddergw/platform/admission.py
@@ -213,7 +213,7 @@
         del self.director.open[play.session]
         play.viewer.plays.pop(play.session, None)
         play.stop_timers()
-        play.stands = True
+        play.stands, play.stood_at = True, self.director.loop.now
         self.director.standing[play.session] = play.node.held[play.session] = play
         play.viewer.write(binary.ANSWER, play.session, (binary.DESCRIPTION, description))
         self.director.listener.prove(play.viewer)
--- a/laddergw/platform/ending.py
+++ b/laddergw/platform/ending.py
@@ -3,10 +3,12 @@
 import logging
 
 from laddergw.platform import allocation
-from laddergw.platform.causes import BROKEN, ENDED
+from laddergw.platform.causes import BROKEN, ENDED, FAILED
 from laddergw.platform.plays import Play
 from laddergw.signalling import binary
 
+ANSWER_WAY_MS = 20.0  # longest way of an answer to its viewer
+
 log = logging.getLogger("laddergw.platform")
 
 
@@ -25,10 +27,10 @@
             self.settle_standing(play)
             if (
                 fact != allocation.GIVEN_UP
-            ):  # also who left: our answer may still be on its way to it, and be all that it gets
-                cause = BROKEN if fact in (allocation.BROKEN_OFF, allocation.LOST) else ENDED
+            ):  # who has left hears it too: the answer may be on its way
+                cause = bytes([self.cause_of(play, fact)])
                 self.director.listener.send(
-                    play.viewer, binary.RELEASE, play.session, (binary.CAUSE, bytes([cause]))
+                    play.viewer, binary.RELEASE, play.session, (binary.CAUSE, cause)
                 )
         elif play.connection is not None:
             if play.session in play.connection.plays:
@@ -37,6 +39,17 @@
             play.node.open.pop(play.session, None)
         self.tell_end(play, outcome, report)
 
+    def cause_of(self, play: Play, fact: str) -> int:
+        """What the release of a play that stood tells its viewer.
+
+        One that has left, by its node's word, while our answer was on its way to it does not take
+        that answer for one: the release is its final answer, and has to be one.
+        """
+        if fact in (allocation.BROKEN_OFF, allocation.LOST):
+            return BROKEN
+        on_its_way = self.director.loop.now - play.stood_at <= ANSWER_WAY_MS
+        return FAILED if fact == allocation.LEFT and on_its_way else ENDED
+
     def settle_standing(self, play: Play) -> None:
         self.director.standing.pop(play.session, None)
         play.node.held.pop(play.session, None)
--- a/laddergw/platform/plays.py
+++ b/laddergw/platform/plays.py
@@ -23,6 +23,7 @@
         self.timer = self.guard = None
         self.limit = 0.0  # when its viewer stops waiting for its answer, by the loop's clock
         self.stands = False
+        self.stood_at = 0.0  # when its viewer was answered, by the loop's clock
         self.answer: rtsp.Message | None = None  # its node's, until it is passed on
         self.untold: tuple | None = (
             None  # how its allocation ended, and what its node reported, until the module is told
--- a/tests/test_platform_viewers.py
+++ b/tests/test_platform_viewers.py
@@ -141,6 +141,20 @@
         self.assertEqual((len(town.director.standing), town.director.controller.plays), (0, {}))
         self.assertFalse(any(node.plays for node in town.director.controller.fleet.nodes.values()))
 
+    # Guards against ending, with a cause that is no final answer, what its viewer left while our answer was on its way.
+    def test_a_play_that_is_left_while_its_answer_is_on_its_way_ends_with_a_final_answer(self):
+        for after_ms, cause in (1, 41), (18, 41), (40, 16), (300, 16):
+            with self.subTest(after_ms=after_ms):
+                town = Town(nodes=("a",))
+                town.viewer().stream.write(set_up(1))
+                town.run(20)
+                stood_at = town.director.standing[f"{1:016x}"].stood_at
+                town.run(stood_at + after_ms - town.world.now)
+                town.sides["node a"].stream.write(release(1, 31))
+                town.run(20)
+                gets = [line.split(maxsplit=1)[1] for line in town.lines if "viewer gets" in line]
+                self.assertEqual(gets[1:], [f"viewer gets 12 1 cause {cause}"])
+
     def test_a_play_that_ends_as_it_begins_is_played_and_over_for_its_viewer(self):
         town = Town(nodes=("a",))
         town.answers["a"] = lambda s, m: s.stream.write(answer(m.session) + release(int(m.session, 16), 16))
