An answer that came whole is taken, also where its connection ends in the same read

Cause: an answer is passed on once its read is over; the end of the connection in that read ended the set-up first. Before: Lists differ: [12] != [9] (the viewer was refused instead of answered).

--- a/laddergw/platform/answers.py
+++ b/laddergw/platform/answers.py
@@ -65,6 +65,14 @@
             return self.director.admission.stand(play, message.body)
         return self.ending.ended(play, state, fact, self.report_of(message))
 
+    def connection_ended(self, connection: Connection) -> None:
+        """Answers that have come whole before the connection's end are taken all the same."""
+        for play in list(connection.plays.values()):
+            if play.answer is None:
+                continue
+            if not description.may_be_cut(play.answer.body, play.request.description):
+                self.take(play.node, connection, play.answer)
+
     def settle(self, play: Play) -> str:
         """Its set-up is open no more; says whether all of it had left."""
         state = play.connection.settle(play.session)
--- a/laddergw/platform/connection.py
+++ b/laddergw/platform/connection.py
@@ -159,6 +159,7 @@
     def closed(self, stream, why: str | None) -> None:
         if self in self.node.connections:
             log.debug("node %s: %s: %s", self.node.id, self, why or "closed by its node")
+            self.node.fleet.answers.connection_ended(self)
             self.end(
                 allocation.TAKEN_BACK if why == SHORT else allocation.CUT
             )  # without a descriptor its node has heard nothing, and has no part in it
--- a/laddergw/platform/nodes.py
+++ b/laddergw/platform/nodes.py
@@ -34,6 +34,7 @@
             allocating.told,
             allocating.answers.answered,
         )
+        self.answers = allocating.answers
         loop.after(LOOK_MS, self.look)
 
     def connections(self) -> int:
--- a/tests/test_orders_ends.py
+++ b/tests/test_orders_ends.py
@@ -159,6 +159,19 @@
         self.pass_(200)
         self.assertEqual((list(self.town.director.standing), viewer.hear()), ([f"{2:016x}"], []))
 
+    # Guards against losing an answer that came whole because its connection is reset in the read that brings it.
+    def test_an_answer_with_the_end_of_its_connection_behind_it(self):
+        viewer = self.town.viewer()
+        viewer.write(set_up(1))
+        line, message = self.town.come("a")
+        mine, = self.town.director.nodes.by_id["a"].connections
+        line.write(answer(message.session))
+        self.town.lies_there(mine.stream, len(answer(message.session)))
+        line.reset()
+        heard = self.town.until(viewer.hear)
+        self.assertEqual([m.kind for m in heard], [binary.ANSWER])
+        self.assertEqual([m.method for _, m in self.town.nodes["a"].hear()], [])
+
     def test_a_connection_that_we_close_at_a_node_that_never_reads(self):
         """What is queued for it never leaves: the connection ends all the same, and holds no descriptor."""
         self.town.idle_line()
