Dense trials side by side never share a node's port

A node that had died gave its port back, and another trial's node got it. Its ports are held until the trial ends, bound and not listening, so they refuse as they should.

--- a/laddergw/lab/soak/nodes.py
+++ b/laddergw/lab/soak/nodes.py
@@ -9,7 +9,7 @@
 
 from laddergw.lab.soak.messages import member, release
 from laddergw.lab.soak.node_side import ENDED, Conditions, NodeSide
-from laddergw.lab.soak.ports import HOST
+from laddergw.lab.soak.ports import HOST, held_port
 from laddergw.signalling import rtsp
 
 LENGTH_MS = 400.0, 2_000.0  # of a play
@@ -45,9 +45,11 @@
         self.sides, self.playing, self.still, self.gone, self.fillers = [], {}, False, False, []
         # by director: sessions whose end it has not acknowledged, with the cause
         self.untold: dict[int, dict[str, int]] = {}
+        # held past its death: its ports must refuse, and never be another trial's
+        self.ports = [held_port() for _ in range(directors)]
         self.listeners = [
-            loop.listen((HOST, 0), lambda stream, number=number: NodeSide(self, number))
-            for number in range(directors)
+            loop.listen(port.getsockname(), lambda stream, number=number: NodeSide(self, number))
+            for number, port in enumerate(self.ports)
         ]
         self.since = time.time() * 1000 if cold else 0
         if cold:
--- a/laddergw/lab/soak/trial.py
+++ b/laddergw/lab/soak/trial.py
@@ -187,7 +187,8 @@
             for line in place.troubles():
                 self.record("trouble in a log", director=place.name, line=line)
         self.loop.close()
-        for held in self.logs_held:
+        node_ports = [port for node in self.nodes.values() for port in node.ports]
+        for held in [*self.logs_held, *node_ports]:
             held.close()
         if self.folder_held is not None:
             self.folder_held.cleanup()
