--- a/laddergw/cli/rehearsing_soak.py
+++ b/laddergw/cli/rehearsing_soak.py
@@ -71,7 +71,11 @@
 
 
 def end_in_order() -> None:
-    """In each process that plays: told to end, it ends its directors and keeps its records."""
+    """In each process that plays: told to end, it ends its directors and keeps its records.
+
+    An interrupt from the terminal reaches every process; the one that started them tells them.
+    """
+    signal.signal(signal.SIGINT, signal.SIG_IGN)
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_COULD_NOT))
 
 
