Review case 3: a keyed play is sent outside its key's cell after an error

Cause: the group of a key is taken from the first node tried, also where that attempt never ran and a later one may have. Change: review/3. Nothing is mended.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Plays the case; exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+PYTHONPATH=review exec .venv/bin/python review/3/case.py
