--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""A media node's machine vanishes some seconds after a crowd's set-ups there.
+"""A media node's machine vanishes some seconds after busy traffic.
 
 Every viewer whose session stood at it is owed a release within 8 s of the session's end.
 """
@@ -22,17 +22,32 @@
 )
 from standins.messages import RELEASE
 
-NODES, HOLDERS = 12, 3
-# Set-ups a second of the crowd, as many as the busiest director gets; their number.
-CROWD_RATE, CROWD = 90.0, 36
-SET_UP_MS, PLAY_MS = 450.0, 27_000.0
-# After the director's start any node may be cold: the crowd comes when that time is over.
+NODES, HOLDERS = 6, 3
+# Set-ups a second, as many as the busiest director gets; their number.
+RATE, REQUESTS = 90.0, 180
+# What comes after it, to the end of the run.
+LATER_RATE = 6.0
+SET_UP_MS, PLAY_MS = 600.0, 27_000.0
+# After the director's start any node may be cold: the traffic comes when that time is over.
 WARM_S = 9.0
 VANISH_AFTER_S, VANISH_S = 4.0, 16.0
 # The page's 8 s, and the 50 ms by which each limit grows.
 LIMIT_MS = 8_050.0
 
 
+async def ask(viewers: Viewers, prefix: str, requests: int, rate: float) -> None:
+    """Sends set-ups for titles all over the fleet, each held by three nodes in a row."""
+    for number in range(requests):
+        viewers.set_up(
+            f"{prefix}{number:04x}",
+            "guia-pago",
+            f"home:{number % NODES};copies:{HOLDERS};top:3;viewer:00000000b4d6{number:04x}",
+            title=f"7f3a9c21e0b4{number % 40:04x}",
+            patience_ms=5000,
+        )
+        await asyncio.sleep(1 / rate)
+
+
 async def case(record: Record, folder: pathlib.Path) -> int:
     """Plays the case."""
     log = ChangeLog(record)
@@ -41,21 +56,15 @@
     for node in nodes:
         node.start()
     log.event([node.entry() for node in nodes], complete=True)
-    director = Director(record, folder, settings(Positions=NODES), log)
+    director = Director(record, folder, settings(), log)
     try:
         await director.start()
         await asyncio.sleep(WARM_S)
         viewers = await Viewers(record).connect(director.port)
-        for number in range(CROWD):
-            viewers.set_up(
-                f"9b1f03aa5c7e{number:04x}",
-                "guia-pago",
-                f"home:4;copies:{HOLDERS};top:3;viewer:00000000b4d6{number:04x}",
-                patience_ms=5000,
-            )
-            await asyncio.sleep(1 / CROWD_RATE)
+        await ask(viewers, "9b1f03aa5c7e", REQUESTS, RATE)
+        later = asyncio.create_task(ask(viewers, "9b1f03aa5c8e", 1_000, LATER_RATE))
         await asyncio.sleep(VANISH_AFTER_S)
-        for node in nodes[4 : 4 + HOLDERS]:
+        for node in nodes:
             record(
                 f"node {node.name}: {len(node.standing)} sessions stand, "
                 f"{len(node.connections)} connections of the director are open"
@@ -76,6 +85,7 @@
             ends = {s: target.standing[s][0] + PLAY_MS for s in held}
             await asyncio.sleep((max(ends.values()) - ended_at) / 1000 + 3.0)
             limit = 1_050.0
+        later.cancel()
         late = 0
         for session in held:
             release = viewers.first(session, RELEASE)
