Release a lost play at its node too, once the node can be reached

Cause: Node.lose_plays took every end for that of the node's process. It told the node nothing and dropped the releases that waited for a connection; one that was sent into the silence expired after 8 s.

Change: platform/lost_plays.py tells what is proven (refused, another address) from what is believed (silent, gone from the list). Of the latter each release waits for the node, which is dialled each 2 s and kept for 60 s after the list dropped it. Messages to nodes have a type. A node that listed elsewhere or was removed frees its address before its connections end.

Evidence: tests/test_orders_silence.py.

--- a/laddergw/platform/allocator.py
+++ b/laddergw/platform/allocator.py
@@ -10,7 +10,7 @@
 from laddergw.platform import allocation, reports, requests
 from laddergw.platform.answers import AnswerHandler
 from laddergw.platform.causes import ENDED
-from laddergw.platform.connection import Connection
+from laddergw.platform.connection import Connection, Message
 from laddergw.platform.node import Node
 from laddergw.platform.play_ending import PlayEnding
 from laddergw.platform.plays import Play
@@ -93,7 +93,7 @@
 
         `released`: the session where the message ends it.
         """
-        self.director.nodes.send(node, data, released)
+        self.director.nodes.send(node, Message(data, released))
 
     def release(self, play: Play) -> None:
         """Releases a running play at its node."""
--- a/laddergw/platform/answers.py
+++ b/laddergw/platform/answers.py
@@ -62,6 +62,7 @@
         if event == allocation.ACCEPTED and not message.body:
             connection.abort(allocation.MALFORMED)
             return node.replace_connection()
+        play.connection_opened_at = connection.opened_at
         state = self.close_set_up(play)
         waited = self.director.loop.now - play.sent_at
         log.debug(
--- a/laddergw/platform/connection.py
+++ b/laddergw/platform/connection.py
@@ -1,7 +1,7 @@
 """One connection to a media node: the set-ups open on it, and how much of each has left."""
 
 import logging
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 from laddergw.loop.base import NO_DESCRIPTOR
 from laddergw.platform import allocation
@@ -10,9 +10,32 @@
 if TYPE_CHECKING:
     from laddergw.platform.node import Node
 
+# A release that its node has not acknowledged is sent again for this long: what ran then counts as
+# lost.
+RELEASE_RETRY_MS = 8_000.0
+
 log = logging.getLogger("laddergw.platform")
 
 
+class Message(NamedTuple):
+    """A message about a running play, to be sent to its node."""
+
+    data: bytes
+    # the session that it releases, or empty
+    released: str = ""
+    # a release: until when it is sent again (loop clock); None: for RELEASE_RETRY_MS from when it
+    # is first sent
+    expires_at: float | None = None
+
+
+class UnacknowledgedRelease(NamedTuple):
+    """A release that has been sent and that its node has not acknowledged. Times by the loop."""
+
+    data: bytes
+    sent_at: float
+    expires_at: float
+
+
 class Connection:
     """A connection to one media node, as the owner of its stream."""
 
@@ -26,13 +49,15 @@
             None,
         )
         self.dialled_at = self.last_used = self.loop.now
+        # when it came up; the process that accepted it runs since then at the latest
+        self.opened_at: float | None = None
         # plays whose set-ups are open on it, by session
         self.plays: dict[str, Any] = {}
         # where in the stream each of their set-ups ends, bytes
         self.set_up_ends: dict[str, int] = {}
         self.set_up_data: dict[str, bytes] = {}
-        # releases that the node has not acknowledged, and until when each is sent again
-        self.unacknowledged_releases: dict[str, tuple[bytes, float]] = {}
+        # by session
+        self.unacknowledged_releases: dict[str, UnacknowledgedRelease] = {}
         self.stream = self.loop.dial(node.address, self, limit_ms)
 
     def __str__(self) -> str:
@@ -43,7 +68,8 @@
 
     def opened(self, stream) -> None:
         """Stream callback: sends the messages that waited for a connection to the node."""
-        self.up, self.node.needs_connection = True, False
+        self.up, self.opened_at = True, self.loop.now
+        self.node.needs_connection = False
         log.debug(
             "node %s: %s opened after %.0f ms",
             self.node.id,
@@ -53,25 +79,40 @@
         self.mark_alive()
         messages, self.node.queued_messages = self.node.queued_messages, []
         for message in messages:
-            self.send(*message)
+            self.send(message)
         if messages:
             self.write_buffer_drained(stream)
 
-    def send(self, data: bytes, released: str, expires_at: float) -> None:
-        """Writes a message; `released` is the session that it releases, or empty.
+    def send(self, message: Message) -> None:
+        """Writes a message. A release is kept until the node acknowledges it or it expires.
 
-        A release is kept until the node acknowledges it or `expires_at` (loop clock) has passed: a
-        node need not acknowledge one.
+        A node need not acknowledge one.
         """
-        self.stream.write(data)
-        if released:
-            self.unacknowledged_releases[released] = data, expires_at
-            for session in [
-                session
-                for session, (_, expires_at) in self.unacknowledged_releases.items()
-                if expires_at <= self.loop.now
-            ]:
-                del self.unacknowledged_releases[session]
+        self.stream.write(message.data)
+        if not message.released:
+            return
+        now = self.loop.now
+        self.node.fleet.watch(self.node)
+        self.unacknowledged_releases = {
+            session: release
+            for session, release in self.unacknowledged_releases.items()
+            if release.expires_at > now
+        }
+        expires_at = now + RELEASE_RETRY_MS if message.expires_at is None else message.expires_at
+        self.unacknowledged_releases[message.released] = UnacknowledgedRelease(
+            message.data, now, expires_at
+        )
+
+    def send_releases_again(self) -> None:
+        """Sends releases that may be lost with this connection, which has ended, on another one.
+
+        To a node that has been silent since a release was sent it counts as not sent yet.
+        """
+        for session, release in self.unacknowledged_releases.items():
+            if release.sent_at > self.node.liveness.last_heard_at:
+                self.node.fleet.send(self.node, Message(release.data, session))
+            elif release.expires_at > self.loop.now:
+                self.node.fleet.send(self.node, Message(release.data, session, release.expires_at))
 
     def detach(self) -> None:
         """Removes it from its node; messages queued there wait for the next connection."""
@@ -184,9 +225,7 @@
                 (play, self.close_set_up(session)) for session, play in list(self.plays.items())
             ]
             self.stream.abort()
-            for released, (data, expires_at) in self.unacknowledged_releases.items():
-                if expires_at > self.loop.now:
-                    self.node.fleet.send(self.node, data, released, expires_at)
+            self.send_releases_again()
             for play, state in plays:
                 self.node.fleet.allocation_ended(play, state, event)
 
--- a/laddergw/platform/fleet_list.py
+++ b/laddergw/platform/fleet_list.py
@@ -4,7 +4,7 @@
 from zlib import crc32
 
 from laddergw import interface
-from laddergw.platform import allocation
+from laddergw.platform import allocation, lost_plays
 from laddergw.platform.node import Node
 from laddergw.signalling import changes
 
@@ -54,11 +54,12 @@
     def update_node(self, member: changes.Member, number: int) -> Node:
         """Updates the node of one member, in the event of that number, and returns it.
 
-        A later start is another process: the plays that ran at the last one are over.
+        A later start is another process: the plays that ran at earlier ones are over.
         """
         node = self.director.nodes.node_for(member)
         if member.since > node.started_ms:
-            node.lose_plays("started anew")
+            started_at = member.since - self.director.clock_offset_ms
+            lost_plays.process_started(node, started_at)
             node.started_ms = member.since
         node.gone = False
         if node.member.state != member.state or node.member is member:
--- /dev/null
+++ b/laddergw/platform/lost_plays.py
@@ -0,0 +1,47 @@
+"""Ends the running plays of a media node that is gone, as far as this director can tell.
+
+A viewer that is told that its play is over must not leave one behind at the node. Where the node's
+process is known to have ended, its plays ended with it. Where it only cannot be reached, it is sent
+their releases, which wait until it is reached again (nodes.py).
+"""
+
+import logging
+from typing import TYPE_CHECKING
+
+from laddergw.platform import allocation
+
+if TYPE_CHECKING:
+    from laddergw.platform.node import Node
+
+log = logging.getLogger("laddergw.platform")
+
+
+def process_ended(node: "Node", why: str | None) -> None:
+    """Ends all plays of a node whose process is known to have ended."""
+    node.queued_messages = []
+    end_plays(node, list(node.running_plays.values()), why)
+
+
+def process_started(node: "Node", started_at: float) -> None:
+    """Ends all plays of a node of which the list tells that a process started at `started_at`."""
+    process_ended(node, "started anew")
+
+
+def give_up(node: "Node", why: str) -> None:
+    """Ends all plays of a node that cannot be reached, although they may go on there."""
+    release_plays(node, list(node.running_plays.values()), why)
+
+
+def release_plays(node: "Node", plays: list, why: str) -> None:
+    """Ends plays that may go on at the node, and has it sent their releases."""
+    for play in plays:
+        node.fleet.release(play)
+    end_plays(node, plays, why)
+
+
+def end_plays(node: "Node", plays: list, why: str | None) -> None:
+    """Ends plays as broken, for their viewers and for the controller (play_ending.py)."""
+    if plays:
+        log.info("node %s: %d plays lost: %s", node.id, len(plays), why)
+    for play in plays:
+        node.fleet.allocation_ended(play, allocation.RUNNING, allocation.NODE_LOST)
--- a/laddergw/platform/node.py
+++ b/laddergw/platform/node.py
@@ -6,11 +6,12 @@
 """
 
 import logging
+import math
 from typing import TYPE_CHECKING, Any
 
 from laddergw.loop.base import CONNECTION_REFUSED, NO_DESCRIPTOR
-from laddergw.platform import allocation
-from laddergw.platform.connection import Connection
+from laddergw.platform import allocation, lost_plays
+from laddergw.platform.connection import Connection, Message
 from laddergw.platform.liveness import Liveness
 from laddergw.signalling import rtsp
 
@@ -19,8 +20,9 @@
 IDLE_CLOSE_MARGIN_MS = 500.0
 # A connection whose ping is unanswered for this long is dead, where its node answers elsewhere.
 PING_TIMEOUT_MS = 1_000.0
-# A node that leaves a ping unanswered is dialled at this interval.
-REDIAL_INTERVAL_MS = 500.0
+# Between dials of a node that does not answer: while plays run there, and while it is only to be
+# told that they are over.
+REDIAL_INTERVAL_MS, RELEASE_REDIAL_INTERVAL_MS = 500.0, 2_000.0
 # Limit of dialling a connection that carries no set-up: one that comes up late still brings what
 # its node has to report.
 IDLE_DIAL_TIMEOUT_MS = 1_000.0
@@ -49,19 +51,22 @@
             [],
         )
         self.liveness = Liveness(fleet.loop.now)
+        # when it was dialled last, and when the list dropped it, by the loop's clock
+        self.dialled_at = self.gone_since = -math.inf
         # plays that run there, by session
         self.running_plays: dict[str, Any] = {}
         # plays whose set-up is open there, by session
         self.open_set_ups: dict[str, Any] = {}
-        # what waits for a connection to be sent: the arguments of Connection.send
-        self.queued_messages: list[tuple[bytes, str, float]] = []
+        # what waits for a connection to be sent
+        self.queued_messages: list[Message] = []
         # a connection has ended that may have lost a message of the node: the node repeats it on a
         # new one
         self.needs_connection = False
 
     def dial(self, limit_ms: float = IDLE_DIAL_TIMEOUT_MS) -> Connection:
         """Dials another connection to the node."""
-        self.liveness.mark_probed(self.fleet.loop.now)
+        self.dialled_at = self.fleet.loop.now
+        self.liveness.mark_probed(self.dialled_at)
         connection = Connection(self, limit_ms)
         self.connections.append(connection)
         return connection
@@ -110,9 +115,22 @@
 
     def add_play(self, play) -> None:
         """Adds a play that runs there."""
-        if not self.running_plays:
-            self.liveness.watch(self.fleet.loop.now)
         self.running_plays[play.session] = play
+        self.fleet.watch(self)
+
+    def has_open_releases(self) -> bool:
+        """Whether releases wait for it, or were sent and may be lost with their connection."""
+        now = self.fleet.loop.now
+        return any(message.released for message in self.queued_messages) or any(
+            release.expires_at > now or release.sent_at > self.liveness.last_heard_at
+            for connection in self.connections
+            for release in connection.unacknowledged_releases.values()
+        )
+
+    def is_redial_due(self, now: float) -> bool:
+        """Whether its last dial is so long ago that it may be dialled again without an answer."""
+        interval_ms = REDIAL_INTERVAL_MS if self.running_plays else RELEASE_REDIAL_INTERVAL_MS
+        return now - self.dialled_at >= interval_ms
 
     def handle_message(self, connection: Connection, message: rtsp.Message) -> None:
         """Handles a request or an answer from the node.
@@ -152,9 +170,9 @@
             self.unanswered_dials += why != CONNECTION_REFUSED
             # The process has died.
             if why == CONNECTION_REFUSED:
-                return self.lose_plays(why)
+                return lost_plays.process_ended(self, why)
         if self.running_plays and not self.connections:
-            self.dial() if not self.gone else self.lose_plays("gone from the list")
+            self.dial() if not self.gone else lost_plays.give_up(self, "gone from the list")
         elif connection.up and why is not None:
             self.replace_connection()
         else:
@@ -168,22 +186,13 @@
         self.needs_connection = True
         self.dial_if_needed()
 
-    def lose_plays(self, why: str | None) -> None:
-        """Ends all plays that run there: their node or its process is gone.
-
-        They end as broken, for their viewers and for the controller (play_ending.py).
-        """
-        self.queued_messages = []
-        if self.running_plays:
-            log.info("node %s: %d plays lost: %s", self.id, len(self.running_plays), why)
-        for play in list(self.running_plays.values()):
-            self.fleet.allocation_ended(play, allocation.RUNNING, allocation.NODE_LOST)
-
     def presume_gone(self) -> None:
         """Ends what is open and what runs at a node that has been silent for too long."""
         for connection in list(self.connections):
             connection.abort(allocation.CONNECTION_LOST)
-        self.lose_plays("silent")
+        lost_plays.give_up(self, "silent")
+        # It is dialled on while releases wait for it.
+        self.liveness.watch(self.fleet.loop.now)
 
     def check(self, now: float) -> None:
         """Checks that the node's machine still answers, while plays run there.
@@ -200,7 +209,7 @@
         if up and not pinged_at and self.liveness.needs_ping(now):
             self.ping(up[0], now)
         elif not self.connections and self.gone:
-            return self.lose_plays("gone from the list")
+            return lost_plays.give_up(self, "gone from the list")
         elif not up or (pinged_at and now - min(pinged_at) >= PING_TIMEOUT_MS):
             self.redial(now)
         return self.dial_if_needed()
@@ -225,10 +234,6 @@
         self.liveness.mark_probed(now)
 
     def redial(self, now: float) -> None:
-        """Dials a silent node, unless that was done less than REDIAL_INTERVAL_MS ago."""
-        is_due = all(
-            connection.up or now - connection.dialled_at >= REDIAL_INTERVAL_MS
-            for connection in self.connections
-        )
-        if is_due and self.fleet.make_room(include_serving=True):
+        """Dials a silent node, unless that was done a short time ago."""
+        if self.is_redial_due(now) and self.fleet.make_room(include_serving=True):
             self.dial()
--- a/laddergw/platform/nodes.py
+++ b/laddergw/platform/nodes.py
@@ -4,18 +4,18 @@
 
 import logging
 
-from laddergw.platform import allocation
-from laddergw.platform.connection import Connection
+from laddergw.platform import allocation, lost_plays
+from laddergw.platform.connection import Connection, Message
 from laddergw.platform.node import Node
 
-# A release that its node has not acknowledged is sent again for this long: what ran then counts as
-# lost.
-RELEASE_RETRY_MS = 8_000.0
 # Time between checks of the nodes where plays run.
 CHECK_INTERVAL_MS = 250.0
 # A connection stays open at least this long before it makes room for another node's: what its node
 # has to report comes first.
 MIN_CONNECTION_AGE_MS = 500.0
+# A node that the list has dropped is kept for so long while releases wait for it: it may only be
+# cut off, and come back.
+GONE_RETENTION_MS = 60_000.0
 
 log = logging.getLogger("laddergw.platform")
 
@@ -34,12 +34,15 @@
         self.by_number: dict[int, Node] = {}
         # nodes that have queued messages and no connection, in the order in which they get one
         self.awaiting_connection: dict[Node, None] = {}
+        # nodes where plays run or that releases were sent to
+        self.watched: dict[Node, None] = {}
         # the node that the list named last at each address
         self.by_address: dict[tuple[str, int], Node] = {}
         self.last_number = self.pings_named = 0
-        self.count, self.allocation_ended, self.handle_request, self.handle_answer = (
+        self.count, self.allocation_ended, self.release, self.handle_request, self.handle_answer = (
             allocator.count,
             allocator.ending.allocation_ended,
+            allocator.release,
             allocator.handle_request,
             allocator.answer_handler.handle_answer,
         )
@@ -82,38 +85,49 @@
         oldest.close()
         return True
 
-    def send(
-        self, node: Node, data: bytes, released: str = "", expires_at: float | None = None
-    ) -> None:
+    def send(self, node: Node, message: Message) -> None:
         """Sends a message to a node on any connection that is up, or on the next that opens.
 
-        For one that ends a play (`released`: its session) a connection is opened past the limit
-        too. `expires_at`: until when a release is sent again, by the loop's clock.
+        For a release a connection is opened past the limit too, and it waits for a node that cannot
+        be reached now.
         """
         up = [connection for connection in node.connections if connection.up]
         connection = next((connection for connection in up if not connection.plays), None) or next(
             iter(up), None
         )
-        message = (
-            data,
-            released,
-            self.loop.now + RELEASE_RETRY_MS if expires_at is None else expires_at,
-        )
         if connection is not None:
-            connection.send(*message)
-        elif not node.gone:
+            connection.send(message)
+        elif not node.gone or (message.released and self.is_at_its_address(node)):
             node.queued_messages.append(message)
+            self.watch(node)
             self.awaiting_connection[node] = None
             self.dial_waiting(1)
 
+    def watch(self, node: Node) -> None:
+        """Checks a node from now on, until no play runs there and no release is open."""
+        if node not in self.watched:
+            self.watched[node] = None
+            node.liveness.watch(self.loop.now)
+
+    def is_at_its_address(self, node: Node) -> bool:
+        """Whether no other node has been listed at a node's address since."""
+        return self.by_address.get(node.address) is node
+
     def dial_waiting(self, limit: int) -> None:
         """Dials for up to so many of the nodes that wait for a connection.
 
-        One that finds no descriptor waits on, until another connection is closed.
+        One that finds no descriptor waits on, until another connection is closed. One that cannot
+        be reached is dialled at an interval.
         """
-        for node in list(self.awaiting_connection)[:limit]:
+        now = self.loop.now
+        due = [
+            node
+            for node in self.awaiting_connection
+            if node.unanswered_dials == 0 or node.is_redial_due(now)
+        ]
+        for node in due[:limit]:
             del self.awaiting_connection[node]
-            if node.queued_messages and not node.connections and not node.gone:
+            if node.queued_messages and not node.connections and self.is_at_its_address(node):
                 self.make_room(include_serving=True)
                 node.dial()
 
@@ -173,29 +187,44 @@
         Where another node has its address, what answers there is that one and proves nothing of
         this one: its connections and plays end now.
         """
+        if not node.gone:
+            node.gone_since = self.loop.now
         node.gone = True
-        if self.by_address.get(node.address) is not node:
+        if not self.is_at_its_address(node):
             self.drop_connections(node)
 
     def drop_connections(self, node: Node) -> None:
         """Ends a node's connections and its plays: it is not at its address any more."""
+        if self.is_at_its_address(node):
+            del self.by_address[node.address]
         for connection in list(node.connections):
             connection.abort(allocation.CONNECTION_LOST)
-        node.lose_plays("another address")
+        lost_plays.process_ended(node, "another address")
         self.awaiting_connection.pop(node, None)
 
+    def is_retained(self, node: Node) -> bool:
+        """Whether a node that is gone is kept for the releases that wait for it."""
+        return (
+            self.loop.now - node.gone_since < GONE_RETENTION_MS
+            and self.is_at_its_address(node)
+            and node.has_open_releases()
+        )
+
     def remove_gone(self) -> None:
-        """Removes the nodes that are gone from the list and serve no play any more."""
+        """Removes the nodes that are gone from the list, serve no play and await no release."""
         for node in [
             n
             for n in self.by_number.values()
-            if n.gone and not n.running_plays and not n.open_set_ups
+            if n.gone and not n.running_plays and not n.open_set_ups and not self.is_retained(n)
         ]:
+            node.queued_messages = []
+            self.awaiting_connection.pop(node, None)
+            self.watched.pop(node, None)
+            if self.is_at_its_address(node):
+                del self.by_address[node.address]
             for connection in list(node.connections):
                 connection.abort(allocation.CONNECTION_LOST)
             del self.by_number[node.number]
-            if self.by_address.get(node.address) is node:
-                del self.by_address[node.address]
             if self.by_id.get(node.id) is node:
                 del self.by_id[node.id]
 
@@ -207,9 +236,9 @@
         """
         self.loop.call_later(CHECK_INTERVAL_MS, self.check)
         self.dial_waiting(len(self.awaiting_connection))
-        for node in sorted(
-            (n for n in self.by_number.values() if n.running_plays),
-            key=lambda n: n.liveness.last_heard_at,
-        ):
-            node.check(self.loop.now)
+        for node in sorted(self.watched, key=lambda node: node.liveness.last_heard_at):
+            if node.running_plays or node.has_open_releases():
+                node.check(self.loop.now)
+            else:
+                del self.watched[node]
         self.remove_gone()
--- a/laddergw/platform/plays.py
+++ b/laddergw/platform/plays.py
@@ -23,6 +23,8 @@
         self.timeout_timer = self.deadline_timer = None
         self.deadline = 0.0  # when its answer is due: shortly before its viewer stops waiting
         self.is_running = False
+        # When the connection came up on which its node accepted it; None: it was handed over.
+        self.connection_opened_at: float | None = None
         self.answered_at = 0.0  # when its viewer was answered that it runs
         self.answer: rtsp.Message | None = None  # its node's answer, until that is passed on
         # Outcome of its allocation and its node's load report, until the controller gets them.
--- a/tests/test_orders_ends.py
+++ b/tests/test_orders_ends.py
@@ -2,6 +2,7 @@
 import contextlib
 import unittest
 
+from laddergw.platform.connection import Message
 from laddergw.signalling import binary, rtsp
 from tests.platform_cluster import answer, set_up
 from tests.socket_harness import SocketHarness
@@ -146,7 +147,7 @@
         node = self.harness.director.nodes.by_id["a"]
         self.harness.run_until(lambda: not node.connections or node.connections[0].up)
         self.harness.director.nodes.awaiting_connection, node.queued_messages = {node: None}, [
-            (rtsp.encode_request("TEARDOWN", "x", f"{1:016x}"), f"{1:016x}", self.now[0] - 1.0)]
+            Message(rtsp.encode_request("TEARDOWN", "x", f"{1:016x}"), f"{1:016x}", self.now[0] - 1.0)]
         for director_connection in list(node.connections):
             director_connection.abort("cut")
         self.assertEqual([m.session for m in self.run_until_released()], [f"{1:016x}"])
--- a/tests/test_orders_silence.py
+++ b/tests/test_orders_silence.py
@@ -5,13 +5,17 @@
 import contextlib
 import unittest
 
-from laddergw.signalling import binary, rtsp
-from tests.platform_cluster import answer, set_up
+from laddergw.platform.nodes import GONE_RETENTION_MS
+from laddergw.signalling import binary, changes, rtsp
+from tests.platform_cluster import answer, event, member, set_up
 from tests.socket_harness import SocketHarness
 
 # By the platform's page: the longest time from a play's end to its release, and the longest time
 # for which nodes are cut off on the bench's days.
 RELEASE_LIMIT_MS, CUT_MS = 8_000.0, 6_000.0
+# A cut after which nobody can know what became of the node, and the time in which a node that is
+# reached again is told what is over: what counts for changes that were told while nobody heard.
+LONG_CUT_MS, REACHED_AGAIN_MS = 10_000.0, 6_000.0
 STEP_MS = 10.0
 
 
@@ -90,6 +94,56 @@
                     self.assertEqual((self.released_at, self.torn_down), ({}, []))
                     self.assertEqual(len(self.harness.director.running_plays), 1)
 
+    def end_by_viewer(self):
+        """The viewer ends its play."""
+        self.viewer.write(binary.encode(binary.RELEASE, f"{1:016x}", (222, b"\x10")))
+        self.harness.run_until(lambda: not self.harness.director.running_plays)
+
+    def tell(self, phase, number):
+        """The change log tells that the node is in a state; its process is the same as ever."""
+        entry = member("a", self.node.port, phase) | {"host_port": f"127.0.0.1:{self.node.port}"}
+        told = changes.parse_event(event(number, entry))
+        self.harness.director.fleet_list.apply_event(told)
+
+    # Guards against plays that go on at a node after their viewers were told that they are over.
+    def test_what_is_over_for_its_viewer_is_over_at_a_node_that_is_reached_again(self):
+        for connections in 1, 13:
+            for is_listed in True, False:
+                for ended_by_viewer in False, True:
+                    with self.subTest(
+                        connections=connections,
+                        is_listed=is_listed,
+                        ended_by_viewer=ended_by_viewer,
+                    ):
+                        self.start(connections)
+                        self.advance(3_000.0)
+                        self.cut_off()
+                        self.advance(500.0)
+                        if ended_by_viewer:
+                            self.end_by_viewer()
+                        self.advance(LONG_CUT_MS / 2)
+                        if not is_listed:
+                            self.tell("DELETED", 2)
+                        self.advance(LONG_CUT_MS / 2)
+                        self.assertEqual(self.harness.director.running_plays, {})
+                        self.rejoin()
+                        if not is_listed:
+                            self.tell("SERVING", 3)
+                        self.advance(REACHED_AGAIN_MS)
+                        self.assertEqual(set(self.torn_down), {1})
+
+    # Guards against dialling a vanished machine without end, and against keeping its node.
+    def test_a_node_that_is_not_reached_again_is_forgotten(self):
+        self.start(2)
+        self.advance(1_000.0)
+        self.cut_off()
+        self.advance(LONG_CUT_MS)
+        self.tell("DELETED", 2)
+        nodes = self.harness.director.nodes
+        self.advance(GONE_RETENTION_MS + 1_000.0)
+        self.assertEqual((nodes.by_id, nodes.by_number, nodes.by_address), ({}, {}, {}))
+        self.assertEqual((nodes.watched, nodes.awaiting_connection), ({}, {}))
+
 
 if __name__ == "__main__":
     unittest.main()
