--- a/tests/test_orders_silence.py
+++ b/tests/test_orders_silence.py
@@ -3,6 +3,7 @@
 """
 
 import contextlib
+import itertools
 import unittest
 
 from laddergw.platform.nodes import GONE_RETENTION_MS
@@ -62,9 +63,11 @@
         self.is_cut_off = True
         self.node.stop_accepting()
 
-    def rejoin(self):
-        """The node is reached again."""
+    def rejoin(self, is_reset=False):
+        """The node is reached again; `is_reset`: its connections of before are reset."""
         self.is_cut_off = False
+        for connection in list(self.node.connections) if is_reset else ():
+            connection.reset()
         self.node.resume_accepting()
 
     # Guards against testing a vanished node's connections one after another: 13 took 15 s.
@@ -107,30 +110,25 @@
 
     # Guards against plays that go on at a node after their viewers were told that they are over.
     def test_what_is_over_for_its_viewer_is_over_at_a_node_that_is_reached_again(self):
-        for connections in 1, 13:
-            for is_listed in True, False:
-                for ended_by_viewer in False, True:
-                    with self.subTest(
-                        connections=connections,
-                        is_listed=is_listed,
-                        ended_by_viewer=ended_by_viewer,
-                    ):
-                        self.start(connections)
-                        self.advance(3_000.0)
-                        self.cut_off()
-                        self.advance(500.0)
-                        if ended_by_viewer:
-                            self.end_by_viewer()
-                        self.advance(LONG_CUT_MS / 2)
-                        if not is_listed:
-                            self.tell("DELETED", 2)
-                        self.advance(LONG_CUT_MS / 2)
-                        self.assertEqual(self.harness.director.running_plays, {})
-                        self.rejoin()
-                        if not is_listed:
-                            self.tell("SERVING", 3)
-                        self.advance(REACHED_AGAIN_MS)
-                        self.assertEqual(set(self.torn_down), {1})
+        for choices in itertools.product((1, 13), *[(False, True)] * 3):
+            with self.subTest(choices=choices):
+                connections, is_delisted, is_ended_by_viewer, is_reset = choices
+                self.start(connections)
+                self.advance(3_000.0)
+                self.cut_off()
+                self.advance(500.0)
+                if is_ended_by_viewer:
+                    self.end_by_viewer()
+                self.advance(LONG_CUT_MS / 2)
+                if is_delisted:
+                    self.tell("DELETED", 2)
+                self.advance(LONG_CUT_MS / 2)
+                self.assertEqual(self.harness.director.running_plays, {})
+                self.rejoin(is_reset)
+                if is_delisted:
+                    self.tell("SERVING", 3)
+                self.advance(REACHED_AGAIN_MS)
+                self.assertEqual(set(self.torn_down), {1})
 
     # Guards against dialling a vanished machine without end, and against keeping its node.
     def test_a_node_that_is_not_reached_again_is_forgotten(self):
