End only the plays of earlier processes when the list tells of a start

Cause: FleetList.update_node ended all plays of a node whose listed start was later than before, whichever process they ran in, and told the node nothing.

Change: a play keeps when the connection came up on which it was accepted. A process takes its connections along as it ends, so that a connection that is younger than the start leads to the new process, and its plays go on. Of a play that was handed over this is not known: it ends, at its node as well.

Evidence: tests/test_orders_silence.py, on real sockets: of a play before the start, one after it and one handed over all three were released on the code before; now the first and the last, and the last at its node.

--- a/laddergw/platform/lost_plays.py
+++ b/laddergw/platform/lost_plays.py
@@ -13,6 +13,9 @@
 if TYPE_CHECKING:
     from laddergw.platform.node import Node
 
+# A process may accept connections this long before the start time that the list states.
+START_TOLERANCE_MS = 20.0
+
 log = logging.getLogger("laddergw.platform")
 
 
@@ -23,8 +26,21 @@
 
 
 def process_started(node: "Node", started_at: float) -> None:
-    """Ends all plays of a node of which the list tells that a process started at `started_at`."""
-    process_ended(node, "started anew")
+    """Ends the plays of earlier processes of a node: one has started at `started_at` (loop clock).
+
+    A connection that came up later leads to the new process, and what was accepted on it runs
+    there. Of a play that was handed over it is not known which process has it.
+    """
+    running = list(node.running_plays.values())
+    handed_over = [play for play in running if play.connection_opened_at is None]
+    earlier = [
+        play
+        for play in running
+        if play.connection_opened_at is not None
+        and play.connection_opened_at < started_at - START_TOLERANCE_MS
+    ]
+    end_plays(node, earlier, "started anew")
+    release_plays(node, handed_over, "started anew")
 
 
 def give_up(node: "Node", why: str) -> None:
--- a/tests/test_orders_silence.py
+++ b/tests/test_orders_silence.py
@@ -142,6 +142,36 @@
         self.assertEqual((nodes.by_id, nodes.by_number, nodes.by_address), ({}, {}, {}))
         self.assertEqual((nodes.watched, nodes.awaiting_connection), ({}, {}))
 
+    # Guards against ending plays that were set up after the start of the process that serves them.
+    def test_a_start_that_the_list_tells_late_ends_the_plays_of_earlier_processes_alone(self):
+        self.start(1)
+        self.advance(1_000.0)
+        for connection in self.node.connections:
+            connection.reset()
+        self.advance(1_000.0)
+        started_at = self.now[0]
+        for connection in self.node.connections:
+            if not connection.ended:
+                connection.reset()
+        self.advance(100.0)
+        self.viewer.write(set_up(2))
+        connection, message = self.harness.wait_for_set_up("a")
+        connection.write(answer(message.session))
+        self.harness.run_until(lambda: len(self.harness.director.running_plays) == 2)
+        hand_over = set_up(3, attributes="home:0;copies:3;top:2;at:a")
+        self.viewer.write(hand_over)
+        self.harness.run_until(lambda: len(self.harness.director.running_plays) == 3)
+        self.advance(4_000.0)
+        entry = member("a", self.node.port) | {"host_port": f"127.0.0.1:{self.node.port}"}
+        started_ms = started_at + self.harness.director.clock_offset_ms
+        told = changes.parse_event(event(2, entry | {"up_since_ms": started_ms}))
+        self.harness.director.fleet_list.apply_event(told)
+        self.advance(500.0)
+        # Of the one that was handed over it is not known: it is over at the node as well.
+        self.assertEqual(set(self.released_at), {1, 3})
+        self.assertEqual(self.torn_down, [3])
+        self.assertEqual(list(self.harness.director.running_plays), [f"{2:016x}"])
+
 
 if __name__ == "__main__":
     unittest.main()
