Bind a keyed play to the set-up that may have run, not to the first one

Cause: play.first_node was the node of the first set-up that was sent, whatever became of it; its group was taken for that of the set-up that may have run. The key's time began with the request, and did not count how long a further set-up may wait for its connection.

Change: a play keeps the first set-up that may have run, its group and time. Further set-ups go to that group alone and leave while the key holds.

--- a/laddergw/control/candidates.py
+++ b/laddergw/control/candidates.py
@@ -4,7 +4,6 @@
 """
 
 import math
-from operator import attrgetter
 from zlib import crc32
 
 from laddergw import interface
@@ -45,15 +44,8 @@
             for node in fleet.cells[(first_cell + offset) % deployment.cells].values()
             if node.state == interface.READY and node.id not in play.tried_nodes
         ]
-        if play.may_have_run and play.product.repeat == "keyed":
-            key_group = {"zone": attrgetter("zone"), "cell": attrgetter("cell")}.get(
-                play.product.group, bool
-            )
-            play.candidates = [
-                node
-                for node in play.candidates
-                if now < play.key_expires_at and key_group(node) == key_group(play.first_node)
-            ]
+        if play.is_bound_by_key():
+            play.candidates = [node for node in play.candidates if play.key_holds_at(now, node)]
         shared, needed_rate = play.is_shared(), play.rate(play.highest_rung())
         # Where many directors know little, equal estimates rank alike: what is unreported of a link
         # is weighted by a random number
--- a/laddergw/control/plays.py
+++ b/laddergw/control/plays.py
@@ -1,6 +1,7 @@
 """One play on its terms: its set-ups, the budget of its retries, its final answer."""
 
 from collections import deque
+from typing import NamedTuple
 
 from laddergw import interface
 
@@ -15,6 +16,23 @@
 RETRY_AFTER_MS = 1_000.0
 
 
+class SentSetup(NamedTuple):
+    """A set-up that was sent: when it was decided on, and where its key holds (key_group)."""
+
+    decided_at: float
+    group: int | None
+
+
+def key_group(product, node):
+    """Returns the group of a node on which a product's keys hold; all nodes are one: None."""
+    return {"zone": node.zone, "cell": node.cell}.get(product.group)
+
+
+def latest_departure_ms(deployment):
+    """Returns how long after its decision a set-up leaves at the latest, ms (1: rounding)."""
+    return deployment.connect_ms + 1
+
+
 class Play:
     """A play from its request to its end."""
 
@@ -33,17 +51,35 @@
             now + request.wait_ms,
             now,
         )
-        self.candidates, self.key_expires_at, self.tried_nodes, self.setup_count = (
-            [],
-            now + product.key_ms,
-            set(),
-            0,
-        )
+        self.candidates, self.tried_nodes, self.setup_count = [], set(), 0
         # pending_setup: number of the open set-up, from 1 on; None: none is open
-        self.started_at = self.pending_setup = self.node = self.first_node = self.wait_until = (
-            self.awaited_node
-        ) = None
-        self.may_have_run = self.viewer_left = self.demand_counted = False
+        self.started_at = self.pending_setup = self.node = self.wait_until = self.awaited_node = (
+            None
+        )
+        # latest_setup: the last set-up that was sent; binding_setup: the first that may have run
+        self.latest_setup = self.binding_setup = None
+        self.viewer_left = self.demand_counted = False
+
+    @property
+    def may_have_run(self):
+        """Whether one of its set-ups may have run."""
+        return self.binding_setup is not None
+
+    def is_bound_by_key(self):
+        """Returns whether its next set-up may only go where the key of an earlier one holds."""
+        return self.may_have_run and self.product.repeat == "keyed"
+
+    def key_holds_at(self, now, node):
+        """Returns whether its key holds at a node for a set-up that is decided on now.
+
+        The first set-up that may have run names the group and the time: later ones, which are bound
+        by it, are of the same group, and their keys expire later.
+        """
+        leaves_by = now + latest_departure_ms(self.deployment)
+        return (
+            key_group(self.product, node) == self.binding_setup.group
+            and leaves_by <= self.binding_setup.decided_at + self.product.key_ms
+        )
 
     def remaining_ms(self, now):
         """Returns the expected time still to play."""
@@ -106,9 +142,8 @@
         plays taken.
         """
         if play.setup_count and (deployment := self.fleet.deployment).budget_free is not None:
-            # A set-up leaves up to so much after this decision (1: rounding), or never. So plays
-            # are counted over less than the window, and retries over more
-            late_ms = deployment.connect_ms + 1
+            # Plays are counted over less than the window, and retries over more
+            late_ms = latest_departure_ms(deployment)
             for times, slack_ms in (self.play_times, late_ms), (self.retry_times, -late_ms):
                 while times and times[0] < now - deployment.budget_ms + slack_ms:
                     times.popleft()
@@ -129,7 +164,7 @@
             MIN_TIMEOUT_MS,
             left_ms * (play.product.repeat == "paid" or play.setup_count + 1 >= max_setups),
         )
-        play.first_node, node.last_setup = play.first_node or node, now
+        play.latest_setup, node.last_setup = SentSetup(now, key_group(play.product, node)), now
         play.pending_setup = play.setup_count = play.setup_count + 1
         play.tried_nodes.add(node.id)
         for setups in node.setups, self.prices.setups:
@@ -146,7 +181,7 @@
         """Takes in that the play's set-up or allocation has ended."""
         play.wait_until = play.pending_setup = None
         if outcome not in (interface.FULL, interface.UNREACHABLE, interface.NEVER_SENT):
-            play.may_have_run = True
+            play.binding_setup = play.binding_setup or play.latest_setup
 
     def setup_answered(self, now, play, delay_ms):
         """Takes in that a node serves the play, `delay_ms` after its set-up was sent."""
--- a/laddergw/control/rungs.py
+++ b/laddergw/control/rungs.py
@@ -35,7 +35,7 @@
         """Takes in a note on a play; returns the verdicts that follow."""
         fleet, node = self.fleet, self.fleet.nodes.get(node_id)
         just_started = (
-            play and play.first_node and play.started_at is not None and now - play.started_at < 1
+            play and play.latest_setup and play.started_at is not None and now - play.started_at < 1
         )
         # NaN and infinite values are not valid in a note, either
         kind = kind if node and 0 <= value < IMPLAUSIBLE_LOAD else None
