--- a/benchmarks/broken_soak.py
+++ b/benchmarks/broken_soak.py
@@ -10,6 +10,7 @@
 import multiprocessing
 import sys
 import tempfile
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from benchmarks.broken_fleets import BLOCK_SIGNALS
@@ -20,6 +21,7 @@
 from laddergw.lab.soak.terms import DEFAULT_TERMS
 
 SEEDS = range(1, 11)
+MACHINE_SEEDS = range(plan.MACHINE_SEED_REMAINDER, 40, plan.MACHINE_SEED_DIVISOR)
 JOBS = 4
 
 
@@ -30,6 +32,8 @@
     rule: str
     # Part of the violation's text, where the rule has several texts.
     text: str = ""
+    # The seeds that are tried; those of plans with faults of machines for some faults.
+    seeds: Sequence[int] = SEEDS
 
 
 BROKEN = {
@@ -76,6 +80,37 @@
         "plays.Allocations.check_retry_budget = lambda *args: None",
         "budget",
     ),
+    "gives nodes up early": BrokenDirector(
+        "from laddergw.platform import liveness; liveness.SILENCE_LIMIT_MS = 3000.0",
+        "lost",
+        "ended, though it stands",
+        MACHINE_SEEDS,
+    ),
+    "leaves plays at nodes": BrokenDirector(
+        "from laddergw.platform import lost_plays; lost_plays.release_plays = lost_plays.end_plays",
+        "lost",
+        "goes on at",
+        MACHINE_SEEDS,
+    ),
+    "ends plays of new processes": BrokenDirector(
+        "from laddergw.platform import lost_plays; "
+        "lost_plays.process_started = lambda node, at: lost_plays.give_up(node, 'started anew')",
+        "lost",
+        "ended, though it stands",
+        MACHINE_SEEDS,
+    ),
+    "never gives nodes up": BrokenDirector(
+        "from laddergw.platform import liveness; liveness.SILENCE_LIMIT_MS = 1e9",
+        "lost",
+        "died with it",
+        MACHINE_SEEDS,
+    ),
+    "sends keyed plays anywhere": BrokenDirector(
+        "from laddergw.control import plays; plays.Play.key_holds_at = lambda *args: True",
+        "twice",
+        "outside its key's cell",
+        MACHINE_SEEDS,
+    ),
     "fails in its calls": BrokenDirector(
         "from laddergw.platform import change_log as f; "
         "f.ChangeLogClient.handle_event = lambda *args: 1 / 0",
@@ -88,7 +123,7 @@
     """Returns the name, the first seed that breaks the rule, or 0, and the violation found."""
     run_director = "import runpy; runpy.run_module('laddergw.platform', run_name='__main__')"
     code = f"{BLOCK_SIGNALS}{BROKEN[name].code}; {run_director}"
-    for seed in SEEDS:
+    for seed in BROKEN[name].seeds:
         with tempfile.TemporaryDirectory() as folder:
             result = play_plan(
                 plan.draw(seed, len(DEFAULT_TERMS.products)),
--- a/laddergw/lab/soak/faults.py
+++ b/laddergw/lab/soak/faults.py
@@ -10,6 +10,8 @@
 DRAIN_TO_REMOVAL_MS = 1_500.0
 # From a node's removal from the list to the end of its process.
 REMOVAL_TO_EXIT_MS = 300.0
+# From the start of a node's process to the list's event about it.
+START_NOTICE_MS = (300.0, 5_000.0)
 
 
 class FaultInjector:
@@ -43,9 +45,11 @@
         return self.trial.directors[fault.target % len(self.trial.directors)]
 
     def node(self, fault: Fault) -> Node:
-        """Picks a live node; the choice depends only on the fault and on the live nodes."""
-        alive = [node for node in self.trial.nodes.values() if not node.has_died]
-        return alive[fault.target % len(alive)]
+        """Picks a live node that is not cut off; the choice depends on the fault and on these."""
+        reachable = [
+            node for node in self.trial.nodes.values() if not node.has_died and not node.is_cut_off
+        ]
+        return reachable[fault.target % len(reachable)]
 
     def stop(self, fault: Fault) -> None:
         """Stops a director as a planned restart does."""
@@ -92,6 +96,32 @@
         """Ends a node's process without notice."""
         self.node(fault).die()
 
+    def cut_off(self, fault: Fault) -> None:
+        """Cuts a node off for a while."""
+        node = self.node(fault)
+        node.cut_off()
+        self.call_at_end(fault, node.rejoin)
+
+    def vanish(self, fault: Fault) -> None:
+        """Has a node's machine vanish; it returns cold."""
+        node = self.node(fault)
+        node.vanish()
+        self.call_at_end(fault, lambda: self.start_anew(node))
+
+    def restart(self, fault: Fault) -> None:
+        """Restarts a node's process; the list tells of it later."""
+        node = self.node(fault)
+        node.die()
+        self.call_at_end(fault, lambda: self.start_anew(node))
+
+    def start_anew(self, node: Node) -> None:
+        """Starts a node's next process, of which the list tells after a while."""
+        node.start_anew()
+        notice_ms = self.trial.rng.uniform(*START_NOTICE_MS)
+        self.trial.loop.call_later(
+            notice_ms, lambda: self.trial.log.publish(node.list_entry("SERVING"))
+        )
+
     def reset(self, fault: Fault) -> None:
         """Resets a node's connections."""
         self.node(fault).reset()
--- a/laddergw/lab/soak/judge.py
+++ b/laddergw/lab/soak/judge.py
@@ -2,17 +2,23 @@
 
 A record is (ms, event, fields). All times are those of the one process that plays all peers. `lag`
 is how long that process itself may have left the data unread; the director is not blamed for it.
-The rules on releases are in judge_releases.py.
+The rules on releases are in judge_releases.py, those on plays that may have run in judge_runs.py.
 """
 
 import math
-from collections import defaultdict
 from collections.abc import Iterable
 
 from laddergw.lab.soak.judge_cold import check_cold_starts
 from laddergw.lab.soak.judge_drains import check_drains
 from laddergw.lab.soak.judge_limits import check_processor_use, check_retry_budget
 from laddergw.lab.soak.judge_releases import check_releases
+from laddergw.lab.soak.judge_runs import (
+    by_session,
+    check_keyed_retries,
+    check_refusals,
+    check_single_runs,
+)
+from laddergw.lab.soak.judge_standing import check_standing_plays
 from laddergw.lab.soak.terms import Terms
 from laddergw.lab.soak.violation import RuleViolation
 
@@ -37,28 +43,21 @@
         check_answers(records),
         check_descriptions(records),
         check_single_runs(records, terms.single_run_products),
+        check_keyed_retries(records, terms.products_by_cell),
         check_left_viewers(records),
         check_drains(records, terms.grace_ms),
         check_cold_starts(records, terms),
         check_processes(records, terms),
         check_releases(records),
+        check_standing_plays(records),
         check_fields_unchanged(records),
-        check_refusals(records, terms.single_run_products),
+        check_refusals(records, terms.undeclinable_products),
         check_retry_budget(records, terms.budget),
         check_processor_use(records),
     )
     return [violation for found in rules for violation in found]
 
 
-def by_session(records, *events: str) -> dict[str, list]:
-    """Returns the records of the given events by session."""
-    found = defaultdict(list)
-    for at, event, fields in records:
-        if event in events:
-            found[fields["session"]].append((at, event, fields))
-    return found
-
-
 def check_answers(records) -> list[RuleViolation]:
     """Checks that each viewer that has not left gets one answer, in time, and nobody gets two.
 
@@ -141,54 +140,6 @@
     return violations
 
 
-def check_refusals(records, single_run_products: set[str]) -> list[RuleViolation]:
-    """Checks that no play that runs once and may have run is declined, that is, safe to retry."""
-    violations = []
-    for session, history in by_session(records, "arrived", "over", "answered").items():
-        may_have_run = sum(
-            event == "arrived" and fields["product"] in single_run_products
-            for _, event, fields in history
-        ) - sum(event == "over" and fields.get("never_ran", False) for _, event, fields in history)
-        if may_have_run > 0 and any(
-            event == "answered" and fields["answer"] == "declined" for _, event, fields in history
-        ):
-            violations.append(
-                RuleViolation("dup", f"declined, though it may have run: {session}", session)
-            )
-    return violations
-
-
-def check_single_runs(records, single_run_products: set[str]) -> list[RuleViolation]:
-    """Checks that no play is open at two nodes, and that no product that runs once is set up a
-    second time where the first may have run.
-    """
-    violations = []
-    for session, history in by_session(records, "arrived", "over").items():
-        running_at, may_have_run = set(), 0
-        # Of events that this process read in one turn, an attempt's end may be recorded second.
-        ends = {(at, fields["node"]) for at, event, fields in history if event == "over"}
-        for at, event, fields in history:
-            if event == "over":
-                running_at.discard(fields["node"])
-                may_have_run -= fields.get("never_ran", False)
-                continue
-            if others := [node for node in running_at if (at, node) not in ends]:
-                violations.append(
-                    RuleViolation(
-                        "twice",
-                        f"open at {fields['node']} and at {', '.join(others)}: {session}",
-                        session,
-                    )
-                )
-            running_at.add(fields["node"])
-            may_have_run += 1
-            if may_have_run > 1 and fields["product"] in single_run_products:
-                violations.append(
-                    RuleViolation("twice", f"a paid play set up a second time: {session}", session)
-                )
-    return violations
-
-
 def check_left_viewers(records) -> list[RuleViolation]:
     """Checks that no attempt begins long after its viewer has left."""
     left, late = {}, []
--- a/laddergw/lab/soak/node_connection.py
+++ b/laddergw/lab/soak/node_connection.py
@@ -44,6 +44,8 @@
             {},
         )
         self.writer = PieceWriter(node.loop, node.rng)
+        # While its node is cut off: what has come, and what it wrote.
+        self.held_input, self.held_output = b"", b""
 
     def opened(self, stream) -> None:
         """Sends the releases that this director has not acknowledged yet."""
@@ -52,8 +54,30 @@
         for session, cause in self.node.unacknowledged.get(self.director, {}).items():
             self.write(release(int(session, 16), cause))
 
+    def data_received(self, stream, data: bytes) -> None:
+        """Handles messages, or holds them back while the node is cut off."""
+        if self.node.is_cut_off:
+            self.held_input += data
+        else:
+            super().data_received(stream, data)
+
+    def rejoin(self) -> None:
+        """Handles what was held back, as the node is reached again.
+
+        A connection that holds a set-up is reset: the set-up has not arrived.
+        """
+        if b"SETUP " in self.held_input:
+            return self.stream.abort()
+        held_input, self.held_input = self.held_input, b""
+        held_output, self.held_output = self.held_output, b""
+        self.stream.write(held_output)
+        return super().data_received(self.stream, held_input)
+
     def write(self, data: bytes) -> None:
         """Writes a message, in pieces under the condition `pieces`."""
+        if self.node.is_cut_off:
+            self.held_output += data
+            return
         self.writer.write(
             self.stream,
             data,
@@ -68,6 +92,7 @@
                 "arrived",
                 session=session,
                 node=node.id,
+                cell=node.cell,
                 product=message.headers["subject"],
                 title=message.target.removeprefix(ADDRESS_PREFIX),
                 offer=message.body.decode(errors="replace"),
@@ -113,7 +138,12 @@
             self.attempt_ended(session, status == 453)
             return self.write(answer(session, status, b""))
         text = self.node.description(session)
-        if "spoilt_answers" in self.node.conditions and self.node.rng.random() < CORRUPT_SHARE:
+        is_corrupt = (
+            "spoilt_answers" in self.node.conditions
+            and self.node.rng.random() < CORRUPT_SHARE
+            and not self.node.is_cut_off
+        )
+        if is_corrupt:
             return self.send_corrupt_answer(session, text)
         self.node.start_play(session, self)
         self.node.record("made", session=session, node=self.node.id, text=text.decode())
@@ -149,5 +179,9 @@
         """Ends the attempts of the connection that are not playing."""
         if self in self.node.connections:
             self.node.connections.remove(self)
+        self.end_attempts()
+
+    def end_attempts(self) -> None:
+        """Ends the attempts that are not playing."""
         for session in [session for session in self.attempts if session not in self.node.playing]:
             self.attempt_ended(session)
--- a/laddergw/lab/soak/nodes.py
+++ b/laddergw/lab/soak/nodes.py
@@ -12,8 +12,8 @@
 from laddergw.lab.soak.ports import HOST, reserve_port
 from laddergw.signalling import rtsp
 
-# Range of the length of a play.
-PLAY_LENGTH_MS = 400.0, 2_000.0
+# Ranges of the length of a play: usually, and where plays have to stand through faults of machines.
+PLAY_LENGTH_MS, LONG_PLAY_LENGTH_MS = (400.0, 2_000.0), (1_000.0, 20_000.0)
 # Interval of checks whether a hung node has resumed.
 HANG_POLL_MS = 120.0
 # Connections that may wait to be accepted.
@@ -55,20 +55,28 @@
             False,
             [],
         )
+        # Its machine says and hears nothing.
+        self.is_cut_off = False
+        self.play_length_ms = PLAY_LENGTH_MS
         # By director: sessions whose release it has not acknowledged, with the cause.
         self.unacknowledged: dict[int, dict[str, int]] = {}
         # Reserved beyond the node's end: the ports must refuse connections, and no other trial
         # may be given them.
         self.ports = [reserve_port() for _ in range(directors)]
+        self.listeners: list = []
+        self.listen()
+        self.up_since_ms = time.time() * 1000 if cold else 0
+        if cold:
+            record("started", node=name)
+
+    def listen(self) -> None:
+        """Listens at its address for each director."""
         self.listeners = [
-            loop.listen(
+            self.loop.listen(
                 port.getsockname(), lambda stream, number=number: NodeConnection(self, number)
             )
             for number, port in enumerate(self.ports)
         ]
-        self.up_since_ms = time.time() * 1000 if cold else 0
-        if cold:
-            record("started", node=name)
 
     def list_entry(self, phase: str) -> dict:
         """Returns its entry of the node list; the address is filled in for each director."""
@@ -87,7 +95,7 @@
     def start_play(self, session: str, connection: NodeConnection) -> None:
         """Starts a play of random length."""
         self.playing[session] = connection
-        self.loop.call_later(self.rng.uniform(*PLAY_LENGTH_MS), lambda: self.end_play(session))
+        self.loop.call_later(self.rng.uniform(*self.play_length_ms), lambda: self.end_play(session))
 
     def end_play(self, session: str, cause: int = CAUSE_ENDED) -> None:
         """Ends a play and reports it to its director until the director acknowledges it."""
@@ -150,7 +158,9 @@
                 filler.connect_ex(listener.address)
 
     def accept_again(self) -> None:
-        """Accepts connections again after `stop_accepting`."""
+        """Accepts connections again after `stop_accepting`, unless it is cut off."""
+        if self.is_cut_off:
+            return
         fillers, self.fillers = self.fillers, []
         for filler in fillers:
             filler.close()
@@ -162,6 +172,7 @@
         """Ends its process: its ports refuse, its connections are reset, its plays are over."""
         if self.has_died:
             return
+        self.is_cut_off = False
         self.accept_again()
         self.has_died = True
         for listener in self.listeners:
@@ -170,3 +181,38 @@
             connection.attempt_ended(session)
             self.record("died with it", session=session, node=self.id)
         self.reset()
+
+    def cut_off(self) -> None:
+        """Cuts it off: nothing reaches it or its directors, and it goes on by itself."""
+        self.record("node cut off", node=self.id)
+        self.is_cut_off = True
+        self.stop_accepting()
+
+    def rejoin(self) -> None:
+        """Ends a cut: what was held back arrives."""
+        if self.has_died or not self.is_cut_off:
+            return
+        self.record("node reached again", node=self.id)
+        self.is_cut_off = False
+        self.accept_again()
+        for connection in list(self.connections):
+            connection.rejoin()
+
+    def vanish(self) -> None:
+        """Its machine is gone without a word, and its plays are over."""
+        self.cut_off()
+        for session, connection in list(self.playing.items()):
+            connection.attempt_ended(session)
+            self.record("died with it", session=session, node=self.id)
+        self.playing = {}
+        for connection in self.connections:
+            connection.end_attempts()
+
+    def start_anew(self) -> None:
+        """Starts its next process, at the same address, once the last one has ended."""
+        if not self.has_died:
+            self.die()
+        self.has_died = self.is_hung = self.is_cut_off = False
+        self.playing, self.unacknowledged, self.up_since_ms = {}, {}, time.time() * 1000
+        self.record("node restarted", node=self.id)
+        self.listen()
--- a/laddergw/lab/soak/plan.py
+++ b/laddergw/lab/soak/plan.py
@@ -37,7 +37,24 @@
     "repeat_at_once",
     "release_at_once",
 )
-FAULT_KINDS = DIRECTOR_FAULTS + NODE_FAULTS + CHANGE_LOG_FAULTS + CONDITIONS
+SCENE_KINDS = DIRECTOR_FAULTS + NODE_FAULTS + CHANGE_LOG_FAULTS + CONDITIONS
+# Long faults of a node's machine: drawn beside the scenes in each plan whose seed leaves the
+# remainder, with long plays and a product that may be keyed.
+MACHINE_FAULTS = ("vanish", "cut_off", "restart")
+MACHINE_SEED_DIVISOR, MACHINE_SEED_REMAINDER = 4, 3
+FAULT_KINDS = SCENE_KINDS + MACHINE_FAULTS
+# Ranges of their durations. A cut is one that the bench's days have, or too long to be told from an
+# end; a restart's is the time for which its port refuses.
+MACHINE_DURATIONS_MS = {
+    "vanish": ((9_000.0, 11_000.0),),
+    "cut_off": ((2_000.0, 6_000.0), (9_000.0, 10_000.0)),
+    "restart": ((100.0, 1_500.0),),
+}
+MACHINE_FAULT_COUNT = (2, 3)
+# When they begin: plays stand by then, and the longest end before the trial does.
+MACHINE_FAULT_BEGIN_MS = (1_500.0, 3_000.0)
+# The nodes on which a keyed product's keys hold; empty: it is not keyed.
+KEYED_GROUPS = ("", "all", "cell", "cell")
 LASTING_KINDS = {"freeze", "hang", "late_accept", "log_away", "log_silent", *CONDITIONS}
 
 
@@ -69,6 +86,10 @@
     # The products' time limits; empty: the deployment's own.
     limits_ms: tuple[float, ...]
     faults: tuple[Fault, ...]
+    # Plays are so long that they stand through the faults of machines.
+    has_long_plays: bool = False
+    # Of the first product, see KEYED_GROUPS.
+    keyed_group: str = ""
 
 
 class Sizes(NamedTuple):
@@ -95,6 +116,10 @@
     faults: list[Fault] = []
     for _ in range(rng.randint(*SCENE_RANGE)):
         faults += draw_scene(rng, faults, seconds * 1000)
+    has_machine_faults = seed % MACHINE_SEED_DIVISOR == MACHINE_SEED_REMAINDER
+    machine_rng = random.Random(f"soak machines {seed}")
+    if has_machine_faults:
+        faults += draw_machine_faults(machine_rng)
     return Plan(
         seed,
         directors,
@@ -103,9 +128,21 @@
         seconds,
         limits,
         tuple(sorted(faults, key=lambda fault: fault.at_ms)),
+        has_machine_faults,
+        machine_rng.choice(KEYED_GROUPS) if has_machine_faults else "",
     )
 
 
+def draw_machine_faults(rng: random.Random) -> list[Fault]:
+    """Draws faults of nodes' machines."""
+    faults = []
+    for kind in rng.choices(MACHINE_FAULTS, k=rng.randint(*MACHINE_FAULT_COUNT)):
+        lasts = rng.uniform(*rng.choice(MACHINE_DURATIONS_MS[kind]))
+        begins = rng.uniform(*MACHINE_FAULT_BEGIN_MS)
+        faults.append(Fault(round(begins, 1), kind, round(lasts, 1), rng.randrange(1_000)))
+    return faults
+
+
 def draw_scene(rng: random.Random, earlier: list[Fault], length_ms: float) -> list[Fault]:
     """Draws faults around one edge: a new time, or the beginning or end of an earlier fault."""
     edges = [
@@ -121,7 +158,7 @@
     )
     scene_faults = [
         draw_fault(rng, edge, kind)
-        for kind in rng.sample(FAULT_KINDS, rng.randint(*FAULTS_PER_SCENE))
+        for kind in rng.sample(SCENE_KINDS, rng.randint(*FAULTS_PER_SCENE))
     ]
     repeatable = [fault for fault in scene_faults if fault.kind in ("stop", "reconfigure")]
     # The next director may be stopped, or have its file changed, shortly after.
--- a/laddergw/lab/soak/result.py
+++ b/laddergw/lab/soak/result.py
@@ -11,8 +11,8 @@
 
 from laddergw.lab.soak import judge
 from laddergw.lab.soak.plan import Plan
+from laddergw.lab.soak.planned_trial import create_trial
 from laddergw.lab.soak.terms import Terms
-from laddergw.lab.soak.trial import create_trial
 
 # A trial that delayed its own peers for longer is not judged.
 MAX_LAG_MS = 150.0
--- a/laddergw/lab/soak/terms.py
+++ b/laddergw/lab/soak/terms.py
@@ -14,6 +14,8 @@
 PRODUCT_SHARES = (0.6, 0.4)
 # Terms and the settings, in microseconds, that they are read from.
 TIME_SETTINGS = {"warm_ms": "WarmWithin", "fall_ms": "Fall", "grace_ms": "StopSendingWithin"}
+# How long the keys of a keyed product hold: longer than any time limit.
+KEY_TTL_US = 10_000_000
 # Share of a product's time limit for which its viewers wait.
 WAIT_SHARE = 0.5
 
@@ -26,6 +28,9 @@
     limit_ms: float
     # A set-up that may have run must not be sent again.
     runs_once: bool
+    # The nodes to which one that may have run may be sent again, "all" or "cell" (of the same
+    # cell); empty: it is not keyed.
+    keyed_group: str = ""
 
     @property
     def wait_ms(self) -> float:
@@ -61,6 +66,16 @@
         """Names of the products that run once."""
         return {product.name for product in self.products if product.runs_once}
 
+    @property
+    def undeclinable_products(self) -> set[str]:
+        """Names of the products that must not be declined once they may have run."""
+        return self.single_run_products | self.products_by_cell
+
+    @property
+    def products_by_cell(self) -> set[str]:
+        """Names of the products that are keyed by cell."""
+        return {product.name for product in self.products if product.keyed_group == "cell"}
+
     @property
     def longest_limit_ms(self) -> float:
         """The longest time limit of any product."""
@@ -138,6 +153,9 @@
         }
     limits = {product.name: int(product.limit_ms * 1000) for product in terms.products}
     grades = [grade | {"GiveUp": limits[grade["Name"]]} for grade in base["Grades"]]
+    for grade, product in zip(grades, terms.products, strict=True):
+        if product.keyed_group:
+            grade |= {"Repeat": "token", "Group": product.keyed_group, "KeyTtl": KEY_TTL_US}
     return base | {
         "Siblings": directors,
         "Ordinal": number,
--- a/laddergw/lab/soak/trial.py
+++ b/laddergw/lab/soak/trial.py
@@ -14,11 +14,9 @@
 
 from laddergw.lab.soak.change_log import ChangeLog
 from laddergw.lab.soak.director_supervisor import DirectorSupervisor, default_command
-from laddergw.lab.soak.faults import FaultInjector
 from laddergw.lab.soak.messages import SETTINGS
 from laddergw.lab.soak.node_connection import Conditions
 from laddergw.lab.soak.nodes import Node
-from laddergw.lab.soak.plan import Plan
 from laddergw.lab.soak.ports import reserve_port
 from laddergw.lab.soak.terms import CELLS, DEFAULT_TERMS, Terms
 from laddergw.lab.soak.viewer_group import ViewerGroup
@@ -70,6 +68,8 @@
             log_level,
         )
         self.processes: list = []
+        # Time after the first request until which the trial goes on in any case, ms.
+        self.judged_until_ms = 0.0
         self.terms, self.settings, self.director_count, self.rate, self.seconds, self.script = (
             terms,
             settings,
@@ -176,6 +176,9 @@
 
     def is_settled(self) -> bool:
         """Returns whether no play runs any more, or the time to wait for that is over."""
+        load_began_at = self.load_ends_at - self.seconds * 1000
+        if self.loop.now < load_began_at + self.judged_until_ms:
+            return False
         if self.loop.now < self.load_ends_at + MIN_SETTLE_MS or not all(
             director.accepts_plays for director in self.directors
         ):
@@ -197,6 +200,7 @@
             self.is_over = True
             for director in self.directors:
                 if director.process is not None:
+                    self.record("director told to stop", director=director.name)
                     director.process.send_signal(signal.SIGTERM)
             self.run_until(lambda: all(process.poll() is not None for _, process in self.processes))
         finally:
@@ -221,28 +225,3 @@
             reserved.close()
         if self.temporary_folder is not None:
             self.temporary_folder.cleanup()
-
-
-def create_trial(plan: Plan, terms: Terms, **options: Any) -> Trial:
-    """Creates the trial of a plan; its faults become the script."""
-    products = (
-        tuple(
-            product._replace(limit_ms=limit)
-            for product, limit in zip(terms.products, plan.limits_ms, strict=False)
-        )
-        or terms.products
-    )
-    script = [
-        (fault.at_ms, lambda trial, fault=fault: FaultInjector(trial).begin(fault))
-        for fault in plan.faults
-    ]
-    return Trial(
-        plan.directors,
-        plan.nodes,
-        plan.rate,
-        plan.seconds,
-        script,
-        plan.seed,
-        terms=terms._replace(products=products),
-        **options,
-    )
--- a/laddergw/lab/soak/viewer_connection.py
+++ b/laddergw/lab/soak/viewer_connection.py
@@ -143,7 +143,7 @@
             self.send_message(binary.RELEASE_ACK, message.session)
             self.handle_release(message, request)
         elif message.kind == binary.MOVE and request is not None and request.state == "plays":
-            self.group.play_ended(request)
+            self.group.play_ended(request, None)
 
     def play_started(self, request: Request) -> None:
         """Notes a running play, which its viewer may end later."""
@@ -159,9 +159,9 @@
         if request is None or request.state == "over":
             return
         self.requests.pop(request.session, None)
-        if request.state == "plays":
-            return self.group.play_ended(request)
         cause = message.parameters[binary.CAUSE][0]
+        if request.state == "plays":
+            return self.group.play_ended(request, cause)
         request.state = "over"
         self.group.record(
             "answered",
--- a/laddergw/lab/soak/viewer_group.py
+++ b/laddergw/lab/soak/viewer_group.py
@@ -69,11 +69,11 @@
                 binary.RELEASE, request.session, (binary.CAUSE, b"\x10")
             )
 
-    def play_ended(self, request: Request) -> None:
-        """Records the release of a running play."""
+    def play_ended(self, request: Request, cause: int | None) -> None:
+        """Records the release of a running play with its cause, or a move: None."""
         request.state = "over"
         self.playing.pop(request.session, None)
-        self.record("released", session=request.session)
+        self.record("released", session=request.session, cause=cause)
 
     def connection_lost(self, connection: ViewerConnection, request: Request) -> None:
         """Handles the end of a connection that carries a request without an answer."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -15,8 +15,9 @@
 from laddergw.lab.soak.result import play_plan
 from laddergw.lab.soak.terms import DEFAULT_TERMS
 
-# Each has restarts, drains and an outage of the change log, and takes about 12 s.
-SEEDS = 14, 25, 40
+# Each has restarts, drains and an outage of the change log, and takes about 12 s; the last one has
+# a vanished machine, a cut, a restart and a product that is keyed by cell, and takes 20 s.
+SEEDS = 14, 25, 40, 7
 # Share of the requests of a plan, without its crowds, that have to be played: a fleet that refuses
 # every viewer would keep every rule.
 MIN_PLAYED_SHARE = 0.2
