Release a set-up again that was given up while its node was cut off

Its TEARDOWN left once, on the connection that then closed, and a connection that was aborted as silent told nothing.

Change: a node that says nothing for 1 s after a set-up was given up there is sent the release again, as is one for each set-up on a connection that is aborted as silent; they wait for the node like those of lost plays. The checks of a node are a module (health_check.py). Liveness keeps apart when a node was heard and since when it is watched.

Evidence: test_a_set_up_given_up_at_a_silent_node_is_released_when_it_is_ reached_again failed in both sub-tests before, and passes.

--- a/laddergw/platform/allocator.py
+++ b/laddergw/platform/allocator.py
@@ -11,6 +11,7 @@
 from laddergw.platform.answers import AnswerHandler
 from laddergw.platform.causes import ENDED
 from laddergw.platform.connection import Connection, Message
+from laddergw.platform.health_check import PING_TIMEOUT_MS
 from laddergw.platform.node import Node
 from laddergw.platform.play_ending import PlayEnding
 from laddergw.platform.plays import Play
@@ -88,6 +89,11 @@
             verdict.timeout_ms, lambda: self.set_up_timed_out(play)
         )
 
+    def release_set_up(self, node: Node, play: Play) -> None:
+        """Releases a set-up that was given up, in case it goes on at a node."""
+        data = rtsp.encode_request("TEARDOWN", play.request.title, play.session)
+        self.send_to_node(node, data, play.session)
+
     def send_to_node(self, node: Node, data: bytes, released: str = "") -> None:
         """Sends a message about a running play on any connection to its node.
 
@@ -213,6 +219,8 @@
             connection.stream.write(
                 rtsp.encode_request("TEARDOWN", play.request.title, play.session)
             )
+        if state == allocation.SENT:
+            self.release_if_silent(connection.node, play)
         if not connection.plays and connection in connection.node.connections:
             connection.abort(allocation.CONNECTION_LOST) if undelivered else connection.close(
                 DELIVERY_LIMIT_MS
@@ -224,3 +232,17 @@
                 DELIVERY_LIMIT_MS, lambda: connection.abort_unless_arrived(end)
             )
         self.ending.allocation_ended(play, state, event, report)
+
+    def release_if_silent(self, node: Node, play: Play) -> None:
+        """Releases a set-up, which is being given up, once more if its node is silent from now on.
+
+        The node may be cut off: the set-up goes on there, and nothing of its end has arrived.
+        """
+        given_up_at = self.director.loop.now
+
+        def check() -> None:
+            is_used_again = play.session in node.open_set_ups or play.session in node.running_plays
+            if node.liveness.last_heard_at <= given_up_at and not is_used_again:
+                self.release_set_up(node, play)
+
+        self.director.loop.call_later(PING_TIMEOUT_MS, check)
--- a/laddergw/platform/liveness.py
+++ b/laddergw/platform/liveness.py
@@ -23,9 +23,8 @@
     """Whether a node's machine is alive, as its messages show. Times by the loop's clock, ms."""
 
     def __init__(self, now: float):
-        # When it was last heard, or when plays began to run there if that is later.
-        self.last_heard_at = now
-        # The first ping or dial since then.
+        self.last_heard_at = self.watched_since = now
+        # The first ping or dial since it was last heard.
         self.probed_since: float | None = None
 
     def mark_heard(self, now: float) -> None:
@@ -38,17 +37,21 @@
             self.probed_since = now
 
     def watch(self, now: float) -> None:
-        """Begins to measure silence, as plays begin to run at a node that had none."""
-        self.mark_heard(now)
+        """Begins to measure its silence: nobody has asked the node for anything before."""
+        self.watched_since, self.probed_since = now, None
+
+    def silent_ms(self, now: float) -> float:
+        """Returns for how long it has been silent, ms."""
+        return now - max(self.last_heard_at, self.watched_since)
 
     def needs_ping(self, now: float) -> bool:
         """Whether the node has been silent for so long that it is to be pinged."""
-        return now - self.last_heard_at >= PING_AFTER_MS
+        return self.silent_ms(now) >= PING_AFTER_MS
 
     def is_gone(self, now: float) -> bool:
         """Whether the node is believed to be gone."""
         return (
             self.probed_since is not None
-            and now - self.last_heard_at >= SILENCE_LIMIT_MS
+            and self.silent_ms(now) >= SILENCE_LIMIT_MS
             and now - self.probed_since >= MIN_PROBE_MS
         )
--- a/laddergw/platform/node.py
+++ b/laddergw/platform/node.py
@@ -18,8 +18,6 @@
 # A connection is not used so shortly before the node closes it as idle: a set-up that crosses the
 # close may have run, for all we know, and a paid play then fails.
 IDLE_CLOSE_MARGIN_MS = 500.0
-# A connection whose ping is unanswered for this long is dead, where its node answers elsewhere.
-PING_TIMEOUT_MS = 1_000.0
 # Between dials of a node that does not answer: while plays run there, and while it is only to be
 # told that they are over.
 REDIAL_INTERVAL_MS, RELEASE_REDIAL_INTERVAL_MS = 500.0, 2_000.0
@@ -185,55 +183,3 @@
         """
         self.needs_connection = True
         self.dial_if_needed()
-
-    def presume_gone(self) -> None:
-        """Ends what is open and what runs at a node that has been silent for too long."""
-        for connection in list(self.connections):
-            connection.abort(allocation.CONNECTION_LOST)
-        lost_plays.give_up(self, "silent")
-        # It is dialled on while releases wait for it.
-        self.liveness.watch(self.fleet.loop.now)
-
-    def check(self, now: float) -> None:
-        """Checks that the node's machine still answers, while plays run there.
-
-        Pings a node that is silent, and dials one that has no connection or leaves a ping
-        unanswered. Its silent connections stay open, as it may have been cut off, until it answers
-        on another one or is believed to be gone.
-        """
-        if self.liveness.is_gone(now):
-            return self.presume_gone()
-        self.close_dead_connections(now)
-        up = [connection for connection in self.connections if connection.up]
-        pinged_at = [connection.pinged_at for connection in up if connection.ping is not None]
-        if up and not pinged_at and self.liveness.needs_ping(now):
-            self.ping(up[0], now)
-        elif not self.connections and self.gone:
-            return lost_plays.give_up(self, "gone from the list")
-        elif not up or (pinged_at and now - min(pinged_at) >= PING_TIMEOUT_MS):
-            self.redial(now)
-        return self.dial_if_needed()
-
-    def close_dead_connections(self, now: float) -> None:
-        """Aborts connections whose ping is unanswered while the node has answered on another."""
-        for connection in [
-            connection
-            for connection in self.connections
-            if connection.ping is not None
-            and now - connection.pinged_at >= PING_TIMEOUT_MS
-            and self.liveness.last_heard_at > connection.pinged_at
-        ]:
-            log.info("node %s: a ping was not answered", self.id)
-            connection.abort(allocation.CONNECTION_LOST)
-            self.replace_connection()
-
-    def ping(self, connection: Connection, now: float) -> None:
-        """Sends a ping on a connection that is up."""
-        connection.ping, connection.pinged_at = self.fleet.next_ping_name(), now
-        connection.stream.write(rtsp.encode_request("OPTIONS", "ping", connection.ping))
-        self.liveness.mark_probed(now)
-
-    def redial(self, now: float) -> None:
-        """Dials a silent node, unless that was done a short time ago."""
-        if self.is_redial_due(now) and self.fleet.make_room(include_serving=True):
-            self.dial()
--- a/laddergw/platform/nodes.py
+++ b/laddergw/platform/nodes.py
@@ -4,7 +4,7 @@
 
 import logging
 
-from laddergw.platform import allocation, lost_plays
+from laddergw.platform import allocation, health_check, lost_plays
 from laddergw.platform.connection import Connection, Message
 from laddergw.platform.node import Node
 
@@ -39,10 +39,10 @@
         # the node that the list named last at each address
         self.by_address: dict[tuple[str, int], Node] = {}
         self.last_number = self.pings_named = 0
-        self.count, self.allocation_ended, self.release, self.handle_request, self.handle_answer = (
+        self.release, self.release_set_up = allocator.release, allocator.release_set_up
+        self.count, self.allocation_ended, self.handle_request, self.handle_answer = (
             allocator.count,
             allocator.ending.allocation_ended,
-            allocator.release,
             allocator.handle_request,
             allocator.answer_handler.handle_answer,
         )
@@ -236,9 +236,9 @@
         """
         self.loop.call_later(CHECK_INTERVAL_MS, self.check)
         self.dial_waiting(len(self.awaiting_connection))
-        for node in sorted(self.watched, key=lambda node: node.liveness.last_heard_at):
+        for node in sorted(self.watched, key=lambda node: -node.liveness.silent_ms(self.loop.now)):
             if node.running_plays or node.has_open_releases():
-                node.check(self.loop.now)
+                health_check.check_node(node, self.loop.now)
             else:
                 del self.watched[node]
         self.remove_gone()
--- a/tests/test_orders_silence.py
+++ b/tests/test_orders_silence.py
@@ -130,6 +130,23 @@
                 self.advance(REACHED_AGAIN_MS)
                 self.assertEqual(set(self.torn_down), {1})
 
+    # Guards against set-ups that go on at a node that was cut off as they were given up.
+    def test_a_set_up_given_up_at_a_silent_node_is_released_when_it_is_reached_again(self):
+        for is_cancelled in False, True:
+            with self.subTest(is_cancelled=is_cancelled):
+                self.start(1)
+                self.viewer.write(set_up(2, product="paid"))
+                self.harness.wait_for_set_up("a")
+                self.cut_off()
+                if is_cancelled:
+                    self.advance(300.0)
+                    self.viewer.write(binary.encode(binary.RELEASE, f"{2:016x}", (222, b"\x10")))
+                self.advance(CUT_MS)
+                self.assertEqual(self.harness.director.open_requests, {})
+                self.rejoin(is_reset=True)
+                self.advance(REACHED_AGAIN_MS)
+                self.assertEqual(set(self.torn_down), {2})
+
     # Guards against dialling a vanished machine without end, and against keeping its node.
     def test_a_node_that_is_not_reached_again_is_forgotten(self):
         self.start(2)
