--- a/laddergw/lab/soak/judge_standing.py
+++ b/laddergw/lab/soak/judge_standing.py
@@ -17,8 +17,9 @@
 MAX_KEPT_CUT_MS = 6_000.0
 # Cause of the release of a play that was interrupted.
 INTERRUPTED = 41
-# Events that end a play at its node, or for its director.
-NODE_ENDS = "ended by its node", "release acknowledged", "died with it", "torn down"
+# Events that end a play at its node, by itself or as its director says, and for its director.
+NODE_ENDS = "ended by its node", "release acknowledged", "died with it"
+TORN_DOWN = "torn down"
 DIRECTOR_ENDS = "director told to stop", "director killed", "director ended"
 
 Spans = dict[str, list[list[float]]]
@@ -43,9 +44,10 @@
         if released is None or node is None:
             continue
         released_at, cause = released
-        ended_at = min((at for at, name, _ in events if name in NODE_ENDS), default=math.inf)
+        ended_at = first_time(events, *NODE_ENDS)
+        over_at = min(ended_at, first_time(events, TORN_DOWN))
         due = reached_at(released_at, cuts.get(node, ())) + REACHED_AGAIN_MS + SLACK_MS
-        if min(ended_at, end_of_trial) > due:
+        if min(over_at, end_of_trial) > due:
             violations.append(
                 RuleViolation("lost", f"goes on at {node}, over for its viewer: {session}", session)
             )
@@ -67,6 +69,11 @@
     return violations
 
 
+def first_time(events, *names: str) -> float:
+    """Returns the time of the first of some events of a session, or infinity."""
+    return min((at for at, name, _ in events if name in names), default=math.inf)
+
+
 def cut_spans(records) -> Spans:
     """Returns, by node, the spans in which it was cut off."""
     found: Spans = defaultdict(list)
--- a/tests/test_soak_standing.py
+++ b/tests/test_soak_standing.py
@@ -42,12 +42,14 @@
         self.assertEqual(judge([*COMPLIANT_RECORDS, *more], TERMS), [])
 
     def test_a_standing_play_is_not_ended(self):
-        ended = self.node_event(6_000, "torn down")
-        self.assert_violation(*self.play(self.released(5_500), ended), text="ended, though")
-        self.assert_compliant(*self.play(self.released(6_000), ended))
-        self.assert_compliant(*self.play(self.released(5_500, None), ended))
+        torn_down = self.node_event(5_500, "torn down")
+        self.assert_violation(*self.play(self.released(5_500), torn_down), text="ended, though")
+        ended = self.node_event(5_500, "ended by its node")
+        self.assert_compliant(*self.play(ended, self.released(5_500)))
+        self.assert_violation(*self.play(self.released(5_499), ended), text="ended, though")
+        self.assert_compliant(*self.play(self.released(5_500, None), torn_down))
         stop = record(5_400, "director told to stop", director="n1")
-        self.assert_compliant(*self.play(stop, self.released(5_500), ended))
+        self.assert_compliant(*self.play(stop, self.released(5_500), torn_down))
 
     def test_a_cut_of_six_seconds_is_not_an_end(self):
         cut, back = record(1_000, "node cut off", node="d"), self.node_event(9_500, "torn down")
