--- a/laddergw/lab/soak/planned_trial.py
+++ b/laddergw/lab/soak/planned_trial.py
@@ -6,10 +6,13 @@
 from laddergw.lab.soak.judge_standing import REACHED_AGAIN_MS
 from laddergw.lab.soak.nodes import LONG_PLAY_LENGTH_MS
 from laddergw.lab.soak.plan import Plan
-from laddergw.lab.soak.terms import Terms
+from laddergw.lab.soak.terms import Budget, Terms
 from laddergw.lab.soak.trial import Trial
 from laddergw.lab.soak.violation import SLACK_MS
 
+# The usual budget leaves a trial a few retries, too few to see where keyed plays go.
+KEYED_BUDGET = Budget(10.0, 0.1, 10_000.0)
+
 
 def create_trial(plan: Plan, terms: Terms, **options: Any) -> Trial:
     """Creates the trial of a plan; its faults become the script."""
@@ -22,6 +25,7 @@
     )
     if plan.keyed_group:
         products = (products[0]._replace(keyed_group=plan.keyed_group), *products[1:])
+        terms = terms._replace(budget=KEYED_BUDGET)
     script = [
         (fault.at_ms, lambda trial, fault=fault: FaultInjector(trial).begin(fault))
         for fault in plan.faults
--- a/laddergw/platform/nodes.py
+++ b/laddergw/platform/nodes.py
@@ -156,8 +156,8 @@
                 messages, node.queued_messages = (
                     ([], node.queued_messages) if connection.up else (node.queued_messages, [])
                 )
-                for data, *_ in messages:
-                    connection.stream.write(data)
+                for message in messages:
+                    connection.stream.write(message.data)
                 connection.stream.close()
 
     def next_ping_name(self) -> str:
--- a/tests/test_soak_standing.py
+++ b/tests/test_soak_standing.py
@@ -50,6 +50,11 @@
         self.assert_compliant(*self.play(self.released(5_500, None), torn_down))
         stop = record(5_400, "director told to stop", director="n1")
         self.assert_compliant(*self.play(stop, self.released(5_500), torn_down))
+        ended = record(5_400, "director ended", director="n1", status=0, fine=(0,))
+        stop = record(5_300, "director told to stop", director="n1")
+        self.assert_violation(
+            *self.play(stop, ended, self.released(5_500), torn_down), text="ended, though"
+        )
 
     def test_a_cut_of_six_seconds_is_not_an_end(self):
         cut, back = record(1_000, "node cut off", node="d"), self.node_event(9_500, "torn down")
@@ -67,6 +72,15 @@
                 self.assert_violation(*events, text="goes on at d")
             else:
                 self.assert_compliant(*events)
+        # Its director ends before the node is reached, and can tell it nothing any more.
+        stop = record(8_400, "director told to stop", director="n1")
+        for ended_at, is_late in (10_999, False), (11_001, True):
+            ended = record(ended_at, "director ended", director="n1", status=0, fine=(0,))
+            events = self.play(cut, stop, self.released(8_500), ended, reached)
+            if is_late:
+                self.assert_violation(*events, text="goes on at d")
+            else:
+                self.assert_compliant(*events)
 
 
 class JudgeKeyedTest(JudgeTest):
