Tell a machine that returns cold from one that was cut off

Plays of its old process were over for their viewers only when the list told of the start, up to 10.4 s after their end by the sites' ranges; 8 s are allowed.

Change: once probes are unanswered for 2 s, contact with the process is lost. A connection that was dialled before and is heard again, or a message about a play, proves that the process goes on; one dialled since proves only that the machine does, and its plays are of what runs there now. So that a connection is left to prove it, no set-up is sent on a silent one, and the last one whose set-up was given up is closed once a ping on it is answered.

The soak's machines also return after 4 to 6 s from now on.

--- a/laddergw/lab/soak/node_connection.py
+++ b/laddergw/lab/soak/node_connection.py
@@ -64,14 +64,25 @@
     def rejoin(self) -> None:
         """Handles what was held back, as the node is reached again.
 
-        A connection that holds a set-up is reset: the set-up has not arrived.
+        A set-up that was given up meanwhile has not arrived; a connection with another is reset.
         """
-        if b"SETUP " in self.held_input:
-            return self.stream.abort()
         held_input, self.held_input = self.held_input, b""
         held_output, self.held_output = self.held_output, b""
+        self.reader.feed(held_input)
+        messages = []
+        while (message := self.reader.next()) is not None:
+            messages.append(message)
+        sessions = {
+            method: {m.headers["session"] for m in messages if m.method == method}
+            for method in ("SETUP", "TEARDOWN")
+        }
+        if sessions["SETUP"] - sessions["TEARDOWN"]:
+            return self.stream.abort()
         self.stream.write(held_output)
-        return super().data_received(self.stream, held_input)
+        for message in messages:
+            if message.headers["session"] not in sessions["SETUP"]:
+                self.handle_message(message)
+        return None
 
     def write(self, data: bytes) -> None:
         """Writes a message, in pieces under the condition `pieces`."""
--- a/laddergw/lab/soak/plan.py
+++ b/laddergw/lab/soak/plan.py
@@ -43,10 +43,11 @@
 MACHINE_FAULTS = ("vanish", "cut_off", "restart")
 MACHINE_SEED_DIVISOR, MACHINE_SEED_REMAINDER = 4, 3
 FAULT_KINDS = SCENE_KINDS + MACHINE_FAULTS
-# Ranges of their durations. A cut is one that the bench's days have, or too long to be told from an
-# end; a restart's is the time for which its port refuses.
+# Ranges of their durations. A vanished machine is back before or after its plays count as lost; a
+# cut is one that the bench's days have, or too long to be told from an end; a restart's is the time
+# for which its port refuses.
 MACHINE_DURATIONS_MS = {
-    "vanish": ((9_000.0, 11_000.0),),
+    "vanish": ((4_000.0, 6_000.0), (9_000.0, 11_000.0)),
     "cut_off": ((2_000.0, 6_000.0), (9_000.0, 10_000.0)),
     "restart": ((100.0, 1_500.0),),
 }
--- a/laddergw/platform/allocator.py
+++ b/laddergw/platform/allocator.py
@@ -11,7 +11,7 @@
 from laddergw.platform.answers import AnswerHandler
 from laddergw.platform.causes import ENDED
 from laddergw.platform.connection import Connection, Message
-from laddergw.platform.health_check import PING_TIMEOUT_MS
+from laddergw.platform.health_check import PING_TIMEOUT_MS, retire
 from laddergw.platform.node import Node
 from laddergw.platform.play_ending import PlayEnding
 from laddergw.platform.plays import Play
@@ -198,15 +198,11 @@
         that had stalled or was unreachable would begin it when it is back.
         """
         connection = play.connection
+        end = connection.set_up_ends[play.session]
         log.debug(
             "%s.%d: %s on %s, set-up ends at byte %d",
-            play.session,
-            play.number,
-            event,
-            connection,
-            connection.set_up_ends[play.session],
+            *(play.session, play.number, event, connection, end),
         )
-        end = connection.set_up_ends[play.session]
         state = connection.withdraw_set_up(play.session)
         overdue = self.director.loop.now - play.sent_at >= DELIVERY_LIMIT_MS
         undelivered = (
@@ -221,13 +217,16 @@
             )
         if state == allocation.SENT:
             self.release_if_silent(connection.node, play)
-        if not connection.plays and connection in connection.node.connections:
+        is_kept = not undelivered and connection.node.is_last_contact(connection, play.sent_at)
+        if not connection.plays and is_kept:
+            retire(connection, self.director.loop.now)
+        elif not connection.plays and connection in connection.node.connections:
             connection.abort(allocation.CONNECTION_LOST) if undelivered else connection.close(
                 DELIVERY_LIMIT_MS
             )
             connection.node.replace_connection()
-        # Other set-ups share the connection.
-        elif state == allocation.SENT:
+        # Other set-ups share the connection, or it is kept.
+        if (connection.plays or is_kept) and state == allocation.SENT:
             self.director.loop.call_later(
                 DELIVERY_LIMIT_MS, lambda: connection.abort_unless_arrived(end)
             )
--- a/laddergw/platform/connection.py
+++ b/laddergw/platform/connection.py
@@ -49,6 +49,11 @@
             None,
         )
         self.dialled_at = self.last_used = self.loop.now
+        # whether it was dialled after contact with the node's process had been lost: it may lead to
+        # another one
+        self.is_after_loss = node.liveness.lost_contact_at(self.loop.now) is not None
+        # it carries no set-ups any more, and is closed once its node has answered a ping on it
+        self.is_retiring = False
         # when it came up; the process that accepted it runs since then at the latest
         self.opened_at: float | None = None
         # plays whose set-ups are open on it, by session
@@ -128,7 +133,7 @@
     def mark_alive(self) -> None:
         """Records that the node answers."""
         self.node.unanswered_dials = 0
-        self.node.liveness.mark_heard(self.loop.now)
+        self.node.mark_heard(is_same_process=not self.is_after_loss)
         self.last_used = self.loop.now
 
     def data_received(self, stream, data: bytes) -> None:
--- a/laddergw/platform/health_check.py
+++ b/laddergw/platform/health_check.py
@@ -23,12 +23,14 @@
     or is believed to be gone.
     """
     if node.liveness.is_gone(now):
-        return presume_gone(node, now)
+        presume_gone(node, now)
     close_dead_connections(node, now)
     up = [connection for connection in node.connections if connection.up]
     pinged_at = [connection.pinged_at for connection in up if connection.ping is not None]
-    if up and not pinged_at and node.liveness.needs_ping(now):
-        ping(up[0], now)
+    unpinged = [connection for connection in up if connection.ping is None]
+    if unpinged and (not pinged_at or node.liveness.last_heard_at > max(pinged_at)):
+        if node.liveness.needs_ping(now):
+            ping(unpinged[0], now)
     elif not node.connections and node.gone:
         return lost_plays.give_up(node, "gone from the list")
     elif not up or (pinged_at and now - min(pinged_at) >= PING_TIMEOUT_MS):
@@ -37,16 +39,27 @@
 
 
 def presume_gone(node: "Node", now: float) -> None:
-    """Ends what is open and what runs at a node that has been silent for too long."""
+    """Ends what is open and what runs in a process that has been silent for too long.
+
+    Connections that were dialled since contact was lost lead to what is there now, and stay.
+    """
+    lost_at = node.liveness.lost_contact_at(now)
     for connection in list(node.connections):
-        abort_silent(connection)
-    lost_plays.give_up(node, "silent")
-    # It is dialled on while releases wait for it.
-    node.liveness.watch(now)
+        if not connection.is_after_loss:
+            abort_silent(connection)
+    lost_plays.contact_lost(node, lost_at)
+    for connection in node.connections:
+        connection.is_after_loss = False
+    node.liveness.watch(node.liveness.last_heard_at)
 
 
 def close_dead_connections(node: "Node", now: float) -> None:
-    """Aborts connections whose ping is unanswered while the node has answered on another."""
+    """Aborts connections whose ping is unanswered while the node has answered on another.
+
+    While contact with its process is lost they stay, as they may be answered when it is back.
+    """
+    if node.liveness.lost_contact_at(now) is not None:
+        return
     for connection in [
         connection
         for connection in node.connections
@@ -75,6 +88,16 @@
         node.fleet.release_set_up(node, play)
 
 
+def retire(connection: Connection, now: float) -> None:
+    """Closes a connection that carries no set-up any more, once its node answers a ping.
+
+    Until then it is the only one by which a node that was cut off can show that its plays go on.
+    """
+    connection.is_retiring = True
+    if connection.ping is None:
+        ping(connection, now)
+
+
 def ping(connection: Connection, now: float) -> None:
     """Sends a ping on a connection that is up."""
     node = connection.node
--- a/laddergw/platform/liveness.py
+++ b/laddergw/platform/liveness.py
@@ -1,8 +1,10 @@
 """A timeout failure detector for one media node. Does no I/O.
 
-Silence is measured for the node as a whole, whatever the number of its connections: any message, or
-any connection that comes up, proves that its machine is alive. A machine that was cut off and comes
-back within the time limit loses nothing.
+Silence is measured for the node as a whole, whatever the number of its connections. A machine that
+was cut off and comes back within the time limit loses nothing; one that comes back with another
+process has lost all that stood there before. A connection that was dialled before contact was lost
+and carries a message again leads to the same process. One that was dialled since proves only that
+the machine is alive.
 """
 
 # The platform counts the plays of a silent machine as lost this long after their end.
@@ -15,21 +17,27 @@
 # A node that has been silent for this long is pinged.
 PING_AFTER_MS = 1_000.0
 # Silence proves nothing unless the node has left probes unanswered for this long: it may have had
-# nothing to send, or no connection to send it on.
-MIN_PROBE_MS = 2_000.0
+# nothing to send, or no connection to send it on. Contact with its process is lost then.
+CONTACT_LOST_MS = 2_000.0
+# A node that leaves a probe unanswered for this long may be cut off: a ping is answered at once.
+SUSPECT_MS = 250.0
 
 
 class Liveness:
-    """Whether a node's machine is alive, as its messages show. Times by the loop's clock, ms."""
+    """Whether a node's machine, and its process, are alive. Times by the loop's clock, ms."""
 
     def __init__(self, now: float):
-        self.last_heard_at = self.watched_since = now
-        # The first ping or dial since it was last heard.
+        # The last message, or connection that came up, of any process; and of the process that
+        # was known before contact was lost.
+        self.last_heard_at = self.confirmed_at = now
+        # The first ping or dial since it was last confirmed.
         self.probed_since: float | None = None
 
-    def mark_heard(self, now: float) -> None:
+    def mark_heard(self, now: float, is_same_process: bool) -> None:
         """Records a message of the node, or a connection that has come up."""
-        self.last_heard_at, self.probed_since = now, None
+        self.last_heard_at = now
+        if is_same_process:
+            self.confirmed_at, self.probed_since = now, None
 
     def mark_probed(self, now: float) -> None:
         """Records a ping or a dial: a node that is alive answers it."""
@@ -37,21 +45,26 @@
             self.probed_since = now
 
     def watch(self, now: float) -> None:
-        """Begins to measure its silence: nobody has asked the node for anything before."""
-        self.watched_since, self.probed_since = now, None
+        """Begins to measure silence at a time: nobody has asked the node for anything before."""
+        self.confirmed_at, self.probed_since = max(self.confirmed_at, now), None
 
-    def silent_ms(self, now: float) -> float:
-        """Returns for how long it has been silent, ms."""
-        return now - max(self.last_heard_at, self.watched_since)
+    def lost_contact_at(self, now: float) -> float | None:
+        """Returns when contact with its process was lost, or None: connections that are dialled
+        from then on may lead to another process.
+        """
+        if self.probed_since is None or now - self.probed_since < CONTACT_LOST_MS:
+            return None
+        return self.probed_since + CONTACT_LOST_MS
+
+    def is_suspect(self, now: float) -> bool:
+        """Whether the node may be cut off."""
+        return self.probed_since is not None and now - self.probed_since >= SUSPECT_MS
 
     def needs_ping(self, now: float) -> bool:
         """Whether the node has been silent for so long that it is to be pinged."""
-        return self.silent_ms(now) >= PING_AFTER_MS
+        return now - max(self.last_heard_at, self.confirmed_at) >= PING_AFTER_MS
 
     def is_gone(self, now: float) -> bool:
-        """Whether the node is believed to be gone."""
-        return (
-            self.probed_since is not None
-            and self.silent_ms(now) >= SILENCE_LIMIT_MS
-            and now - self.probed_since >= MIN_PROBE_MS
-        )
+        """Whether the process that was known is believed to be gone, with its plays."""
+        is_silent = now - self.confirmed_at >= SILENCE_LIMIT_MS
+        return is_silent and self.lost_contact_at(now) is not None
--- a/laddergw/platform/lost_plays.py
+++ b/laddergw/platform/lost_plays.py
@@ -31,18 +31,33 @@
     A connection that came up later leads to the new process, and what was accepted on it runs
     there. Of a play that was handed over it is not known which process has it.
     """
-    running = list(node.running_plays.values())
-    handed_over = [play for play in running if play.connection_opened_at is None]
-    earlier = [
-        play
-        for play in running
-        if play.connection_opened_at is not None
-        and play.connection_opened_at < started_at - START_TOLERANCE_MS
+    handed_over = [
+        play for play in node.running_plays.values() if play.connection_opened_at is None
     ]
-    end_plays(node, earlier, "started anew")
+    end_plays(node, plays_before(node, started_at - START_TOLERANCE_MS), "started anew")
     release_plays(node, handed_over, "started anew")
 
 
+def plays_before(node: "Node", at: float) -> list:
+    """Returns the plays that were accepted on connections that came up before a time."""
+    return [
+        play
+        for play in node.running_plays.values()
+        if play.connection_opened_at is not None and play.connection_opened_at < at
+    ]
+
+
+def contact_lost(node: "Node", lost_at: float) -> None:
+    """Ends the plays that ran there as contact was lost, although they may go on there.
+
+    What was accepted on connections that came up later runs in a process that is there now.
+    """
+    handed_over = [
+        play for play in node.running_plays.values() if play.connection_opened_at is None
+    ]
+    release_plays(node, plays_before(node, lost_at) + handed_over, "silent")
+
+
 def give_up(node: "Node", why: str) -> None:
     """Ends all plays of a node that cannot be reached, although they may go on there."""
     release_plays(node, list(node.running_plays.values()), why)
--- a/laddergw/platform/node.py
+++ b/laddergw/platform/node.py
@@ -93,8 +93,11 @@
         idle = [
             one
             for one in self.connections
-            if not one.plays and one.loop.now - one.last_used < usable_ms
+            if not one.plays and not one.is_retiring and one.loop.now - one.last_used < usable_ms
         ]
+        if self.running_plays and self.liveness.is_suspect(self.fleet.loop.now):
+            # One that waits in a silent connection would end that, which may still be answered.
+            idle = []
         usable = [one for one in idle if one.up and one.ping is None] or [
             one for one in idle if one.up or self.is_coming_up(one)
         ]
@@ -104,6 +107,15 @@
             return self.dial(self.fleet.connect_ms)
         return min(self.connections, key=lambda connection: len(connection.plays), default=None)
 
+    def is_last_contact(self, connection: Connection, since: float) -> bool:
+        """Whether plays run there, and it can show by this connection alone that they go on.
+
+        That is so where it has been silent since a time, so that it may be cut off.
+        """
+        others = [other for other in self.connections if other.up and other is not connection]
+        is_silent = self.liveness.last_heard_at <= since
+        return bool(self.running_plays) and connection.up and is_silent and not others
+
     def is_coming_up(self, connection: Connection) -> bool:
         """Whether a connection that is not up yet can be expected to come up."""
         return (
@@ -142,6 +154,7 @@
         ):
             raise rtsp.MalformedError("an answer to a set-up that has not left yet")
         if message.method:
+            self.note_session(message.session)
             return self.fleet.handle_request(self, connection, message)
         # A response repeats the CSeq of its request: 1 of a set-up, 2 of a release (rtsp.py)
         if (
@@ -152,9 +165,33 @@
             log.debug("%s: release acknowledged by node %s", message.session, self.id)
         if message.target == "" and connection.ping == message.session:
             connection.ping = None
+            if connection.is_retiring:
+                connection.close()
+                self.replace_connection()
         elif message.session in connection.plays and message.status >= 200 and message.cseq == "1":
             self.fleet.handle_answer(self, connection, message)
 
+    def mark_heard(self, is_same_process: bool) -> None:
+        """Records a message, or a connection that has come up; see liveness.py."""
+        now = self.fleet.loop.now
+        if is_same_process and self.liveness.lost_contact_at(now) is not None:
+            # So do the connections that were dialled meanwhile.
+            for connection in self.connections:
+                connection.is_after_loss = False
+        self.liveness.mark_heard(now, is_same_process)
+
+    def note_session(self, session: str) -> None:
+        """Concludes from a message about a play that its process is the one known before.
+
+        It proves so where the play ran there before contact with the process was lost.
+        """
+        lost_at, play = (
+            self.liveness.lost_contact_at(self.fleet.loop.now),
+            self.running_plays.get(session),
+        )
+        if lost_at is not None and play in lost_plays.plays_before(self, lost_at):
+            self.mark_heard(is_same_process=True)
+
     def connection_ended(self, connection: Connection, why: str | None) -> None:
         """Concludes from the end of a connection what has become of the running plays.
 
--- a/laddergw/platform/nodes.py
+++ b/laddergw/platform/nodes.py
@@ -236,7 +236,7 @@
         """
         self.loop.call_later(CHECK_INTERVAL_MS, self.check)
         self.dial_waiting(len(self.awaiting_connection))
-        for node in sorted(self.watched, key=lambda node: -node.liveness.silent_ms(self.loop.now)):
+        for node in sorted(self.watched, key=lambda node: node.liveness.last_heard_at):
             if node.running_plays or node.has_open_releases():
                 health_check.check_node(node, self.loop.now)
             else:
--- a/tests/test_liveness.py
+++ b/tests/test_liveness.py
@@ -3,8 +3,8 @@
 import unittest
 
 from laddergw.platform.liveness import (
+    CONTACT_LOST_MS,
     LOSS_LIMIT_MS,
-    MIN_PROBE_MS,
     PING_AFTER_MS,
     SILENCE_LIMIT_MS,
     Liveness,
@@ -21,7 +21,7 @@
         self.liveness.watch(START)
 
     def test_silence_counts_from_the_last_message(self):
-        self.liveness.mark_heard(START + 400.0)
+        self.liveness.mark_heard(START + 400.0, True)
         self.liveness.mark_probed(START + 400.0 + PING_AFTER_MS)
         gone_at = START + 400.0 + SILENCE_LIMIT_MS
         self.assertFalse(self.liveness.is_gone(gone_at - 0.1))
@@ -38,10 +38,20 @@
         late = START + 10 * SILENCE_LIMIT_MS
         self.assertFalse(self.liveness.is_gone(late))
         self.liveness.mark_probed(late)
-        self.assertFalse(self.liveness.is_gone(late + MIN_PROBE_MS - 0.1))
-        self.assertTrue(self.liveness.is_gone(late + MIN_PROBE_MS))
-        self.liveness.mark_heard(late + MIN_PROBE_MS)
-        self.assertFalse(self.liveness.is_gone(late + MIN_PROBE_MS))
+        self.assertFalse(self.liveness.is_gone(late + CONTACT_LOST_MS - 0.1))
+        self.assertTrue(self.liveness.is_gone(late + CONTACT_LOST_MS))
+        self.liveness.mark_heard(late + CONTACT_LOST_MS, True)
+        self.assertFalse(self.liveness.is_gone(late + CONTACT_LOST_MS))
+
+    def test_contact_is_lost_until_the_same_process_is_heard(self):
+        self.liveness.mark_probed(START)
+        lost_at = START + CONTACT_LOST_MS
+        self.assertIsNone(self.liveness.lost_contact_at(lost_at - 0.1))
+        self.liveness.mark_heard(lost_at + 500.0, False)
+        self.assertEqual(self.liveness.lost_contact_at(lost_at + 1_000.0), lost_at)
+        self.assertTrue(self.liveness.is_gone(START + SILENCE_LIMIT_MS))
+        self.liveness.mark_heard(lost_at + 1_000.0, True)
+        self.assertIsNone(self.liveness.lost_contact_at(lost_at + 1_000.0))
 
 
 if __name__ == "__main__":
