Judge contact by the connections of plays that run, not by older dials

Change: a connection is of a process after the loss only where plays ran at its dial; when a node is watched anew all its connections lead to the process that is there. A retiring connection with a set-up on it is not closed.

Evidence: test_a_dial_that_never_came_up_before_a_play_proves_nothing_of_it failed before in the sub-test without a cut, passes now.

--- a/laddergw/platform/connection.py
+++ b/laddergw/platform/connection.py
@@ -49,9 +49,10 @@
             None,
         )
         self.dialled_at = self.last_used = self.loop.now
-        # whether it was dialled after contact with the node's process had been lost: it may lead to
-        # another one
-        self.is_after_loss = node.liveness.lost_contact_at(self.loop.now) is not None
+        # whether it was dialled after contact with the process had been lost in which plays run: it
+        # may lead to another one
+        lost_at = node.liveness.lost_contact_at(self.loop.now)
+        self.is_after_loss = bool(node.running_plays) and lost_at is not None
         # it carries no set-ups any more, and is closed once its node has answered a ping on it
         self.is_retiring = False
         # when it came up; the process that accepted it runs since then at the latest
--- a/laddergw/platform/node.py
+++ b/laddergw/platform/node.py
@@ -165,12 +165,18 @@
             log.debug("%s: release acknowledged by node %s", message.session, self.id)
         if message.target == "" and connection.ping == message.session:
             connection.ping = None
-            if connection.is_retiring:
+            if connection.is_retiring and not connection.plays:
                 connection.close()
                 self.replace_connection()
         elif message.session in connection.plays and message.status >= 200 and message.cseq == "1":
             self.fleet.handle_answer(self, connection, message)
 
+    def begin_watch(self) -> None:
+        """Begins to measure its silence: all connections lead to the process that is there now."""
+        self.liveness.watch(self.fleet.loop.now)
+        for connection in self.connections:
+            connection.is_after_loss = False
+
     def mark_heard(self, is_same_process: bool) -> None:
         """Records a message, or a connection that has come up; see liveness.py."""
         now = self.fleet.loop.now
--- a/laddergw/platform/nodes.py
+++ b/laddergw/platform/nodes.py
@@ -107,7 +107,7 @@
         """Checks a node from now on, until no play runs there and no release is open."""
         if node not in self.watched:
             self.watched[node] = None
-            node.liveness.watch(self.loop.now)
+            node.begin_watch()
 
     def is_at_its_address(self, node: Node) -> bool:
         """Whether no other node has been listed at a node's address since."""
--- a/tests/test_orders_cold_return.py
+++ b/tests/test_orders_cold_return.py
@@ -78,6 +78,29 @@
         self.advance(2 * RELEASE_LIMIT_MS)
         self.assertEqual((self.released_at, self.torn_down), ({}, []))
 
+    # Guards against ending plays because a dial before them had never come up.
+    def test_a_dial_that_never_came_up_before_a_play_proves_nothing_of_it(self):
+        for is_contact_lost in False, True:
+            with self.subTest(is_contact_lost=is_contact_lost):
+                self.start(1)
+                if is_contact_lost:
+                    self.cut_off()
+                    self.advance(4_000.0)
+                    self.rejoin(is_reset=True)
+                    self.advance(500.0)
+                self.end_by_viewer()
+                self.advance(RELEASE_LIMIT_MS)
+                self.cut_off()
+                self.harness.director.nodes.by_id["a"].dial()
+                self.advance(RELEASE_LIMIT_MS)
+                self.rejoin()
+                self.viewer.write(set_up(2))
+                connection, message = self.harness.wait_for_set_up("a")
+                connection.write(answer(message.session))
+                self.harness.run_until(lambda: self.harness.director.running_plays)
+                self.advance(3 * RELEASE_LIMIT_MS)
+                self.assertEqual(list(self.harness.director.running_plays), [f"{2:016x}"])
+
 
 if __name__ == "__main__":
     unittest.main()
