Replace connections to a node that stands still one for one

Seen by reading: since the redial of a silent node, a connection that came up did not count as the replacement of the one whose ping it proved dead, so that each pair of them left one more at a node that accepts and answers nothing. And a dial that found no descriptor counted as a probe without an answer.

Change: connections whose pings are unanswered end as a new one comes up, and need no other; a dial without a descriptor is taken back as a probe.

The check of a lack of descriptors also asserts that no probe stands.

--- a/laddergw/platform/connection.py
+++ b/laddergw/platform/connection.py
@@ -83,6 +83,7 @@
             self.loop.now - self.dialled_at,
         )
         self.mark_alive()
+        self.node.connection_opened()
         messages, self.node.queued_messages = self.node.queued_messages, []
         for message in messages:
             self.send(message)
--- a/laddergw/platform/health_check.py
+++ b/laddergw/platform/health_check.py
@@ -24,7 +24,8 @@
     """
     if node.liveness.is_gone(now):
         presume_gone(node, now)
-    close_dead_connections(node, now)
+    if close_dead_connections(node, now):
+        node.replace_connection()
     up = [connection for connection in node.connections if connection.up]
     pinged_at = [connection.pinged_at for connection in up if connection.ping is not None]
     unpinged = [connection for connection in up if connection.ping is None]
@@ -53,23 +54,26 @@
     node.liveness.watch(node.liveness.last_heard_at)
 
 
-def close_dead_connections(node: "Node", now: float) -> None:
+def close_dead_connections(node: "Node", now: float) -> bool:
     """Aborts connections whose ping is unanswered while the node has answered on another.
 
     While contact with its process is lost they stay, as they may be answered when it is back.
+    Returns whether there were any: a release that they may have taken along comes on the next one
+    that opens.
     """
     if node.liveness.lost_contact_at(now) is not None:
-        return
-    for connection in [
+        return False
+    dead = [
         connection
         for connection in node.connections
         if connection.ping is not None
         and now - connection.pinged_at >= PING_TIMEOUT_MS
         and node.liveness.last_heard_at > connection.pinged_at
-    ]:
+    ]
+    for connection in dead:
         log.info("node %s: a ping was not answered", node.id)
         abort_silent(connection)
-        node.replace_connection()
+    return bool(dead)
 
 
 def abort_silent(connection: Connection) -> None:
--- a/laddergw/platform/liveness.py
+++ b/laddergw/platform/liveness.py
@@ -44,6 +44,11 @@
         if self.probed_since is None:
             self.probed_since = now
 
+    def withdraw_probe(self, at: float) -> None:
+        """Takes back a probe that could not be sent."""
+        if self.probed_since == at:
+            self.probed_since = None
+
     def watch(self, now: float) -> None:
         """Begins to measure silence at a time: nobody has asked the node for anything before."""
         self.confirmed_at, self.probed_since = max(self.confirmed_at, now), None
--- a/laddergw/platform/node.py
+++ b/laddergw/platform/node.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING, Any
 
 from laddergw.loop.base import CONNECTION_REFUSED, NO_DESCRIPTOR
-from laddergw.platform import allocation, lost_plays
+from laddergw.platform import allocation, health_check, lost_plays
 from laddergw.platform.connection import Connection, Message
 from laddergw.platform.liveness import Liveness
 from laddergw.signalling import rtsp
@@ -171,6 +171,10 @@
         elif message.session in connection.plays and message.status >= 200 and message.cseq == "1":
             self.fleet.handle_answer(self, connection, message)
 
+    def connection_opened(self) -> None:
+        """Ends the connections that a new one replaces: those that leave a ping unanswered."""
+        health_check.close_dead_connections(self, self.fleet.loop.now)
+
     def begin_watch(self) -> None:
         """Begins to measure its silence: all connections lead to the process that is there now."""
         self.liveness.watch(self.fleet.loop.now)
@@ -205,7 +209,7 @@
         `why` is None where the connection was closed in good order.
         """
         if why == NO_DESCRIPTOR:
-            return
+            return self.liveness.withdraw_probe(connection.dialled_at)
         self.fleet.dial_waiting(1)
         if not connection.up:
             self.unanswered_dials += why != CONNECTION_REFUSED
--- a/tests/test_orders_silence.py
+++ b/tests/test_orders_silence.py
@@ -106,6 +106,21 @@
                 self.assertEqual(set(self.torn_down) - {2}, set())
                 self.assertEqual(list(self.harness.director.running_plays), [f"{1:016x}"])
 
+    # Guards against more and more connections to a node whose process stands still.
+    def test_a_node_that_accepts_and_answers_nothing_keeps_its_connections(self):
+        for connections in 1, 2, 5:
+            with self.subTest(connections=connections):
+                self.start(connections)
+                self.advance(2_000.0)
+                self.is_cut_off = True
+                node, most = self.harness.director.nodes.by_id["a"], 0
+                for _ in range(300):
+                    self.node.accept()
+                    self.advance(100.0)
+                    most = max(most, len(node.connections))
+                self.assertLessEqual(most, connections + 1)
+                self.assertEqual(len(self.harness.director.running_plays), 1)
+
     # Guards against dialling a vanished machine without end, and against keeping its node.
     def test_a_node_that_is_not_reached_again_is_forgotten(self):
         self.start(2)
--- a/tests/test_platform_nodes.py
+++ b/tests/test_platform_nodes.py
@@ -163,6 +163,7 @@
             connection = node.connections[-1]
             connection.closed(connection.stream, NO_DESCRIPTOR)
         self.assertEqual((node.unanswered_dials, len(cluster.director.running_plays)), (0, 1))
+        self.assertIsNone(node.liveness.probed_since)
 
     def test_a_set_up_that_has_left_in_part_ends_its_connection(self):
         cluster = PlatformCluster(nodes=("a",))
