--- a/review/standins2/stand.py
+++ b/review/standins2/stand.py
@@ -123,7 +123,10 @@
     """The settings with changed keys: settings(Rules={"WarmWithin": 1})."""
     tree = copy.deepcopy(SETTINGS)
     for section, changes in sections.items():
-        tree[section].update(changes) if isinstance(changes, dict) else tree.update({section: changes})
+        if isinstance(changes, dict):
+            tree[section].update(changes)
+        else:
+            tree[section] = changes
     return tree
 
 
@@ -305,9 +308,9 @@
         """Asks for a play; returns it."""
         session = self.new_session()
         play = self.plays[session] = Play(session, self.record.now(), patience_ms / 1000)
+        hint = () if hint_ms is None else ((210, f"{hint_ms:.1f}".encode()),)
         self.writer.write(encode(
-            SET_UP, session, (180, product.encode()), (183, b"%d" % patience_ms), (192, b"%016x" % title),
-            (210, f"{hint_ms:.1f}".encode()),
+            SET_UP, session, (180, product.encode()), (183, b"%d" % patience_ms), (192, b"%016x" % title), *hint,
             (195, f"home:{home};copies:{copies};top:4;viewer:{session & 0xFFFFFFFFFFFF:016x}".encode()),
             (225, description(session))))
         self.record(self.name, f"set-up {session:016x} of {product}, waits {patience_ms} ms")
@@ -612,6 +615,9 @@
     status = COULD_NOT_RUN
 
     async def run():
+        main = asyncio.current_task()
+        for number in signal.SIGTERM, signal.SIGINT:
+            loop.add_signal_handler(number, main.cancel)
         return await asyncio.wait_for(case(record, folder, ends), CASE_LIMIT_S)
 
     loop = asyncio.new_event_loop()
@@ -621,7 +627,7 @@
         held = loop.run_until_complete(run())
         status = HELD if held else BROKEN
         record("case", "the rule held" if held else "THE RULE WAS BROKEN")
-    except (CouldNotRun, OSError, TimeoutError, asyncio.TimeoutError) as error:
+    except (CouldNotRun, OSError, TimeoutError, asyncio.TimeoutError, asyncio.CancelledError) as error:
         record("case", f"could not run: {error!r}")
         print(f"could not run: {error!r}", file=sys.stderr)
     except Exception as error:  # a fault of the case itself
