Review: a director ends with its script, also where that is killed

Cause: a script that got SIGKILL left its director running. Change: the kernel ends the director with the script; SIGHUP ends the script like SIGTERM and SIGINT.

--- a/review/standins2/stand.py
+++ b/review/standins2/stand.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import copy
+import ctypes
 import json
 import os
 import pathlib
@@ -132,6 +133,15 @@
 
 # --- the platform -----------------------------------------------------------------------------------------
 
+PR_SET_PDEATHSIG = 1
+libc = ctypes.CDLL(None)
+
+
+def die_with_script():
+    """In a process that is about to start: the kernel kills it when the script ends in any way."""
+    libc.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class Director:
     """A director as the platform starts it: `run` by /bin/sh -c from the repository's root."""
 
@@ -153,7 +163,7 @@
         }
         self.process = subprocess.Popen(["/bin/sh", "-c", command], cwd=ROOT, env=environment,
                                         stdin=subprocess.DEVNULL, stdout=open(self.log_path, "w"),
-                                        stderr=subprocess.STDOUT)
+                                        stderr=subprocess.STDOUT, preexec_fn=die_with_script)
         record(name, f"started by the deploy file's run line, listens at {HOST}:{self.port}")
 
     def signal(self, number):
@@ -616,7 +626,7 @@
 
     async def run():
         main = asyncio.current_task()
-        for number in signal.SIGTERM, signal.SIGINT:
+        for number in signal.SIGTERM, signal.SIGINT, signal.SIGHUP:
             loop.add_signal_handler(number, main.cancel)
         return await asyncio.wait_for(case(record, folder, ends), CASE_LIMIT_S)
 
