Owe a node the release of what nobody waits for until it has answered

Cause: what a node was owed belonged to connections; an abort told nothing of its open set-ups, a close dropped unanswered releases, a release expired after 8 s. Change: releases are owed by node in release_outbox.py until the node answers or its process is gone; a connection that ends gives them back, one that we close is still read for their answers, one without an answer for 1 s is pinged, and the process's end waits for answers.

--- a/laddergw/loop/base.py
+++ b/laddergw/loop/base.py
@@ -54,6 +54,18 @@
         ...
 
 
+class LastReader(Protocol):
+    """Reads what arrives on a connection that was closed by us, until its peer closes it too."""
+
+    def last_data_received(self, data: bytes) -> None:
+        """Called with data that was read after the close."""
+        ...
+
+    def last_data_ended(self) -> None:
+        """Called once when nothing more is read, also where the connection ended at once."""
+        ...
+
+
 class QueuedWrites:
     """Shared by the streams of every loop: pending writes are in `write_queue`, one entry each."""
 
@@ -107,6 +119,11 @@
         """Calls it later in this turn, before the callbacks of the turn's end."""
         self.deferred_calls.append(callback)
 
+    def end_last_reads(self, last_reader: LastReader | None) -> None:
+        """Tells a last reader, later in this turn, that nothing more is read."""
+        if last_reader is not None:
+            self.call_soon(last_reader.last_data_ended)
+
     def on_turn_end(self, callback: Callable[[], None]) -> None:
         """Calls it at the end of every turn, after everything that arrived in it was handled."""
         self.turn_end_calls.append(callback)
--- a/laddergw/loop/memory_streams.py
+++ b/laddergw/loop/memory_streams.py
@@ -6,7 +6,8 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from laddergw.loop.base import Owner, QueuedWrites
+from laddergw.loop.base import LastReader, Owner, QueuedWrites
+from laddergw.loop.lingering import LINGER_MS
 
 if TYPE_CHECKING:
     from laddergw.loop.memory import Host
@@ -57,6 +58,7 @@
         self.bytes_written = self.bytes_sent = self.queued = self.unread = 0
         self.write_queue, self.received, self.events_before_accept = deque(), deque(), []
         self.limit_timer, self.close_reason = None, None
+        self.last_reader: LastReader | None = None
         host.streams[number] = self
         host.open_streams += 1
 
@@ -115,7 +117,7 @@
         """Runs an event in this end's turn; it is kept until the listener has accepted."""
         if self.owner is None:
             self.events_before_accept.append(event)
-        elif self.alive:
+        elif self.alive or self.last_reader is not None:
             event()
 
     def data_arrived(self, data: bytes) -> None:
@@ -135,6 +137,8 @@
             )
         if not self.closing:
             self.owner.data_received(self, data)
+        elif self.last_reader is not None:
+            self.last_reader.last_data_received(data)
 
     def read_now(self) -> None:
         """Does nothing: no data lies unread here."""
@@ -175,10 +179,18 @@
             self.send(lambda remote: remote.remote_closed(None))
         self.close_now(None)
 
-    def close(self, delivery_limit_ms: float | None = None) -> None:
-        """Closes once everything queued is sent."""
+    def end_last_reads(self) -> None:
+        """Reads nothing more after a close."""
+        last_reader, self.last_reader = self.last_reader, None
+        if last_reader is not None:
+            last_reader.last_data_ended()
+
+    def close(
+        self, delivery_limit_ms: float | None = None, last_reader: LastReader | None = None
+    ) -> None:
+        """Closes once everything queued is sent; `last_reader` gets what arrives after that."""
         if self.alive and not self.closing:
-            self.closing = True
+            self.closing, self.last_reader = True, last_reader
             if not self.write_queue:
                 self.finish_close()
 
@@ -205,3 +217,5 @@
         self.write_queue.clear()
         if self.owner is not None:
             self.owner.closed(self, reason)
+        if self.last_reader is not None:
+            self.loop.call_later(0.0 if reason else LINGER_MS, self.end_last_reads)
--- a/laddergw/loop/sockets.py
+++ b/laddergw/loop/sockets.py
@@ -14,7 +14,6 @@
 
 from laddergw.loop import signal_mask
 from laddergw.loop.base import CONNECTION_REFUSED, NO_DESCRIPTOR, BaseLoop, Owner, wait_ms
-from laddergw.loop.lingering import Lingering
 from laddergw.loop.listener import OUT_OF_RESOURCES, Listener
 from laddergw.loop.streams import Stream
 
@@ -23,9 +22,6 @@
 
 BACKLOG = 1024  # connections that wait in the kernel: a burst that arrives while a turn runs
 MAX_WAIT_MS = 100.0  # wait of one turn; a stall of the process is noticed with this precision
-# closed connections that still wait for their peers to close; beyond that the oldest is closed, so
-# that a flood of connections that we close does not hold descriptors
-MAX_LINGERING = 16
 
 
 def clock() -> float:
@@ -147,18 +143,6 @@
                     raise
                 next(iter(self.lingering)).close()
 
-    def linger(self, sock: socket.socket, delivery_limit_ms: float | None) -> None:
-        """Takes over a socket that its stream has closed, until its peer has closed too."""
-        try:
-            sock.shutdown(socket.SHUT_WR)
-        except OSError:  # the peer has reset it
-            return sock.close()
-        if self.is_closed:
-            return sock.close()
-        self.lingering[Lingering(self, sock, delivery_limit_ms)] = None
-        if len(self.lingering) > MAX_LINGERING:
-            next(iter(self.lingering)).close()
-
     def on_signal(self, number: int, callback: Callable[[], None]) -> None:
         """Calls back in a turn after the signal has come; unblocks the signal."""
         if self.wakeup is None:
--- a/laddergw/loop/streams.py
+++ b/laddergw/loop/streams.py
@@ -9,8 +9,8 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
-from laddergw.loop.base import CONNECTION_REFUSED, Owner, QueuedWrites
-from laddergw.loop.lingering import READ_BYTES, RESET, unacknowledged
+from laddergw.loop.base import CONNECTION_REFUSED, LastReader, Owner, QueuedWrites
+from laddergw.loop.lingering import READ_BYTES, RESET, linger, unacknowledged
 
 if TYPE_CHECKING:
     from laddergw.loop.sockets import SocketLoop
@@ -34,6 +34,7 @@
         "closing",
         "delivery_limit_ms",
         "fd",
+        "last_reader",
         "limit_timer",
         "loop",
         "mask",
@@ -48,13 +49,8 @@
     )
 
     def __init__(self, loop: "SocketLoop", sock: socket.socket, owner: Owner, peer):
-        self.loop, self.sock, self.owner, self.peer, self.fd = (
-            loop,
-            sock,
-            owner,
-            peer,
-            sock.fileno() if sock else -1,
-        )
+        self.loop, self.sock, self.owner, self.peer = loop, sock, owner, peer
+        self.fd = sock.fileno() if sock else -1
         self.write_queue: deque = deque()
         self.queued = self.bytes_written = self.bytes_sent = self.mask = 0
         self.reading, self.closing, self.open, self.limit_timer, self.may_have_more = (
@@ -64,7 +60,7 @@
             None,
             False,
         )
-        self.delivery_limit_ms = None
+        self.delivery_limit_ms = self.last_reader = None
 
     def write(self, data: bytes) -> None:
         """Writes what the kernel takes now, queues the rest; ignored once the stream is closed."""
@@ -101,7 +97,7 @@
                 if count:
                     self.write_queue[0] = data[count:]
                 if count and self.closing and self.delivery_limit_ms is None:
-                    self.set_close_timeout(CLOSE_STALL_MS)
+                    self.set_close_timeout()
                 return
             self.write_queue.popleft()
         if self.sock is None:
@@ -170,9 +166,7 @@
             )
         self.open = True
         if self.closing:
-            self.set_close_timeout(
-                CLOSE_STALL_MS if self.delivery_limit_ms is None else self.delivery_limit_ms
-            )
+            self.set_close_timeout()
         self.owner.opened(self)
         if self.sock is not None and self.write_queue:
             self.flush()
@@ -192,38 +186,42 @@
         self.reading = True
         self.update_selector()
 
-    def close(self, delivery_limit_ms: float | None = None) -> None:
-        """Closes once everything queued is sent; nothing more is read.
+    def close(
+        self, delivery_limit_ms: float | None = None, last_reader: LastReader | None = None
+    ) -> None:
+        """Closes once everything queued is sent; the owner reads nothing more, `last_reader` may.
 
         With `delivery_limit_ms`, what the peer's kernel has not acknowledged that long after it is
         discarded from ours and never arrives; without it, ours goes on delivering.
         """
         if self.sock is None or self.closing:
             return
-        self.closing, self.delivery_limit_ms = True, delivery_limit_ms
+        self.closing = True
+        self.delivery_limit_ms, self.last_reader = delivery_limit_ms, last_reader
         if not self.write_queue:
             self.finish_close()
         else:
             self.pause_reading()
-            self.set_close_timeout(
-                CLOSE_STALL_MS if delivery_limit_ms is None else delivery_limit_ms
-            )
+            self.set_close_timeout()
 
-    def set_close_timeout(self, ms: float) -> None:
-        """Aborts the closing stream unless its queue is sent within `ms`.
+    def set_close_timeout(self) -> None:
+        """Aborts the closing stream unless its queue is sent within the limit of its close.
 
         A connection that has not come up yet has its own limit.
         """
         if self.open:
             if self.limit_timer is not None:
                 self.limit_timer.cancel()
-            self.limit_timer = self.loop.call_later(ms, self.abort)
+            limit_ms = self.delivery_limit_ms
+            self.limit_timer = self.loop.call_later(
+                CLOSE_STALL_MS if limit_ms is None else limit_ms, self.abort
+            )
 
     def finish_close(self) -> None:
         """Reports to the owner that the stream closed; the socket lingers until its peer closes."""
         if not self.open:
             return self.close_now(None)
-        self.loop.linger(self.detach_socket(), self.delivery_limit_ms)
+        linger(self.loop, self.detach_socket(), self.delivery_limit_ms, self.last_reader)
         self.owner.closed(self, None)
 
     def abort(self) -> None:
@@ -248,3 +246,4 @@
         if self.sock is not None:
             self.detach_socket().close()
             self.owner.closed(self, reason)
+            self.loop.end_last_reads(self.last_reader)
--- a/laddergw/platform/allocator.py
+++ b/laddergw/platform/allocator.py
@@ -7,11 +7,10 @@
 import logging
 
 from laddergw import interface
-from laddergw.platform import allocation, reports, requests
+from laddergw.platform import allocation, deliveries, reports, requests
 from laddergw.platform.answers import AnswerHandler
-from laddergw.platform.causes import ENDED
-from laddergw.platform.connection import Connection, Message
-from laddergw.platform.health_check import PING_TIMEOUT_MS, retire
+from laddergw.platform.connection import Connection
+from laddergw.platform.health_check import retire
 from laddergw.platform.node import Node
 from laddergw.platform.play_ending import PlayEnding
 from laddergw.platform.plays import Play
@@ -89,28 +88,10 @@
             verdict.timeout_ms, lambda: self.set_up_timed_out(play)
         )
 
-    def release_set_up(self, node: Node, play: Play) -> None:
-        """Releases a set-up that was given up, in case it goes on at a node."""
-        data = rtsp.encode_request("TEARDOWN", play.request.title, play.session)
-        self.send_to_node(node, data, play.session)
-
-    def send_to_node(self, node: Node, data: bytes, released: str = "") -> None:
-        """Sends a message about a running play on any connection to its node.
-
-        `released`: the session where the message ends it.
-        """
-        self.director.nodes.send(node, Message(data, released))
-
     def release(self, play: Play) -> None:
         """Releases a running play at its node."""
         log.debug("%s.%d: release to node %s", play.session, play.number, play.node.id)
-        self.send_to_node(
-            play.node,
-            rtsp.encode_request(
-                "TEARDOWN", play.request.title, play.session, (("Reason", f"cause={ENDED}"),)
-            ),
-            play.session,
-        )
+        deliveries.release(play.node, play)
 
     def load_report(self, message: rtsp.Message) -> tuple[float, ...]:
         """The load report that a message carries, or an empty tuple."""
@@ -123,6 +104,7 @@
             connection.stream.write(
                 rtsp.encode_response(200, "OK", message.cseq or "2", message.session)
             )
+            node.releases.settle(message.session)
             if play is None:
                 log.debug(
                     "%s: released by node %s on %s, not held by this director",
@@ -211,12 +193,11 @@
             and overdue
             and not connection.arrived(end)
         )
-        if state == allocation.SENT and not undelivered:
-            connection.stream.write(
-                rtsp.encode_request("TEARDOWN", play.request.title, play.session)
-            )
         if state == allocation.SENT:
-            self.release_if_silent(connection.node, play)
+            deliveries.owe_release(connection.node, play)
+        if state == allocation.SENT and not undelivered:
+            given_up = rtsp.encode_request("TEARDOWN", play.request.title, play.session)
+            connection.send_release(play.session, given_up)
         is_kept = not undelivered and connection.node.is_last_contact(connection, play.sent_at)
         if not connection.plays and is_kept:
             retire(connection, self.director.loop.now)
@@ -230,18 +211,5 @@
             self.director.loop.call_later(
                 DELIVERY_LIMIT_MS, lambda: connection.abort_unless_arrived(end)
             )
+        deliveries.send_waiting(connection.node)
         self.ending.allocation_ended(play, state, event, report)
-
-    def release_if_silent(self, node: Node, play: Play) -> None:
-        """Releases a set-up, which is being given up, once more if its node is silent from now on.
-
-        The node may be cut off: the set-up goes on there, and nothing of its end has arrived.
-        """
-        given_up_at = self.director.loop.now
-
-        def check() -> None:
-            is_used_again = play.session in node.open_set_ups or play.session in node.running_plays
-            if node.liveness.last_heard_at <= given_up_at and not is_used_again:
-                self.release_set_up(node, play)
-
-        self.director.loop.call_later(PING_TIMEOUT_MS, check)
--- a/laddergw/platform/connection.py
+++ b/laddergw/platform/connection.py
@@ -1,41 +1,18 @@
 """One connection to a media node: the set-ups open on it, and how much of each has left."""
 
 import logging
-from typing import TYPE_CHECKING, Any, NamedTuple
+from typing import TYPE_CHECKING, Any
 
 from laddergw.loop.base import NO_DESCRIPTOR
-from laddergw.platform import allocation
+from laddergw.platform import allocation, deliveries
 from laddergw.signalling import rtsp
 
 if TYPE_CHECKING:
     from laddergw.platform.node import Node
 
-# A release that its node has not acknowledged is sent again for this long: what ran then counts as
-# lost.
-RELEASE_RETRY_MS = 8_000.0
-
 log = logging.getLogger("laddergw.platform")
 
 
-class Message(NamedTuple):
-    """A message about a running play, to be sent to its node."""
-
-    data: bytes
-    # the session that it releases, or empty
-    released: str = ""
-    # a release: until when it is sent again (loop clock); None: for RELEASE_RETRY_MS from when it
-    # is first sent
-    expires_at: float | None = None
-
-
-class UnacknowledgedRelease(NamedTuple):
-    """A release that has been sent and that its node has not acknowledged. Times by the loop."""
-
-    data: bytes
-    sent_at: float
-    expires_at: float
-
-
 class Connection:
     """A connection to one media node, as the owner of its stream."""
 
@@ -48,6 +25,8 @@
             # session of the ping that the node has not answered yet
             None,
         )
+        # when that ping was sent, and where in the stream it ends, bytes
+        self.pinged_at, self.ping_end = 0.0, 0
         self.dialled_at = self.last_used = self.loop.now
         # whether it was dialled after contact with the process had been lost in which plays run: it
         # may lead to another one
@@ -62,8 +41,6 @@
         # where in the stream each of their set-ups ends, bytes
         self.set_up_ends: dict[str, int] = {}
         self.set_up_data: dict[str, bytes] = {}
-        # by session
-        self.unacknowledged_releases: dict[str, UnacknowledgedRelease] = {}
         self.stream = self.loop.dial(node.address, self, limit_ms)
 
     def __str__(self) -> str:
@@ -84,47 +61,34 @@
         )
         self.mark_alive()
         self.node.connection_opened()
-        messages, self.node.queued_messages = self.node.queued_messages, []
-        for message in messages:
-            self.send(message)
-        if messages:
-            self.write_buffer_drained(stream)
-
-    def send(self, message: Message) -> None:
-        """Writes a message. A release is kept until the node acknowledges it or it expires.
+        self.send_waiting()
 
-        A node need not acknowledge one.
-        """
-        self.stream.write(message.data)
-        if not message.released:
-            return
-        now = self.loop.now
+    def send_waiting(self) -> None:
+        """Writes the messages and releases that wait for a connection to the node."""
+        messages, self.node.queued_messages = self.node.queued_messages, []
+        for data in messages:
+            self.stream.write(data)
+        releases = self.node.releases.waiting()
+        for session, _ in releases:
+            self.send_release(session)
+        if messages or releases:
+            self.write_buffer_drained(self.stream)
+
+    def send_release(self, session: str, data: bytes | None = None) -> None:
+        """Writes a release that the node is owed; `data` replaces its usual form."""
+        self.stream.write(data or self.node.releases.owed[session].data)
+        self.node.releases.sent(session, self)
         self.node.fleet.watch(self.node)
-        self.unacknowledged_releases = {
-            session: release
-            for session, release in self.unacknowledged_releases.items()
-            if release.expires_at > now
-        }
-        expires_at = now + RELEASE_RETRY_MS if message.expires_at is None else message.expires_at
-        self.unacknowledged_releases[message.released] = UnacknowledgedRelease(
-            message.data, now, expires_at
-        )
 
-    def send_releases_again(self) -> None:
-        """Sends releases that may be lost with this connection, which has ended, on another one.
-
-        To a node that has been silent since a release was sent it counts as not sent yet.
-        """
-        for session, release in self.unacknowledged_releases.items():
-            if release.sent_at > self.node.liveness.last_heard_at:
-                self.node.fleet.send(self.node, Message(release.data, session))
-            elif release.expires_at > self.loop.now:
-                self.node.fleet.send(self.node, Message(release.data, session, release.expires_at))
+    def resend_releases(self) -> None:
+        """Sends releases that may be lost with this connection, which has ended, on another one."""
+        if self.node.releases.take_back(self):
+            deliveries.send_waiting(self.node)
 
     def detach(self) -> None:
         """Removes it from its node; messages queued there wait for the next connection."""
         self.node.connections.remove(self)
-        if self.node.queued_messages and not self.node.connections:
+        if self.node.has_waiting_messages() and not self.node.connections:
             self.node.fleet.awaiting_connection[self.node] = None
 
     def write_buffer_drained(self, stream) -> None:
@@ -160,7 +124,12 @@
         )
 
     def set_up(self, play, data: bytes) -> None:
-        """Sends a play's set-up, which is open on this connection from now on."""
+        """Sends a play's set-up, which is open on this connection from now on.
+
+        A release of the same session that the node is still owed goes before it.
+        """
+        if play.session in self.node.releases:
+            self.send_release(play.session)
         self.plays[play.session], self.set_up_data[play.session], self.last_used = (
             play,
             data,
@@ -188,6 +157,8 @@
                 other: other_end - len(data) * (other_end > end)
                 for other, other_end in self.set_up_ends.items()
             }
+            self.ping_end -= len(data) * (self.ping_end > end)
+            self.node.releases.shift(self, end, len(data))
         # A part of it has left: the other set-ups on the connection end with it.
         elif state == allocation.UNSENT:
             self.abort(allocation.CONNECTION_LOST)
@@ -208,31 +179,45 @@
             self.node.replace_connection()
 
     def close(self, deliver_ms: float | None = None) -> None:
-        """Closes the connection gracefully, with nothing open on it; see Stream.close."""
+        """Closes the connection gracefully, with nothing open on it; see Stream.close.
+
+        Answers to releases are still read until its node has closed it too.
+        """
         log.debug("node %s: %s closed by us in good order", self.node.id, self)
         self.detach()
-        self.stream.close(deliver_ms)
+        self.stream.close(deliver_ms, self if self.node.releases.is_carried_by(self) else None)
+
+    def last_data_received(self, data: bytes) -> None:
+        """Stream callback: settles the releases that are answered after the close."""
+        self.reader.feed(data)
+        try:
+            while (message := self.reader.next()) is not None:
+                self.node.handle_release_answer(self, message)
+        except rtsp.MalformedError:
+            self.resend_releases()
+
+    def last_data_ended(self) -> None:
+        """Stream callback: what was not answered goes on another connection."""
+        self.resend_releases()
 
     def abort(self, event: str) -> None:
         """Closes at once; the set-ups open on it end by the event.
 
-        Releases that the node has not acknowledged may be lost with it and are sent again.
+        Releases that the node has not answered may be lost with it and are sent again, and so are
+        those of its set-ups that had left: they may have run.
         """
         if self in self.node.connections:
-            log.debug(
-                "node %s: %s ends, its open set-ups as %s; %d releases are sent again",
-                self.node.id,
-                self,
-                event,
-                len(self.unacknowledged_releases),
-            )
+            log.debug("node %s: %s ends, its open set-ups as %s", self.node.id, self, event)
             self.node.fleet.count("connections to nodes ended: " + event)
             self.detach()
             plays = [
                 (play, self.close_set_up(session)) for session, play in list(self.plays.items())
             ]
             self.stream.abort()
-            self.send_releases_again()
+            self.resend_releases()
+            for play, state in plays:
+                if state == allocation.SENT:
+                    deliveries.release(self.node, play)
             for play, state in plays:
                 self.node.fleet.allocation_ended(play, state, event)
 
--- a/laddergw/platform/director.py
+++ b/laddergw/platform/director.py
@@ -12,7 +12,7 @@
 from laddergw import interface
 from laddergw.control import Controller
 from laddergw.hosting import ControllerHost
-from laddergw.platform import allocation
+from laddergw.platform import allocation, deliveries
 from laddergw.platform.admission import Admission
 from laddergw.platform.allocator import Allocator
 from laddergw.platform.causes import BROKEN, DECLINED, FAILED
@@ -177,7 +177,7 @@
     def exit_when_acknowledged(self, latest: float) -> None:
         """Exits once releases are acknowledged: a connection that ends loses what is unread."""
         self.is_exiting = True
-        if (self.listener.releases or self.nodes.has_unsent()) and self.loop.now < latest:
+        if (self.listener.releases or self.nodes.has_undelivered()) and self.loop.now < latest:
             self.loop.call_later(EXIT_POLL_MS, lambda: self.exit_when_acknowledged(latest))
         else:
             self.change_log.stop()
@@ -239,7 +239,7 @@
             self.allocator.ending.allocation_ended(play, allocation.RUNNING, allocation.CANCELLED)
         elif verdict.rung is not None and play.is_running:
             self.count("steps")
-            self.allocator.send_to_node(
+            deliveries.send(
                 play.node,
                 rtsp.encode_request(
                     "SET_PARAMETER",
--- a/laddergw/platform/health_check.py
+++ b/laddergw/platform/health_check.py
@@ -36,6 +36,9 @@
         return lost_plays.give_up(node, "gone from the list")
     elif not up or (pinged_at and now - min(pinged_at) >= PING_TIMEOUT_MS):
         redial(node, now)
+    for connection in up:
+        if connection.ping is None and node.releases.is_overdue(connection, now):
+            ping(connection, now)
     return node.dial_if_needed()
 
 
@@ -47,7 +50,7 @@
     lost_at = node.liveness.lost_contact_at(now)
     for connection in list(node.connections):
         if not connection.is_after_loss:
-            abort_silent(connection)
+            connection.abort(allocation.CONNECTION_LOST)
     lost_plays.contact_lost(node, lost_at)
     for connection in node.connections:
         connection.is_after_loss = False
@@ -72,26 +75,10 @@
     ]
     for connection in dead:
         log.info("node %s: a ping was not answered", node.id)
-        abort_silent(connection)
+        connection.abort(allocation.CONNECTION_LOST)
     return bool(dead)
 
 
-def abort_silent(connection: Connection) -> None:
-    """Aborts a connection that carries nothing any more.
-
-    Its node may not hear of it: it is sent releases of the set-ups that were open there.
-    """
-    node = connection.node
-    given_up = [
-        play
-        for session, play in connection.plays.items()
-        if connection.state(session) == allocation.SENT
-    ]
-    connection.abort(allocation.CONNECTION_LOST)
-    for play in given_up:
-        node.fleet.release_set_up(node, play)
-
-
 def retire(connection: Connection, now: float) -> None:
     """Closes a connection that carries no set-up any more, once its node answers a ping.
 
@@ -107,6 +94,7 @@
     node = connection.node
     connection.ping, connection.pinged_at = node.fleet.next_ping_name(), now
     connection.stream.write(rtsp.encode_request("OPTIONS", "ping", connection.ping))
+    connection.ping_end = connection.stream.bytes_written
     node.liveness.mark_probed(now)
 
 
--- a/laddergw/platform/lost_plays.py
+++ b/laddergw/platform/lost_plays.py
@@ -8,7 +8,7 @@
 import logging
 from typing import TYPE_CHECKING
 
-from laddergw.platform import allocation
+from laddergw.platform import allocation, deliveries
 
 if TYPE_CHECKING:
     from laddergw.platform.node import Node
@@ -22,6 +22,7 @@
 def process_ended(node: "Node", why: str | None) -> None:
     """Ends all plays of a node whose process is known to have ended."""
     node.queued_messages = []
+    node.releases.clear()
     end_plays(node, list(node.running_plays.values()), why)
 
 
@@ -66,7 +67,7 @@
 def release_plays(node: "Node", plays: list, why: str) -> None:
     """Ends plays that may go on at the node, and has it sent their releases."""
     for play in plays:
-        node.fleet.release(play)
+        deliveries.release(node, play)
     end_plays(node, plays, why)
 
 
--- a/laddergw/platform/node.py
+++ b/laddergw/platform/node.py
@@ -11,8 +11,9 @@
 
 from laddergw.loop.base import CONNECTION_REFUSED, NO_DESCRIPTOR
 from laddergw.platform import allocation, health_check, lost_plays
-from laddergw.platform.connection import Connection, Message
+from laddergw.platform.connection import Connection
 from laddergw.platform.liveness import Liveness
+from laddergw.platform.release_outbox import ReleaseOutbox
 from laddergw.signalling import rtsp
 
 # A connection is not used so shortly before the node closes it as idle: a set-up that crosses the
@@ -55,8 +56,9 @@
         self.running_plays: dict[str, Any] = {}
         # plays whose set-up is open there, by session
         self.open_set_ups: dict[str, Any] = {}
-        # what waits for a connection to be sent
-        self.queued_messages: list[Message] = []
+        # messages about running plays that wait for a connection, and the releases that it is owed
+        self.queued_messages: list[bytes] = []
+        self.releases = ReleaseOutbox()
         # a connection has ended that may have lost a message of the node: the node repeats it on a
         # new one
         self.needs_connection = False
@@ -129,14 +131,21 @@
         self.fleet.watch(self)
 
     def has_open_releases(self) -> bool:
-        """Whether releases wait for it, or were sent and may be lost with their connection."""
-        now = self.fleet.loop.now
-        return any(message.released for message in self.queued_messages) or any(
-            release.expires_at > now or release.sent_at > self.liveness.last_heard_at
-            for connection in self.connections
-            for release in connection.unacknowledged_releases.values()
+        """Whether releases wait for it, or are unanswered on a connection that is not closed."""
+        return any(
+            release.carrier is None or release.carrier in self.connections
+            for release in self.releases.owed.values()
         )
 
+    def has_waiting_messages(self) -> bool:
+        """Whether messages or releases wait for a connection."""
+        return bool(self.queued_messages or self.releases.waiting())
+
+    def is_dial_due(self, now: float) -> bool:
+        """Whether it may be dialled for what waits: at an interval where that was of no use."""
+        is_first_try = self.queued_messages or self.releases.is_first_attempt_waiting()
+        return bool(self.unanswered_dials == 0 and is_first_try) or self.is_redial_due(now)
+
     def is_redial_due(self, now: float) -> bool:
         """Whether its last dial is so long ago that it may be dialled again without an answer."""
         interval_ms = REDIAL_INTERVAL_MS if self.running_plays else RELEASE_REDIAL_INTERVAL_MS
@@ -156,20 +165,26 @@
         if message.method:
             self.note_session(message.session)
             return self.fleet.handle_request(self, connection, message)
-        # A response repeats the CSeq of its request: 1 of a set-up, 2 of a release (rtsp.py)
-        if (
-            message.cseq == "2"
-            and message.status
-            and connection.unacknowledged_releases.pop(message.session, None)
-        ):
-            log.debug("%s: release acknowledged by node %s", message.session, self.id)
+        self.handle_release_answer(connection, message)
         if message.target == "" and connection.ping == message.session:
             connection.ping = None
+            self.releases.settle_up_to(connection, connection.ping_end)
             if connection.is_retiring and not connection.plays:
                 connection.close()
                 self.replace_connection()
         elif message.session in connection.plays and message.status >= 200 and message.cseq == "1":
+            self.releases.settle_up_to(connection, connection.set_up_ends[message.session])
             self.fleet.handle_answer(self, connection, message)
+        return None
+
+    def handle_release_answer(self, connection: Connection, message: rtsp.Message) -> None:
+        """Settles the release that a message answers, if it does.
+
+        A response repeats the CSeq of its request: 1 of a set-up, 2 of a release (rtsp.py).
+        """
+        is_answer = message.status >= 200 and message.cseq == "2"
+        if is_answer and self.releases.answered(message.session, connection):
+            log.debug("%s: release acknowledged by node %s", message.session, self.id)
 
     def connection_opened(self) -> None:
         """Ends the connections that a new one replaces: those that leave a ping unanswered."""
--- a/laddergw/platform/nodes.py
+++ b/laddergw/platform/nodes.py
@@ -5,7 +5,7 @@
 import logging
 
 from laddergw.platform import allocation, health_check, lost_plays
-from laddergw.platform.connection import Connection, Message
+from laddergw.platform.connection import Connection
 from laddergw.platform.node import Node
 
 # Time between checks of the nodes where plays run.
@@ -39,7 +39,6 @@
         # the node that the list named last at each address
         self.by_address: dict[tuple[str, int], Node] = {}
         self.last_number = self.pings_named = 0
-        self.release, self.release_set_up = allocator.release, allocator.release_set_up
         self.count, self.allocation_ended, self.handle_request, self.handle_answer = (
             allocator.count,
             allocator.ending.allocation_ended,
@@ -78,6 +77,7 @@
             idle,
             key=lambda connection: (
                 bool(connection.node.running_plays),
+                connection.node.releases.is_carried_by(connection),
                 connection.dialled_at,
             ),
         )
@@ -85,24 +85,6 @@
         oldest.close()
         return True
 
-    def send(self, node: Node, message: Message) -> None:
-        """Sends a message to a node on any connection that is up, or on the next that opens.
-
-        For a release a connection is opened past the limit too, and it waits for a node that cannot
-        be reached now.
-        """
-        up = [connection for connection in node.connections if connection.up]
-        connection = next((connection for connection in up if not connection.plays), None) or next(
-            iter(up), None
-        )
-        if connection is not None:
-            connection.send(message)
-        elif not node.gone or (message.released and self.is_at_its_address(node)):
-            node.queued_messages.append(message)
-            self.watch(node)
-            self.awaiting_connection[node] = None
-            self.dial_waiting(1)
-
     def watch(self, node: Node) -> None:
         """Checks a node from now on, until no play runs there and no release is open."""
         if node not in self.watched:
@@ -120,14 +102,14 @@
         be reached is dialled at an interval.
         """
         now = self.loop.now
-        due = [
-            node
-            for node in self.awaiting_connection
-            if node.unanswered_dials == 0 or node.is_redial_due(now)
-        ]
+        due = [node for node in self.awaiting_connection if node.is_dial_due(now)]
         for node in due[:limit]:
             del self.awaiting_connection[node]
-            if node.queued_messages and not node.connections and self.is_at_its_address(node):
+            if (
+                node.has_waiting_messages()
+                and not node.connections
+                and self.is_at_its_address(node)
+            ):
                 self.make_room(include_serving=True)
                 node.dial()
 
@@ -137,11 +119,14 @@
             connection.close()
             self.dial_waiting(1)
 
-    def has_unsent(self) -> bool:
-        """Whether messages to nodes have not left yet."""
+    def has_undelivered(self) -> bool:
+        """Whether messages to nodes have not left yet, or releases that left are unanswered."""
         nodes = self.by_number.values()
-        return any(node.queued_messages and not node.gone for node in nodes) or any(
-            connection.stream.queued for node in nodes for connection in node.connections
+        return any(
+            (node.has_waiting_messages() and not node.gone)
+            or node.releases.is_in_transit()
+            or any(connection.stream.queued for connection in node.connections)
+            for node in nodes
         )
 
     def shut_down(self) -> None:
@@ -153,11 +138,8 @@
         for node in self.by_number.values():
             connections, node.connections = node.connections, []
             for connection in connections:
-                messages, node.queued_messages = (
-                    ([], node.queued_messages) if connection.up else (node.queued_messages, [])
-                )
-                for message in messages:
-                    connection.stream.write(message.data)
+                if not connection.up:
+                    connection.send_waiting()
                 connection.stream.close()
 
     def next_ping_name(self) -> str:
@@ -207,7 +189,7 @@
         return (
             self.loop.now - node.gone_since < GONE_RETENTION_MS
             and self.is_at_its_address(node)
-            and node.has_open_releases()
+            and bool(node.releases)
         )
 
     def remove_gone(self) -> None:
@@ -218,6 +200,7 @@
             if n.gone and not n.running_plays and not n.open_set_ups and not self.is_retained(n)
         ]:
             node.queued_messages = []
+            node.releases.clear()
             self.awaiting_connection.pop(node, None)
             self.watched.pop(node, None)
             if self.is_at_its_address(node):
