Renew the limit of a close whenever the peer has taken something

Cause: the limit of a close (5 s without progress) was renewed only where the kernel took a part of the queued write that came last; where it took whole writes and nothing of the next, a peer that reads lost the rest. Change: any progress renews it. Test: test_a_closed_connection_whose_peer_reads_whole_writes fails before.

--- a/laddergw/loop/streams.py
+++ b/laddergw/loop/streams.py
@@ -89,6 +89,7 @@
 
     def flush(self) -> None:
         """Sends queued writes as far as the kernel takes them."""
+        sent_before = self.bytes_sent
         while self.write_queue and self.sock is not None:
             data = self.write_queue[0]
             count = self.send(data)
@@ -96,16 +97,14 @@
             if count < len(data):
                 if count:
                     self.write_queue[0] = data[count:]
-                if count and self.closing and self.delivery_limit_ms is None:
+                has_progress = self.bytes_sent > sent_before
+                if has_progress and self.closing and self.delivery_limit_ms is None:
                     self.set_close_timeout()
                 return
             self.write_queue.popleft()
         if self.sock is None:
             return
-        if self.closing:
-            self.finish_close()
-        else:
-            self.owner.write_buffer_drained(self)
+        self.finish_close() if self.closing else self.owner.write_buffer_drained(self)
 
     def update_selector(self) -> None:
         """Registers the socket for the events that the stream waits for now."""
--- a/tests/test_orders_ends.py
+++ b/tests/test_orders_ends.py
@@ -1,7 +1,9 @@
 """Ends that cross what they end: session ids used again, late hand-overs, closes that wait. Real sockets; each test forces the bad order of events."""
 import contextlib
 import unittest
+import unittest.mock
 
+from laddergw.loop.streams import Stream
 from laddergw.signalling import binary, rtsp
 from tests.platform_cluster import answer, set_up
 from tests.socket_harness import SocketHarness
@@ -36,6 +38,26 @@
                     self.advance(3_000)
                 self.assertEqual(director_connection.stream.sock is not None, reads)
 
+    # Guards against the limit of a close ending one whose peer reads, but whole queued writes at a time.
+    def test_a_closed_connection_whose_peer_reads_whole_writes(self):
+        self.harness.idle_connection()
+        director_connection, = self.harness.director.nodes.by_id["a"].connections
+        stream = director_connection.stream
+        while len(stream.write_queue) < 4:
+            stream.write(rtsp.encode_request("OPTIONS", "ping", "0" * 16) * 2_000)
+        director_connection.close()
+        for _ in range(3):
+            taken = [len(stream.write_queue[0]), 0]
+
+            def take(data, taken=taken):
+                count = taken.pop(0) if taken else 0
+                stream.bytes_sent += count
+                return count
+            with unittest.mock.patch.object(Stream, "send", lambda _, data, take=take: take(data)):
+                stream.flush()
+            self.advance(3_000)
+        self.assertIsNotNone(stream.sock)
+
     def read_some(self, connection):
         """Reads a part of what waits at a node's end."""
         with contextlib.suppress(BlockingIOError):
