Connect to the change log at intervals that follow from its time limit

Cause: pauses doubled up to 1 s whatever the limit, and an attempt waited for the end of the last one. Change: until all counts as told (4 s, and the grace of 250 ms) attempts begin 0.6 of the grace apart at the most, drawn, without waiting for earlier ones; up to five connections, the one that speaks ends the others; a new one is silent after 1.25 s without a line. Changed tests: those of test_orders_list find the stream at a socket's other end, as there may be several; the change log in memory writes its line each second, as the protocol has it, so kept traces lose requests that its silence had caused.

--- a/laddergw/platform/director.py
+++ b/laddergw/platform/director.py
@@ -72,9 +72,7 @@
             configuration.listen,
             int(VIEWER_SOCKET_SHARE * configuration.sockets),
         )
-        self.change_log = ChangeLogClient(
-            loop, configuration.changelog, configuration.last_event, self.fleet_list.apply_event
-        )
+        self.change_log = ChangeLogClient(loop, configuration, self.fleet_list.apply_event)
         loop.on_turn_end(self.finish_turn)
         loop.call_later(COUNTS_INTERVAL_MS, self.log_counts)
         self.feed(self.controller.wake, loop.now)
--- a/tests/platform_cluster.py
+++ b/tests/platform_cluster.py
@@ -102,10 +102,10 @@
 
 
 class ChangeLogConnection:
-    """The change log's end of the director's connection."""
+    """The change log's end of the director's connection: each second it writes the last number alone, from the request on."""
 
     def __init__(self, cluster):
-        self.cluster, self.stream = cluster, None
+        self.cluster, self.stream, self.last_number, self.is_silent = cluster, None, 0, False
 
     def opened(self, stream):
         self.stream = stream
@@ -115,8 +115,17 @@
 
     def data_received(self, stream, data):
         self.cluster.record(f"log gets {data.decode().strip()}")
+        self.last_number = max(self.last_number, int(data.split()[1]))
+        self.send_last_number()
+
+    def send_last_number(self):
+        if self.stream.alive:
+            self.cluster.hosts["log"].call_later(1000, self.send_last_number)
+            if not self.is_silent:
+                self.stream.write(b"%d\n" % self.last_number)
 
     def send_events(self, *events):
+        self.last_number = max([self.last_number, *(event["seq"] for event in events)])
         self.stream.write(b"".join(json.dumps(event).encode() + b"\n" for event in events))
 
     def closed(self, stream, why):
--- a/tests/test_orders_list.py
+++ b/tests/test_orders_list.py
@@ -62,7 +62,7 @@
         """Sends lines of the change log, and lets the director read them."""
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.sendall(data)
-        stream = self.harness.director.change_log.stream
+        stream = next(one.stream for one in self.harness.director.change_log.connections if one.stream.sock.getsockname() == sock.getpeername())
         self.harness.wait_for_unread(stream, len(data))
         self.harness.turns(2)
 
@@ -102,7 +102,8 @@
     def test_a_connection_that_never_comes_up_at_the_start(self):
         """It is dialled again and again, in time each time, and the events that were missed meanwhile are requested."""
         select = self.harness.loop.selector.select
-        self.harness.loop.selector.select = lambda wait: [(key, mask) for key, mask in select(wait) if key.data is not self.harness.director.change_log.stream]
+        connections = self.harness.director.change_log.connections
+        self.harness.loop.selector.select = lambda wait: [(key, mask) for key, mask in select(wait) if key.data not in [one.stream for one in connections]]
         dials, dial = [], self.harness.director.change_log.dial
         self.harness.director.change_log.dial = lambda: (dials.append(self.now[0]), dial())
         start = self.now[0]
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -37,6 +37,7 @@
         viewer.stream.write(set_up(1) + set_up(2))
         cluster.run(50)
         cluster.lines.append("# silence, then a gap")
+        cluster.log_connection.is_silent = True
         cluster.run(2600)
         cluster.log_connection.send_events(event(6, member("a", 1)))
         cluster.run(300)
