Remember which sessions are over for hand-overs that come later

Cause: a node's release of a session that was not held was answered and forgotten, and the hand-over then taken for a play; a viewer's end was tried again once, after 50 ms. Change: ended_sessions.py keeps what was told of a session's end, by a node with any cause, by its viewer, or as a held play ended, bounded by source; hand_overs.py releases a session that is over to its viewer, and at its node unless that told the end.

--- a/laddergw/platform/admission.py
+++ b/laddergw/platform/admission.py
@@ -6,8 +6,10 @@
 
 import logging
 
-from laddergw.platform import allocation, requests
+from laddergw.platform import allocation, hand_overs, requests
 from laddergw.platform.causes import DECLINED, ENDED, FAILED
+from laddergw.platform.ended_sessions import EndedSession
+from laddergw.platform.hand_overs import HandOvers
 from laddergw.platform.plays import Play
 from laddergw.platform.viewers import MAX_OPEN_SET_UPS, ViewerConnection
 from laddergw.signalling import binary
@@ -16,9 +18,6 @@
 ANSWER_MARGIN_MS = 20.0
 # After the deadline, at which the controller's own time-out answers by the play's terms.
 OVERDUE_GRACE_MS = 10.0
-# How long a peer's messages on two connections may cross: the protocol's time for a close and a
-# set-up.
-CROSSING_MS = 50.0
 # Unusable set-ups that are logged: a flood must not fill the log.
 MAX_LOGGED_UNUSABLE = 40
 
@@ -32,6 +31,7 @@
         self.director, self.count = director, director.count
         # Plays that the controller gets at the turn's end: new requests, and ended allocations.
         self.deferred_plays: list[Play] = []
+        self.hand_overs = HandOvers(director)
 
     def handle_message(self, viewer: ViewerConnection, message: binary.Message) -> None:
         """Handles one message of a viewer; one that only directors send closes its connection."""
@@ -54,7 +54,7 @@
         """Takes the hand-over of a running play, or a request, which may be refused at once."""
         session = message.session
         if session in self.director.open_requests or (
-            session in self.director.running_plays and not self.is_hand_over(message)
+            session in self.director.running_plays and not hand_overs.is_hand_over(message)
         ):
             # An answer would count for the play that has this session already.
             return viewer.close("a session that is there")
@@ -67,7 +67,7 @@
             return viewer.refuse(session)
         self.director.listener.mark_requested(viewer)
         if request.node_id:
-            return self.take_over(viewer, session, request)
+            return self.hand_overs.take_over(viewer, session, request)
         # Hand-overs are accepted during a stop: its end releases them with all running plays.
         if (
             self.director.broken
@@ -88,6 +88,7 @@
                 DECLINED,
                 self.retry_after(self.director.configuration.deployment.retry_max_ms),
             )
+        self.director.ended_sessions.forget(session)
         self.director.count("asked")
         log.debug(
             "%s: set-up of %s on %s, waits %.0f ms",
@@ -127,34 +128,6 @@
                     self.director.controller.request_play, self.director.loop.now, play_request
                 )
 
-    def is_hand_over(self, message: binary.Message) -> bool:
-        """Whether a set-up names a node where its play runs already."""
-        return b"at:" in (message.parameters or {}).get(binary.ATTRIBUTES, b"")
-
-    def take_over(self, viewer: ViewerConnection, session: str, request: requests.Request) -> None:
-        """Takes over a play that runs at a node already; this director may hold it already."""
-        node = self.director.nodes.by_id.get(request.node_id)
-        if node is None or node.gone:
-            log.info("%s: handed over from %s, which is not in the list", session, request.node_id)
-            self.director.count("handed over from nowhere")
-            return viewer.refuse(session)
-        self.director.listener.mark_served(viewer)
-        if session not in self.director.running_plays:
-            self.director.count("handed over")
-            log.debug("%s: handed over on %s, plays at node %s", session, viewer, node.id)
-            play = self.director.running_plays[session] = Play(request, session, viewer)
-            play.node, play.number, play.is_running = node, 0, True
-            node.add_play(play)
-            self.director.feed(
-                self.director.controller.take_over_play,
-                self.director.loop.now,
-                request.play_request,
-                node.number,
-            )
-            if not node.connections and self.director.nodes.make_room(include_serving=False):
-                node.dial()  # the node reports on the play on any connection
-        return None
-
     def retry_after(self, ms: float | None) -> tuple[int, bytes]:
         """Returns the parameter with the time, ms, after which a declined viewer may retry."""
         return binary.RETRY_AFTER, b"%d" % (ms or 0)
@@ -178,16 +151,10 @@
             return self.viewer_gave_up(play)
         # Its hand-over may be on its way on another connection.
         elif session not in self.director.open_requests:
-            self.director.loop.call_later(
-                CROSSING_MS, lambda: self.end_late_hand_over(viewer, session)
-            )
+            ended = EndedSession(session, "", allocation.CANCELLED)
+            self.director.ended_sessions.add(str(viewer), ended)
         return viewer.write(binary.RELEASE_ACK, session)
 
-    def end_late_hand_over(self, viewer: ViewerConnection, session: str) -> None:
-        """Ends a play whose hand-over has arrived after its release."""
-        if (play := self.director.running_plays.get(session)) and play.request.node_id:
-            self.handle_release(viewer, session)
-
     def viewer_gave_up(self, play: Play) -> None:
         """Ends a request whose viewer has given up: no answer is owed, its allocation ends."""
         if self.director.open_requests.pop(play.session, None) is None:
--- a/laddergw/platform/allocation.py
+++ b/laddergw/platform/allocation.py
@@ -46,6 +46,8 @@
 EVENT_BY_STATUS = {200: ACCEPTED, 453: FULL, 500: ERROR, 454: SESSION_UNKNOWN, 504: RESET}
 # By the cause in a release from the node; every other cause reports an interruption.
 EVENT_BY_CAUSE = {16: ENDED, 31: VIEWER_LEFT}
+# Ends that the node of a running play reports itself.
+EVENTS_OF_NODE = frozenset({ENDED, VIEWER_LEFT, INTERRUPTED})
 
 # Outcomes of a set-up by events that mean the same whether all of it had left or not.
 SET_UP_OUTCOMES = {
--- a/laddergw/platform/allocator.py
+++ b/laddergw/platform/allocator.py
@@ -10,6 +10,7 @@
 from laddergw.platform import allocation, deliveries, reports, requests
 from laddergw.platform.answers import AnswerHandler
 from laddergw.platform.connection import Connection
+from laddergw.platform.ended_sessions import EndedSession
 from laddergw.platform.health_check import retire
 from laddergw.platform.node import Node
 from laddergw.platform.play_ending import PlayEnding
@@ -24,6 +25,12 @@
 log = logging.getLogger("laddergw.platform")
 
 
+def release_event(message: rtsp.Message) -> str:
+    """The event that a node's release is, by the cause that it states."""
+    cause = message.headers.get("reason", "").removeprefix("cause=")
+    return allocation.event_of_cause(int(cause) if cause.isdigit() and len(cause) < 8 else 0)
+
+
 class Allocator:
     """Carries out allocations of the director's plays at media nodes."""
 
@@ -106,13 +113,7 @@
             )
             node.releases.settle(message.session)
             if play is None:
-                log.debug(
-                    "%s: released by node %s on %s, not held by this director",
-                    message.session,
-                    node.id,
-                    connection,
-                )
-                self.count("released by its node, held by nobody")
+                self.handle_unknown_release(node, message)
             else:
                 self.handle_release(play, connection, message)
         elif message.method == "ANNOUNCE" and play is not None and play.is_running:
@@ -130,23 +131,22 @@
                     float(value),
                 )
 
+    def handle_unknown_release(self, node: Node, message: rtsp.Message) -> None:
+        """Remembers a node's release of a session that is not held: its hand-over may follow."""
+        log.debug("%s: released by node %s, not held by this director", message.session, node.id)
+        self.count("released by its node, held by nobody")
+        ended = EndedSession(message.session, node.id, release_event(message))
+        self.director.ended_sessions.add(node.id, ended)
+
     def handle_release(self, play: Play, connection: Connection, message: rtsp.Message) -> None:
         """Handles a media node's release of a running play, or of one whose set-up is open.
 
         It comes on any connection, so possibly before the answer to the set-up is read. An answer
         that is still on its way on another connection is ignored.
         """
-        cause = message.headers.get("reason", "").removeprefix("cause=")
+        event, report = release_event(message), self.load_report(message)
         log.debug(
-            "%s.%d: released by its node on %s, cause %s",
-            play.session,
-            play.number,
-            connection,
-            cause[:8],
-        )
-        event, report = (
-            allocation.event_of_cause(int(cause) if cause.isdigit() else 0),
-            self.load_report(message),
+            "%s.%d: released by its node on %s, %s", play.session, play.number, connection, event
         )
         if play.is_running:
             self.ending.allocation_ended(play, allocation.RUNNING, event, report)
--- a/laddergw/platform/director.py
+++ b/laddergw/platform/director.py
@@ -18,6 +18,7 @@
 from laddergw.platform.causes import BROKEN, DECLINED, FAILED
 from laddergw.platform.change_log import ChangeLogClient
 from laddergw.platform.configuration import Configuration, keep_numbers
+from laddergw.platform.ended_sessions import EndedSessions
 from laddergw.platform.fleet_list import FleetList
 from laddergw.platform.nodes import Nodes
 from laddergw.platform.plays import Play
@@ -52,6 +53,7 @@
         # By session: plays that wait for their answer, and plays that were answered.
         self.open_requests: dict[str, Play] = {}
         self.running_plays: dict[str, Play] = {}
+        self.ended_sessions = EndedSessions()
         self.stopping_since: float | None = None
         self.is_exiting = False  # all plays are over, its connections are being closed
         self.controller = Controller(configuration.deployment, configuration.seed, loop.now)
@@ -167,7 +169,7 @@
         """Releases the running plays at their nodes and to their viewers."""
         for play in list(self.running_plays.values()):
             self.allocator.release(play)
-            self.allocator.ending.remove_running(play)
+            self.allocator.ending.remove_running(play, allocation.CANCELLED)
             self.listener.send_until_acknowledged(
                 play.viewer, binary.RELEASE, play.session, (binary.CAUSE, bytes([BROKEN]))
             )
--- a/laddergw/platform/play_ending.py
+++ b/laddergw/platform/play_ending.py
@@ -4,6 +4,7 @@
 
 from laddergw.platform import allocation
 from laddergw.platform.causes import BROKEN, ENDED, FAILED
+from laddergw.platform.ended_sessions import EndedSession
 from laddergw.platform.plays import Play
 from laddergw.signalling import binary
 
@@ -27,7 +28,7 @@
         if outcome is None:
             return
         if play.is_running:
-            self.remove_running(play)
+            self.remove_running(play, event)
             # A viewer that left by its node's report is released too: its answer may be on its way.
             if event != allocation.CANCELLED:
                 cause = bytes([self.release_cause(play, event)])
@@ -52,8 +53,14 @@
         is_in_transit = self.director.loop.now - play.answered_at <= ANSWER_DELIVERY_MS
         return FAILED if event == allocation.VIEWER_LEFT and is_in_transit else ENDED
 
-    def remove_running(self, play: Play) -> None:
-        """Removes a play from the running plays of the director and of its node."""
+    def remove_running(self, play: Play, event: str) -> None:
+        """Removes a play that ends by an event from the running ones of director and node.
+
+        That it is over holds for a hand-over that names it later, too.
+        """
+        by_node = play.node.id if event in allocation.EVENTS_OF_NODE else ""
+        ended = EndedSession(play.session, by_node, event)
+        self.director.ended_sessions.add(play.node.id, ended)
         self.director.running_plays.pop(play.session, None)
         play.node.running_plays.pop(play.session, None)
 
