Take a node for gone whose address the list names for another one

Cause: the node that had an address before was dropped only where its end was told already, and was dialled on. Change: it is gone, for the decisions too; and a later start of the same node settles what earlier processes were owed, as far as their connections show that, and is logged.

--- a/laddergw/platform/allocator.py
+++ b/laddergw/platform/allocator.py
@@ -98,7 +98,7 @@
     def release(self, play: Play) -> None:
         """Releases a running play at its node."""
         log.debug("%s.%d: release to node %s", play.session, play.number, play.node.id)
-        deliveries.release(play.node, play)
+        deliveries.release(play.node, play, play.connection_opened_at)
 
     def load_report(self, message: rtsp.Message) -> tuple[float, ...]:
         """The load report that a message carries, or an empty tuple."""
@@ -194,7 +194,7 @@
             and not connection.arrived(end)
         )
         if state == allocation.SENT:
-            deliveries.owe_release(connection.node, play)
+            deliveries.owe_release(connection.node, play, connection.opened_at)
         if state == allocation.SENT and not undelivered:
             given_up = rtsp.encode_request("TEARDOWN", play.request.title, play.session)
             connection.send_release(play.session, given_up)
--- a/laddergw/platform/connection.py
+++ b/laddergw/platform/connection.py
@@ -217,7 +217,7 @@
             self.resend_releases()
             for play, state in plays:
                 if state == allocation.SENT:
-                    deliveries.release(self.node, play)
+                    deliveries.release(self.node, play, self.opened_at)
             for play, state in plays:
                 self.node.fleet.allocation_ended(play, state, event)
 
--- a/laddergw/platform/deliveries.py
+++ b/laddergw/platform/deliveries.py
@@ -21,17 +21,20 @@
         await_connection(node)
 
 
-def release(node: "Node", play: "Play") -> None:
+def release(node: "Node", play: "Play", opened_at: float | None) -> None:
     """Releases a session that may run at a node, until the node has answered that."""
-    owe_release(node, play)
+    owe_release(node, play, opened_at)
     send_waiting(node)
 
 
-def owe_release(node: "Node", play: "Play") -> None:
-    """Owes a node the release of a session; see release_outbox.py."""
+def owe_release(node: "Node", play: "Play", opened_at: float | None) -> None:
+    """Owes a node the release of a session; see release_outbox.py.
+
+    `opened_at`: when the connection of its set-up came up, None where that is not known.
+    """
     headers = (("Reason", f"cause={ENDED}"),)
     data = rtsp.encode_request("TEARDOWN", play.request.title, play.session, headers)
-    node.releases.add(play.session, data)
+    node.releases.add(play.session, data, opened_at)
 
 
 def send_waiting(node: "Node") -> None:
--- a/laddergw/platform/fleet_list.py
+++ b/laddergw/platform/fleet_list.py
@@ -30,7 +30,12 @@
         for member in event.members:
             if member.state == "DELETED" and member.id not in self.director.nodes.by_id:
                 continue
+            previous = self.director.nodes.by_address.get((member.host, member.port))
             node = self.update_node(member, event.number)
+            if self.is_replaced(previous, node):
+                self.mark_replaced(previous)
+                not_serving.append(previous)
+                entries.append(self.entry_of(previous))
             if member.state != "SERVING":
                 not_serving.append(node)
             entries.append(self.entry_of(node))
@@ -43,6 +48,21 @@
         for node in not_serving:
             self.withdraw_unsent(node)
 
+    def is_replaced(self, previous: Node | None, node: Node) -> bool:
+        """Whether a node has come up at the address of another one that is listed still."""
+        return (
+            previous is not None
+            and previous is not node
+            and not previous.gone
+            and not self.director.nodes.is_at_its_address(previous)
+        )
+
+    def mark_replaced(self, node: Node) -> None:
+        """Marks a node as gone: another one has its address, which the list tells first."""
+        log.info("node %s: gone, another node has its address", node.id)
+        node.member = node.member._replace(state="DELETED")
+        self.director.nodes.mark_gone(node)
+
     def mark_missing(self, event: changes.Event) -> list[Node]:
         """Marks the nodes that a complete list leaves out as gone, and returns them."""
         named = {member.id for member in event.members}
@@ -58,6 +78,7 @@
         """
         node = self.director.nodes.node_for(member)
         if member.since > node.started_ms:
+            log.info("node %s: another process, %s at event %d", node.id, member.state, number)
             started_at = member.since - self.director.clock_offset_ms
             lost_plays.process_started(node, started_at)
             node.started_ms = member.since
--- a/laddergw/platform/hand_overs.py
+++ b/laddergw/platform/hand_overs.py
@@ -71,4 +71,4 @@
             play.viewer, binary.RELEASE, play.session, (binary.CAUSE, cause)
         )
         if not ended.node_id:
-            deliveries.release(play.node, play)
+            deliveries.release(play.node, play, None)
--- a/laddergw/platform/lost_plays.py
+++ b/laddergw/platform/lost_plays.py
@@ -35,6 +35,7 @@
     handed_over = [
         play for play in node.running_plays.values() if play.connection_opened_at is None
     ]
+    node.releases.settle_before(started_at - START_TOLERANCE_MS)
     end_plays(node, plays_before(node, started_at - START_TOLERANCE_MS), "started anew")
     release_plays(node, handed_over, "started anew")
 
@@ -67,7 +68,7 @@
 def release_plays(node: "Node", plays: list, why: str) -> None:
     """Ends plays that may go on at the node, and has it sent their releases."""
     for play in plays:
-        deliveries.release(node, play)
+        deliveries.release(node, play, play.connection_opened_at)
     end_plays(node, plays, why)
 
 
--- a/laddergw/platform/release_outbox.py
+++ b/laddergw/platform/release_outbox.py
@@ -22,6 +22,8 @@
     """A release that its node has not answered yet. Times by the loop's clock, ms."""
 
     data: bytes
+    # when the connection came up on which the session was set up, or None where that is not known
+    opened_at: float | None = None
     # the connection that it was last written to, or None while it waits for one
     carrier: "Connection | None" = None
     sent_at: float = 0.0
@@ -44,9 +46,9 @@
         """Whether the node is owed the release of a session."""
         return session in self.owed
 
-    def add(self, session: str, data: bytes) -> None:
+    def add(self, session: str, data: bytes, opened_at: float | None = None) -> None:
         """Owes the release of a session, which waits for a connection until `sent`."""
-        self.owed.setdefault(session, OwedRelease(data))
+        self.owed.setdefault(session, OwedRelease(data, opened_at))
 
     def sent(self, session: str, carrier: "Connection") -> None:
         """Records that a release was just written to a connection, as the last bytes there."""
@@ -81,6 +83,15 @@
         """Whether a release was written to a connection and is unanswered."""
         return any(release.carrier is not None for release in self.owed.values())
 
+    def settle_before(self, started_at: float) -> None:
+        """Settles what earlier processes were owed: one has started at a time, by the loop's clock.
+
+        What was set up on a connection that came up before ran at one of those.
+        """
+        for session, release in list(self.owed.items()):
+            if release.opened_at is not None and release.opened_at < started_at:
+                self.settle(session)
+
     def take_back(self, carrier: "Connection") -> bool:
         """Lets releases wait again whose connection has ended; returns whether there are any."""
         lost = [release for release in self.owed.values() if release.carrier is carrier]
--- a/tests/director_process.py
+++ b/tests/director_process.py
@@ -94,17 +94,15 @@
                 return result
             left = deadline - time.monotonic()
             self.test.assertGreater(left, 0, f"not seen within {seconds:g} s: {what}")
+            poll = select.poll()
             open_sockets = [peer.sock for peer in self.every_peer() if peer.ended is None]
-            select.select(
-                [
-                    self.running.process.stderr,
-                    *open_sockets,
-                    *(node.sock for node in self.nodes.values()),
-                ],
-                [],
-                [],
-                left,
-            )
+            for resource in [
+                self.running.process.stderr,
+                *open_sockets,
+                *(node.sock for node in self.nodes.values()),
+            ]:
+                poll.register(resource, select.POLLIN)
+            poll.poll(1_000 * left)
 
     def take_message(self, peers, fits):
         """(peer, message) of the first message that fits, which is taken out of those received, or
