Read a burst of a node's messages that is longer than one may be

Seen: a node that sent over 16 KiB of whole messages at once, such as the releases of some 150 sessions on a new connection, had its connection ended as malformed, with the set-up that was open on it; the releases came again, with the same end. Cause: the reader applied one message's limit to all that lay unread behind a message. Change: it holds for header lines whose end has not come. Tests: test_a_burst_of_messages_in_one_read and test_many_releases_of_a_node_in_one_read, both fail before.

--- a/laddergw/signalling/rtsp.py
+++ b/laddergw/signalling/rtsp.py
@@ -140,7 +140,8 @@
         if self.head is None:
             end = self.buffer.find(b"\r\n\r\n", 0, MAX_MESSAGE_BYTES)
             if end < 0:
-                return self.check_start()
+                self.check_start()
+                return self.check_size()
             self.head = parse_head(bytes(self.buffer[:end]), self.header)
             del self.buffer[: end + 4]
         *parts, length = self.head
@@ -159,15 +160,15 @@
         )
 
     def check_start(self) -> None:
-        """Raises MalformedError for bytes that can become no message.
-
-        They are rejected before their end has arrived, and where they grow without an end.
-        """
+        """Raises MalformedError for bytes that can become no message, before their end arrives."""
         start = bytes(self.buffer[:16])
         if start and not any(
             start.startswith(prefix[: len(start)])
             for prefix in (STATUS_LINE_START, *REQUEST_LINE_STARTS)
         ):
             raise MalformedError(f"message starts with {start!r}")
+
+    def check_size(self) -> None:
+        """Raises MalformedError for header lines that grow without an end."""
         if len(self.buffer) >= MAX_MESSAGE_BYTES:
             raise MalformedError("header lines exceed the maximum length")
--- a/tests/test_orders_releases.py
+++ b/tests/test_orders_releases.py
@@ -5,10 +5,12 @@
 import unittest
 
 from laddergw.signalling import binary, rtsp
-from tests.platform_cluster import answer, set_up
+from tests.platform_cluster import answer, release, set_up
 from tests.socket_harness import SocketHarness
 
 SESSION = f"{1:016x}"
+# Releases that together are longer than one message may be.
+BURST = 600
 NOISE = b"\xff\xff\xff"
 # By the platform's page: the longest time from a play's end to its release.
 RELEASE_LIMIT_MS = 8_000.0
@@ -123,6 +125,22 @@
                 self.assertFalse(self.director.nodes.by_id["a"].releases)
                 self.harness.close()
 
+    # Guards against a connection that ends as its node reports many ends at once.
+    def test_many_releases_of_a_node_in_one_read(self):
+        self.start()
+        self.connection.write(answer(SESSION))
+        self.advance(100)
+        (own,) = self.director.nodes.by_id["a"].connections
+        self.connection.write(b"".join(release(number, 16) for number in range(1, BURST + 1)))
+        answered = []
+        self.harness.run_until(
+            lambda: answered.extend(self.connection.receive())
+            or len(answered) == BURST
+            or self.connection.ended
+        )
+        self.assertIsNone(self.connection.ended)
+        self.assertEqual(self.director.nodes.by_id["a"].connections, [own])
+
     # Guards against releases without end at a node that answers tests, and no release.
     def test_a_node_that_need_not_answer_releases(self):
         self.start()
--- a/tests/test_signalling.py
+++ b/tests/test_signalling.py
@@ -88,6 +88,11 @@
             with self.subTest(name), self.assertRaises(rtsp.MalformedError):
                 read_all(rtsp.Reader(), [data])
 
+    # Guards against taking a burst of whole messages, longer together than one may be, for header lines without an end.
+    def test_a_burst_of_messages_in_one_read(self):
+        count = 3 * rtsp.MAX_MESSAGE_BYTES // len(RESPONSE)
+        self.assertEqual(len(read_all(rtsp.Reader(), [RESPONSE * count])), count)
+
     def test_too_long_a_length_returns_nothing(self):
         self.assertEqual(read_all(rtsp.Reader(), [RESPONSE.replace(b"Length: 5", b"Length: 50")]), [])
 
