Bound plays that are handed over, and find releases by their connection

Cause: a hand-over is held as a play until its node reports its end, in any number; each start of a play looked through all releases that viewers had not acknowledged. Tests: test_floods_on_one_connection, which fails before for both kinds. The slow tests of hostile clients and reused addresses run beside the others.

--- a/laddergw/platform/connection.py
+++ b/laddergw/platform/connection.py
@@ -69,8 +69,8 @@
         for data in messages:
             self.stream.write(data)
         releases = self.node.releases.waiting()
-        for session, _ in releases:
-            self.send_release(session)
+        for release in releases:
+            self.send_release(release.session)
         if messages or releases:
             self.write_buffer_drained(self.stream)
 
@@ -185,7 +185,7 @@
         """
         log.debug("node %s: %s closed by us in good order", self.node.id, self)
         self.detach()
-        self.stream.close(deliver_ms, self if self.node.releases.is_carried_by(self) else None)
+        self.stream.close(deliver_ms, self if self in self.node.releases.by_carrier else None)
 
     def last_data_received(self, data: bytes) -> None:
         """Stream callback: settles the releases that are answered after the close."""
--- a/laddergw/platform/deliveries.py
+++ b/laddergw/platform/deliveries.py
@@ -48,7 +48,7 @@
         connection.send_waiting()
     elif node.gone and not node.fleet.is_at_its_address(node):
         node.releases.clear()
-    elif node.releases.waiting():
+    elif node.releases.waiting_by_session:
         await_connection(node)
 
 
--- a/laddergw/platform/node.py
+++ b/laddergw/platform/node.py
@@ -132,14 +132,12 @@
 
     def has_open_releases(self) -> bool:
         """Whether releases wait for it, or are unanswered on a connection that is not closed."""
-        return any(
-            release.carrier is None or release.carrier in self.connections
-            for release in self.releases.owed.values()
-        )
+        is_carried = any(one in self.releases.by_carrier for one in self.connections)
+        return is_carried or bool(self.releases.waiting_by_session)
 
     def has_waiting_messages(self) -> bool:
         """Whether messages or releases wait for a connection."""
-        return bool(self.queued_messages or self.releases.waiting())
+        return bool(self.queued_messages or self.releases.waiting_by_session)
 
     def is_dial_due(self, now: float) -> bool:
         """Whether it may be dialled for what waits: at an interval where that was of no use."""
--- a/laddergw/platform/nodes.py
+++ b/laddergw/platform/nodes.py
@@ -77,7 +77,7 @@
             idle,
             key=lambda connection: (
                 bool(connection.node.running_plays),
-                connection.node.releases.is_carried_by(connection),
+                connection in connection.node.releases.by_carrier,
                 connection.dialled_at,
             ),
         )
@@ -124,7 +124,7 @@
         nodes = self.by_number.values()
         return any(
             (node.has_waiting_messages() and not node.gone)
-            or node.releases.is_in_transit()
+            or node.releases.by_carrier
             or any(connection.stream.queued for connection in node.connections)
             for node in nodes
         )
--- a/laddergw/platform/play_ending.py
+++ b/laddergw/platform/play_ending.py
@@ -58,6 +58,7 @@
 
         That it is over holds for a hand-over that names it later, too.
         """
+        self.director.admission.hand_overs.play_ended(play)
         by_node = play.node.id if event in allocation.EVENTS_OF_NODE else ""
         ended = EndedSession(play.session, by_node, event)
         self.director.ended_sessions.add(play.node.id, ended)
--- a/laddergw/platform/release_outbox.py
+++ b/laddergw/platform/release_outbox.py
@@ -21,6 +21,7 @@
 class OwedRelease:
     """A release that its node has not answered yet. Times by the loop's clock, ms."""
 
+    session: str
     data: bytes
     # when the connection came up on which the session was set up, or None where that is not known
     opened_at: float | None = None
@@ -37,10 +38,13 @@
 
     def __init__(self) -> None:
         self.owed: dict[str, OwedRelease] = {}
+        # those that wait for a connection, and the others by connection in the order of their bytes
+        self.waiting_by_session: dict[str, OwedRelease] = {}
+        self.by_carrier: dict[Connection, dict[str, OwedRelease]] = {}
 
-    def __bool__(self) -> bool:
-        """Whether the node is owed any release."""
-        return bool(self.owed)
+    def __len__(self) -> int:
+        """How many releases the node is owed."""
+        return len(self.owed)
 
     def __contains__(self, session: str) -> bool:
         """Whether the node is owed the release of a session."""
@@ -48,25 +52,42 @@
 
     def add(self, session: str, data: bytes, opened_at: float | None = None) -> None:
         """Owes the release of a session, which waits for a connection until `sent`."""
-        self.owed.setdefault(session, OwedRelease(data, opened_at))
+        if session not in self.owed:
+            release = OwedRelease(session, data, opened_at)
+            self.owed[session] = self.waiting_by_session[session] = release
 
     def sent(self, session: str, carrier: "Connection") -> None:
         """Records that a release was just written to a connection, as the last bytes there."""
         release = self.owed[session]
+        self.unlink(release)
         release.carrier, release.end = carrier, carrier.stream.bytes_written
         release.sent_at, release.attempts = carrier.loop.now, release.attempts + 1
-
-    def waiting(self) -> list[tuple[str, OwedRelease]]:
-        """The releases that wait for a connection, with their sessions."""
-        return [entry for entry in self.owed.items() if entry[1].carrier is None]
+        self.by_carrier.setdefault(carrier, {})[session] = release
+
+    def unlink(self, release: OwedRelease) -> None:
+        """Takes a release from those that wait, or from its connection's."""
+        if release.carrier is None:
+            del self.waiting_by_session[release.session]
+            return
+        carried = self.by_carrier[release.carrier]
+        del carried[release.session]
+        if not carried:
+            del self.by_carrier[release.carrier]
+
+    def waiting(self) -> list[OwedRelease]:
+        """The releases that wait for a connection."""
+        return list(self.waiting_by_session.values())
 
     def is_first_attempt_waiting(self) -> bool:
         """Whether a release waits that may be sent without regard to the interval of dials."""
-        return any(release.attempts < MAX_IMMEDIATE_ATTEMPTS for _, release in self.waiting())
+        return any(release.attempts < MAX_IMMEDIATE_ATTEMPTS for release in self.waiting())
 
     def settle(self, session: str) -> bool:
         """Forgets a release that is not owed any more; returns whether it was."""
-        return self.owed.pop(session, None) is not None
+        release = self.owed.pop(session, None)
+        if release is not None:
+            self.unlink(release)
+        return release is not None
 
     def answered(self, session: str, carrier: "Connection") -> bool:
         """Settles a release whose answer came on a connection, where that was its last carrier."""
@@ -75,47 +96,41 @@
 
     def settle_up_to(self, carrier: "Connection", end: int) -> None:
         """Settles what the node has read: it answered a request that ends there in the stream."""
-        for session, release in list(self.owed.items()):
-            if release.carrier is carrier and release.end <= end:
-                self.settle(session)
-
-    def is_in_transit(self) -> bool:
-        """Whether a release was written to a connection and is unanswered."""
-        return any(release.carrier is not None for release in self.owed.values())
+        for release in list(self.by_carrier.get(carrier, {}).values()):
+            if release.end > end:
+                return
+            self.settle(release.session)
 
     def settle_before(self, started_at: float) -> None:
         """Settles what earlier processes were owed: one has started at a time, by the loop's clock.
 
         What was set up on a connection that came up before ran at one of those.
         """
-        for session, release in list(self.owed.items()):
+        for release in list(self.owed.values()):
             if release.opened_at is not None and release.opened_at < started_at:
-                self.settle(session)
+                self.settle(release.session)
 
     def take_back(self, carrier: "Connection") -> bool:
         """Lets releases wait again whose connection has ended; returns whether there are any."""
-        lost = [release for release in self.owed.values() if release.carrier is carrier]
-        for release in lost:
+        lost = self.by_carrier.pop(carrier, {})
+        for release in lost.values():
             release.carrier = None
+        self.waiting_by_session |= lost
         return bool(lost)
 
     def shift(self, carrier: "Connection", behind: int, size: int) -> None:
         """Moves what ends behind a byte of the carrier's stream, as bytes there were withdrawn."""
-        for release in self.owed.values():
-            if release.carrier is carrier and release.end > behind:
+        for release in self.by_carrier.get(carrier, {}).values():
+            if release.end > behind:
                 release.end -= size
 
-    def is_carried_by(self, carrier: "Connection") -> bool:
-        """Whether releases on a connection are unanswered."""
-        return any(release.carrier is carrier for release in self.owed.values())
-
     def is_overdue(self, carrier: "Connection", now: float) -> bool:
         """Whether a release on a connection has waited too long for its answer."""
-        return any(
-            release.carrier is carrier and now - release.sent_at >= ANSWER_TIMEOUT_MS
-            for release in self.owed.values()
-        )
+        oldest = next(iter(self.by_carrier.get(carrier, {}).values()), None)
+        return oldest is not None and now - oldest.sent_at >= ANSWER_TIMEOUT_MS
 
     def clear(self) -> None:
         """Forgets all: the process that was owed them has ended."""
         self.owed.clear()
+        self.waiting_by_session.clear()
+        self.by_carrier.clear()
--- a/laddergw/platform/releases.py
+++ b/laddergw/platform/releases.py
@@ -12,6 +12,9 @@
 if TYPE_CHECKING:
     from laddergw.platform.viewers import ViewerConnection
 
+# Releases that are kept for their acknowledgement, which viewers need not send; one that displaces
+# another has gone to the same connection.
+MAX_PENDING_RELEASES = 8_192
 # A release that is not acknowledged for this long is given up: its play counts as lost by then.
 RELEASE_LIFETIME_MS = 8_000.0
 
@@ -38,6 +41,8 @@
     def __init__(self, loop, viewers: Iterable["ViewerConnection"], count: Callable[[str], None]):
         self.loop, self.viewers, self.count = loop, viewers, count
         self.pending: dict[str, PendingRelease] = {}
+        # the sessions of `pending` by their carrier, oldest first
+        self.by_carrier: dict[ViewerConnection | None, dict[str, None]] = {}
 
     def __bool__(self) -> bool:
         """Whether any release is not acknowledged yet."""
@@ -55,7 +60,9 @@
     ) -> None:
         """Writes a release to the best connection, or keeps it for the next one."""
         carrier = self.carrier_for(preferred)
+        self.remove(session)
         self.pending[session] = PendingRelease(carrier, data, expires_at)
+        self.by_carrier.setdefault(carrier, {})[session] = None
         log.debug(
             "%s: release to its viewer on %s",
             session,
@@ -65,6 +72,22 @@
         if carrier is not None:
             carrier.last_used = self.loop.now
             carrier.stream.write(data)
+            self.drop_excess(carrier)
+
+    def drop_excess(self, carrier: "ViewerConnection") -> None:
+        """Keeps the number of releases bounded: the oldest one of a connection is not kept."""
+        if len(self.pending) > MAX_PENDING_RELEASES:
+            self.remove(next(iter(self.by_carrier[carrier])))
+
+    def remove(self, session: str) -> PendingRelease | None:
+        """Removes a session's release, if there is one, and returns it."""
+        release = self.pending.pop(session, None)
+        if release is not None:
+            sessions = self.by_carrier[release.carrier]
+            del sessions[session]
+            if not sessions:
+                del self.by_carrier[release.carrier]
+        return release
 
     def carrier_for(self, preferred: "ViewerConnection | None") -> "ViewerConnection | None":
         """Returns the connection to send on: `preferred` while it is open, else the last used one
@@ -81,7 +104,7 @@
 
     def acknowledged(self, session: str) -> None:
         """Forgets a release that its viewer has acknowledged."""
-        if self.pending.pop(session, None) is not None:
+        if self.remove(session) is not None:
             log.debug("%s: release acknowledged by its viewer", session)
             self.count("releases heard")
 
@@ -104,9 +127,14 @@
         preferred: "ViewerConnection | None" = None,
     ) -> None:
         """Sends again the releases whose carrier is `affected`."""
-        for session, release in [
-            entry for entry in self.pending.items() if affected(entry[1].carrier)
-        ]:
+        sessions = [
+            session
+            for carrier, carried in self.by_carrier.items()
+            if affected(carrier)
+            for session in carried
+        ]
+        for session in sessions:
+            release = self.pending[session]
             self.count("releases sent again")
             self.write(preferred, session, release.data, release.expires_at)
 
@@ -117,7 +145,7 @@
             for session, release in self.pending.items()
             if self.loop.now >= release.expires_at
         ]:
-            release = self.pending.pop(session)
+            release = self.remove(session)
             log.info(
                 "%s: its release was never acknowledged, on %s",
                 session,
--- a/tests/runner.py
+++ b/tests/runner.py
@@ -20,7 +20,7 @@
 SEPARATE_GROUPS = (
     ("tests.test_budgets", "tests.test_cold_fleet", "tests.test_fleet_planner", "tests.test_fleet_hard"),          # bound by the processor, but for the last
     ("tests.test_budget_processes", "tests.test_fleet_processes", "tests.test_platform_fleet", "tests.test_switch"),   # mostly waiting for processes
-    ("tests.test_soak",),                                                          # many trials at once
+    ("tests.test_soak", "tests.test_hostile_clients", "tests.test_reused_addresses"),                # many trials at once; one director and its peers
 )
 SLOWEST_COUNT = 8                # tests whose time is printed: all tests together have six minutes
 
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -10,7 +10,7 @@
 import time
 import unittest
 
-from laddergw.signalling import binary
+from laddergw.signalling import binary, rtsp
 from tests.director_process import PING, DirectorProcess, session_name
 from tests.platform_cluster import answer, set_up
 
@@ -97,6 +97,11 @@
             "taken back": lambda number: set_up(number) + self.viewer_end(number),
             "ends": self.viewer_end,
             "handed over": lambda number: set_up(number, attributes="home:0;copies:3;top:2;at:z"),
+            "held": lambda number: set_up(number, attributes="home:0;copies:3;top:2;at:a"),
+            "over": lambda number: (
+                self.viewer_end(number)
+                + set_up(number, attributes="home:0;copies:3;top:2;at:a")
+            ),
         }
         return b"".join(messages[kind](next(numbers)) for _ in range(200))
 
@@ -106,7 +111,7 @@
 
     # Guards against others' answers that come late, and memory without end, as one client floods.
     def test_floods_on_one_connection(self):
-        for kind in "tests", "unsound", "taken back", "ends", "handed over":
+        for kind in "tests", "unsound", "taken back", "ends", "handed over", "held", "over":
             with self.subTest(kind):
                 director = DirectorProcess(self, nodes=("a", "b"), limits={"sockets": 256})
                 growth = self.flood(director, kind)
@@ -151,14 +156,20 @@
         for node in director.nodes.values():
             for connection in node.connections:
                 for message in connection.received:
-                    if message.method == "SETUP" and connection.ended is None:
-                        self.write_one(connection, answer(message.session))
+                    if message.method and connection.ended is None:
+                        self.write_one(connection, self.node_answer(message))
                 connection.received = []
             node.connections = [one for one in node.connections if one.ended is None]
         answers = [one for one in usual.received if one.session == session_name(session)]
         usual.received = []
         return any(one.kind in (binary.ANSWER, binary.RELEASE) for one in answers)
 
+    def node_answer(self, message):
+        """What a node answers to a set-up, a test or a release."""
+        if message.method == "SETUP":
+            return answer(message.session)
+        return rtsp.encode_response(200, "OK", message.cseq, message.session)
+
     # Guards against requests that are sent on after their client has closed its connection.
     def test_what_a_client_left_unread_is_not_sent_on(self):
         for way in "closed", "reset", "half-closed":
