Read what came during a stand-still before any timer runs

Cause: a stop interrupts the selector's wait, which then returns no events; that turn ran all due timers, and counted the stand-still as its own. Change: a turn that comes late asks the selector again first. Test: test_what_came_during_a_stop_is_read_before_timers fails before.

--- a/laddergw/loop/sockets.py
+++ b/laddergw/loop/sockets.py
@@ -180,14 +180,18 @@
 
     def turn(self) -> None:
         """Waits for events, then handles sockets before timers: data that came in time is handled
-        before a timer that is due in the same turn.
+        before a timer that is due in the same turn, also where the process stood still meanwhile.
         """
         due = self.timers.next()
         wait = 0.0 if self.deferred_calls else wait_ms(self.now, due, MAX_WAIT_MS)
         before = self.now
         events = self.selector.select(math.ceil(wait) / 1000)
         self.now = self.clock()
-        self.record_lag(max(0.0, self.now - before - wait - 1.0), self.now - before)
+        lag_ms = max(0.0, self.now - before - wait - 1.0)
+        # A wait that a stop of the process interrupted returns without what came meanwhile.
+        if lag_ms > 0.0:
+            events = self.selector.select(0)
+        self.record_lag(lag_ms, self.now - before)
         self.begin_turn()
         # Data is read before connections come up and queues are written out: a write that a peer's
         # message cancels must not leave in this turn.
--- a/tests/test_loop_waits.py
+++ b/tests/test_loop_waits.py
@@ -55,6 +55,26 @@
         return [(key, selectors.EVENT_READ) for key, when in list(self.ready_at.values()) if when <= self.now]
 
 
+class InterruptedWait:
+    """A selector whose wait is interrupted by a stop of the process: it returns without what came meanwhile."""
+
+    def __init__(self, stall_ms, ready):
+        self.now, self.stall_ms, self.ready = 0.0, stall_ms, ready
+        self.loop = SocketLoop(lambda: self.now, self)
+
+    def select(self, timeout):
+        if timeout > 0:
+            self.now += self.stall_ms
+            return []
+        return [(SimpleNamespace(data=SimpleNamespace(ready=self.ready)), selectors.EVENT_READ)]
+
+    def get_map(self):
+        return {}
+
+    def close(self):
+        pass
+
+
 class FullSocket:
     """A listening socket of a process that has no descriptor left."""
 
@@ -143,6 +163,14 @@
         simulation.loop.turn()
         self.assertNotIn(sock, simulation.ready_at)
 
+    # Guards against time-outs of what has come while the process stood still, and against a stand-still that is counted as none.
+    def test_what_came_during_a_stop_is_read_before_timers(self):
+        calls = []
+        selector = InterruptedWait(600.0, lambda mask: calls.append(("read", selector.loop.stall_ms)))
+        selector.loop.call_later(50.0, lambda: calls.append("timer"))
+        selector.loop.turn()
+        self.assertEqual(calls, [("read", 600.0), "timer"])
+
     def test_a_timer_at_nan_is_refused(self):
         loop = Simulation(4).loop
         for add_timer in loop.call_at, loop.call_later:
