Wait for nodes' answers at a stop no longer than leaves time to close

Need: the exit waits up to 0.25 s for acknowledgements and 0.1 s for peers' closes, 0.35 s after the longest limit; with a node that stands still it would always take the whole 0.7 s that are allowed before SIGKILL. Change: nodes' answers to releases are waited for until 0.1 s before the end of that wait. Measured: tests of stops and releases pass.

--- a/laddergw/platform/director.py
+++ b/laddergw/platform/director.py
@@ -177,7 +177,7 @@
     def exit_when_acknowledged(self, latest: float) -> None:
         """Exits once releases are acknowledged: a connection that ends loses what is unread."""
         self.is_exiting = True
-        if (self.listener.releases or self.nodes.has_undelivered()) and self.loop.now < latest:
+        if (self.listener.releases or self.nodes.is_sending(latest)) and self.loop.now < latest:
             self.loop.call_later(EXIT_POLL_MS, lambda: self.exit_when_acknowledged(latest))
         else:
             self.change_log.stop()
--- a/laddergw/platform/nodes.py
+++ b/laddergw/platform/nodes.py
@@ -16,6 +16,9 @@
 # A node that the list has dropped is kept for so long while releases wait for it: it may only be
 # cut off, and come back.
 GONE_RETENTION_MS = 60_000.0
+# Answers to releases are waited for until so long before the process's end: a node that stands
+# still gives none.
+EXIT_MARGIN_MS = 100.0
 
 log = logging.getLogger("laddergw.platform")
 
@@ -119,12 +122,16 @@
             connection.close()
             self.dial_waiting(1)
 
-    def has_undelivered(self) -> bool:
-        """Whether messages to nodes have not left yet, or releases that left are unanswered."""
+    def is_sending(self, latest: float) -> bool:
+        """Whether messages to nodes have not left yet, or releases that left are unanswered.
+
+        At the process's end at a time, answers are not waited for so long as viewers'.
+        """
+        has_time = self.loop.now + EXIT_MARGIN_MS < latest
         nodes = self.by_number.values()
         return any(
             (node.has_waiting_messages() and not node.gone)
-            or node.releases.by_carrier
+            or (has_time and node.releases.by_carrier)
             or any(connection.stream.queued for connection in node.connections)
             for node in nodes
         )
