Send releases on the connection on which their node was heard last

Seen: where a node had forgotten six resting connections, a release went from one to the next, some 2 s each, and did not arrive within 8 s. Cause: the first connection that was up and had no open set-up was taken. Change: the one on which the node was heard last. Test: test_a_release_among_many_forgotten_connections fails before.

--- a/laddergw/platform/connection.py
+++ b/laddergw/platform/connection.py
@@ -34,6 +34,8 @@
         self.is_after_loss = bool(node.running_plays) and lost_at is not None
         # it carries no set-ups any more, and is closed once its node has answered a ping on it
         self.is_retiring = False
+        # when the node was heard on it last
+        self.heard_at = self.loop.now
         # when it came up; the process that accepted it runs since then at the latest
         self.opened_at: float | None = None
         # plays whose set-ups are open on it, by session
@@ -100,7 +102,7 @@
         """Records that the node answers."""
         self.node.unanswered_dials = 0
         self.node.mark_heard(is_same_process=not self.is_after_loss)
-        self.last_used = self.loop.now
+        self.heard_at = self.last_used = self.loop.now
 
     def data_received(self, stream, data: bytes) -> None:
         """Stream callback: passes whole messages on; malformed ones end the connection."""
--- a/laddergw/platform/deliveries.py
+++ b/laddergw/platform/deliveries.py
@@ -53,11 +53,12 @@
 
 
 def best_connection(node: "Node") -> "Connection | None":
-    """A connection that is up, first one without an open set-up, or None."""
+    """The connection on which the node was heard last, or None where none is up.
+
+    Others may be forgotten by their node. Of equals it is one without an open set-up.
+    """
     up = [connection for connection in node.connections if connection.up]
-    return next((connection for connection in up if not connection.plays), None) or next(
-        iter(up), None
-    )
+    return max(up, key=lambda one: (one.heard_at, not one.plays), default=None)
 
 
 def await_connection(node: "Node") -> None:
--- a/tests/test_orders_releases.py
+++ b/tests/test_orders_releases.py
@@ -141,6 +141,21 @@
         self.assertIsNone(self.connection.ended)
         self.assertEqual(self.director.nodes.by_id["a"].connections, [own])
 
+    # Guards against a release that goes from one forgotten connection to the next.
+    def test_a_release_among_many_forgotten_connections(self):
+        self.start()
+        self.connection.write(answer(SESSION))
+        self.advance(100)
+        node = self.director.nodes.by_id["a"]
+        for _ in range(5):
+            node.dial()
+        self.harness.run_until(lambda: all(one.up for one in node.connections))
+        self.advance(100)
+        self.forgotten += self.nodes["a"].connections
+        self.viewer.write(binary.encode(binary.RELEASE, SESSION, (222, b"\x10")))
+        self.advance(RELEASE_LIMIT_MS)
+        self.assertEqual(self.releases_at("a"), [SESSION])
+
     # Guards against releases without end at a node that answers tests, and no release.
     def test_a_node_that_need_not_answer_releases(self):
         self.start()
