Test a release that waits for longer than the limit of an end

Need: with releases do not expire, so the expired time went out of test_a_release_that_waited_long_is_still_sent, which left it without any wait. Change: its node is out of reach for 9 s, more than the 8 s of that limit, and hears the release once it is reached again.

--- a/tests/test_orders_ends.py
+++ b/tests/test_orders_ends.py
@@ -162,15 +162,19 @@
                 self.assertEqual([m.session for m in self.run_until_released()], [f"{1:016x}"])
 
     def test_a_release_that_waited_long_is_still_sent(self):
-        """It is sent once, though the time for which it is sent again is over."""
+        """It is sent once its node is reached again, after the 8 s in which a play that has ended is to be released."""
         viewer, connection = self.start_play()
         connection.close()
         node = self.harness.director.nodes.by_id["a"]
         self.harness.run_until(lambda: not node.connections or node.connections[0].up)
         node.releases.add(f"{1:016x}", rtsp.encode_request("TEARDOWN", "x", f"{1:016x}"))
         self.harness.director.nodes.awaiting_connection = {node: None}
+        self.harness.nodes["a"].stop_accepting()
         for director_connection in list(node.connections):
             director_connection.abort("cut")
+        self.advance(9_000)
+        self.assertEqual([m.method for _, m in self.harness.nodes["a"].receive()], [])
+        self.harness.nodes["a"].resume_accepting()
         self.assertEqual([m.session for m in self.run_until_released()], [f"{1:016x}"])
         self.assertTrue(node.connections)
 
